--- /dev/null
+++ b/internal/hasher/doc.go
@@ -0,0 +1,2 @@
+// Package hasher ranks names for a key by rendezvous hashing.
+package hasher
--- /dev/null
+++ b/internal/queuer/doc.go
@@ -0,0 +1,2 @@
+// Package queuer holds queues that share service among lanes by weighted virtual time.
+package queuer
--- /dev/null
+++ b/pkg/cataloguer/doc.go
@@ -0,0 +1,2 @@
+// Package cataloguer holds the published catalogue: its entries, shards, checks and differences.
+package cataloguer
--- /dev/null
+++ b/pkg/decoder/doc.go
@@ -0,0 +1,2 @@
+// Package decoder reads strict YAML documents and reports each fault with its file, line and field.
+package decoder
