--- /dev/null
+++ b/internal/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener serves callers, other hosts and operators, and turns what they send into events.
+package listener
--- /dev/null
+++ b/internal/listener/operators.go
@@ -0,0 +1,84 @@
+package listener
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/redwingpick/redwingpick/internal/executor"
+	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/internal/selector"
+)
+
+// Operators serves operators and monitoring; its exported fields are set before Handler.
+type Operators[P selector.Policy] struct {
+	Control *executor.Control[P]
+
+	sequence atomic.Uint64
+}
+
+// Handler returns the HTTP handler for operators.
+func (o *Operators[P]) Handler() http.Handler {
+	o.publish()
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", o.readiness)
+	mux.HandleFunc("GET /v1/status", o.status)
+	return mux
+}
+
+func (o *Operators[P]) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !o.Control.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (o *Operators[P]) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
+	defer cancel()
+	replyID := fmt.Sprintf("status-%d", o.sequence.Add(1))
+	reply := o.Control.Replies.Register(ctx, replyID)
+	defer o.Control.Replies.Forget(replyID)
+	o.Control.Report(ctx, reducer.StatusAsked{ReplyID: replyID})
+	select {
+	case effect := <-reply.Effects:
+		answer, _ := effect.(reducer.StatusAnswer)
+		writeJSON(w, http.StatusOK, answer.Status)
+	case <-ctx.Done():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// publish makes the counters visible under one expvar name, with units in the names.
+func (o *Operators[P]) publish() {
+	if expvar.Get("redwingpick") != nil {
+		return
+	}
+	expvar.Publish("redwingpick", expvar.Func(func() any {
+		counters := map[string]any{}
+		data, err := json.Marshal(o.Control.Counters())
+		if err != nil || json.Unmarshal(data, &counters) != nil {
+			return nil
+		}
+		counters["refused_total_by_reason"] = byReason(o.Control.Counters())
+		delete(counters, "refused_by_reason")
+		counters["control_busy_ns_total"] = o.Control.Busy().Nanoseconds()
+		counters["invariants_broken_total"] = o.Control.Broken()
+		counters["goroutines_waiting"] = o.Control.Replies.Count()
+		return counters
+	}))
+}
+
+func byReason(counters reducer.Counters) map[string]uint64 {
+	refused := map[string]uint64{}
+	for i, n := range counters.RefusedByReason {
+		if n > 0 {
+			refused[reducer.Reason(i).String()] = n
+		}
+	}
+	return refused
+}
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -103,6 +103,7 @@
 	r.Charged = r.Tokens
 	r.ChargedAt = now
 	s.Counters.TokensCharged += r.Tokens
+	s.wallet(r.Account).Spent += r.Tokens
 }
 
 // takeStatic charges a fixed part of the rate, as the baseline does.
@@ -131,6 +132,7 @@
 	r.Charged = 0
 	s.Counters.TokensRefunded += unused
 	w := s.wallet(r.Account)
+	w.Spent -= unused
 	w.Refunds = append(w.Refunds, PendingRefund{Tokens: unused, ChargedAt: r.ChargedAt})
 }
 
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -28,14 +28,15 @@
 
 // Forward sends a request on to the host that owns the backend server.
 type Forward struct {
-	ID       string
-	To       string
-	Address  string
-	Backend  string
-	Account  string
-	Version  uint32
-	Attempt  int
-	Deadline time.Time
+	ID         string
+	To         string
+	Address    string
+	Backend    string
+	Account    string
+	Version    uint32
+	Attempt    int
+	Repeatable bool
+	Deadline   time.Time
 }
 
 // Dispatch sends a request to a backend server.
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -120,3 +120,13 @@
 
 // String returns the reason in the form that callers see.
 func (r Reason) String() string { return reasonTexts[r] }
+
+// ReasonOf returns the reason behind the form that callers see, or ReasonConnection if there is none.
+func ReasonOf(text string) Reason {
+	for i, t := range reasonTexts {
+		if t == text {
+			return Reason(i)
+		}
+	}
+	return ReasonConnection
+}
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -54,14 +54,15 @@
 	r.Phase = PhaseForwarded
 	s.Counters.Forwards++
 	s.emit(Forward{
-		ID:       r.ID,
-		To:       holder,
-		Address:  s.Config.Hosts[holder].PeerAddress,
-		Backend:  r.Backend,
-		Account:  r.Account,
-		Version:  r.Adapter.Version,
-		Attempt:  len(r.Tried),
-		Deadline: r.Deadline,
+		ID:         r.ID,
+		To:         holder,
+		Address:    s.Config.Hosts[holder].PeerAddress,
+		Backend:    r.Backend,
+		Account:    r.Account,
+		Version:    r.Adapter.Version,
+		Attempt:    len(r.Tried),
+		Repeatable: r.Repeatable,
+		Deadline:   r.Deadline,
 	})
 }
 
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -241,9 +241,10 @@
 	r.RetryAt = now.Add(s.backoff(min(r.Attempt, 5)))
 }
 
-// retryUnknown repeats an idempotent request of which the caller has not had a byte.
+// retryUnknown repeats an idempotent request; the answer of an engine goes on where the caller's part of it ends.
 func retryUnknown[P selector.Policy](s *State, now time.Time, r *Request, reason Reason, delivered int) {
-	if !r.Repeatable || delivered > 0 || reason == ReasonCancelled || reason == ReasonKeyWithdrawn {
+	cut := r.Service != "" && delivered > 0
+	if !r.Repeatable || cut || reason == ReasonCancelled || reason == ReasonKeyWithdrawn {
 		refuse(s, r, OutcomeUnknown, reason, 0)
 		return
 	}
@@ -298,6 +299,9 @@
 // refuse ends a request with a typed refusal; what has not run is refunded.
 func refuse(s *State, r *Request, outcome Outcome, reason Reason, after time.Duration) {
 	s.Counters.RefusedByReason[reason]++
+	if reason == ReasonOverRate {
+		s.wallet(r.Account).Refused++
+	}
 	if outcome == OutcomeNotRun {
 		s.Counters.RequestsNotRun++
 		refund(s, r, 0)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -152,7 +152,11 @@
 	Waiting      []string
 	Refunds      []PendingRefund
 	Static       limiter.Bucket
-	RefundedAt   time.Time
+	// Spent is the tokens charged here, less those refunded.
+	Spent float64
+	// Refused is the number of requests refused because the account was over its rate.
+	Refused    uint64
+	RefundedAt time.Time
 	// ShortSince is when the keeper first said that it is short of tokens.
 	ShortSince time.Time
 }
@@ -335,38 +339,38 @@
 
 // Counters counts what happened since the start; the executor publishes them.
 type Counters struct {
-	Ticks             uint64
-	RequestsArrived   uint64
-	RequestsDone      uint64
-	RequestsNotRun    uint64
-	RequestsUnknown   uint64
-	Forwards          uint64
-	Dispatches        uint64
-	LoadStalls        uint64
-	LoadStallMillis   uint64
-	Loads             uint64
-	LoadsFailed       uint64
-	Evictions         uint64
-	Prefetches        uint64
-	TokensCharged     float64
-	TokensRefunded    float64
-	TokensUsed        float64
-	GrantsAsked       uint64
-	VotesRefused      uint64
-	LeasesTaken       uint64
-	LeasesLost        uint64
-	Handovers         uint64
-	EffectsExpired    uint64
-	ConfigAdopted     uint64
-	ShardsRefused     uint64
-	PermitsIssued     uint64
-	PermitsConsumed   uint64
-	ColdDetected      uint64
-	Retries           uint64
-	MismatchedAnswers uint64
-	RefusedByReason   [ReasonCount]uint64
-	PlatformReads     uint64
-	RequestsEndedKeys uint64
+	Ticks             uint64              `json:"ticks_total"`
+	RequestsArrived   uint64              `json:"requests_arrived_total"`
+	RequestsDone      uint64              `json:"requests_done_total"`
+	RequestsNotRun    uint64              `json:"requests_not_run_total"`
+	RequestsUnknown   uint64              `json:"requests_unknown_total"`
+	Forwards          uint64              `json:"forwards_total"`
+	Dispatches        uint64              `json:"dispatches_total"`
+	LoadStalls        uint64              `json:"load_stalls_total"`
+	LoadStallMillis   uint64              `json:"load_stall_ms_total"`
+	Loads             uint64              `json:"loads_total"`
+	LoadsFailed       uint64              `json:"loads_failed_total"`
+	Evictions         uint64              `json:"evictions_total"`
+	Prefetches        uint64              `json:"prefetches_total"`
+	TokensCharged     float64             `json:"tokens_charged_total"`
+	TokensRefunded    float64             `json:"tokens_refunded_total"`
+	TokensUsed        float64             `json:"tokens_used_total"`
+	GrantsAsked       uint64              `json:"grants_asked_total"`
+	VotesRefused      uint64              `json:"votes_refused_total"`
+	LeasesTaken       uint64              `json:"leases_taken_total"`
+	LeasesLost        uint64              `json:"leases_lost_total"`
+	Handovers         uint64              `json:"handovers_total"`
+	EffectsExpired    uint64              `json:"effects_expired_total"`
+	ConfigAdopted     uint64              `json:"config_adopted_total"`
+	ShardsRefused     uint64              `json:"shards_refused_total"`
+	PermitsIssued     uint64              `json:"permits_issued_total"`
+	PermitsConsumed   uint64              `json:"permits_consumed_total"`
+	ColdDetected      uint64              `json:"cold_detected_total"`
+	Retries           uint64              `json:"retries_total"`
+	MismatchedAnswers uint64              `json:"mismatched_answers_total"`
+	RefusedByReason   [ReasonCount]uint64 `json:"refused_by_reason"`
+	PlatformReads     uint64              `json:"platform_reads_total"`
+	RequestsEndedKeys uint64              `json:"requests_ended_keys_total"`
 }
 
 // NewState returns the state of a host that has just started.
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -44,6 +44,8 @@
 	Burst       float64 `json:"burst_tokens"`
 	Held        float64 `json:"held_tokens"`
 	Waiting     int     `json:"waiting"`
+	Spent       float64 `json:"spent_tokens"`
+	Refused     uint64  `json:"refused"`
 	Keeper      bool    `json:"keeper"`
 	Level       float64 `json:"level_tokens"`
 	Outstanding float64 `json:"outstanding_tokens"`
@@ -97,6 +99,8 @@
 	if w, ok := s.Wallets[id]; ok {
 		answer.Held = w.held()
 		answer.Waiting = len(w.Waiting)
+		answer.Spent = w.Spent
+		answer.Refused = w.Refused
 	}
 	right := accountRight(id, s.Self.Region)
 	if h, ok := s.Leases.Holdings[right]; ok && h.Account != nil && s.holds(right, now) {
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -115,6 +115,8 @@
 		delete(s.Config.Pending, e.Name)
 	}
 	if e.Failed {
+		s.Watch.Failures++
+		s.Watch.RetryAt = now.Add(s.backoff(s.Watch.Failures))
 		return
 	}
 	if e.Fault != "" {
--- /dev/null
+++ b/internal/tracer/tracer.go
@@ -0,0 +1,94 @@
+package tracer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
+)
+
+const scope = "redwingpick"
+
+// ErrCollector is returned when the trace collector's address cannot be used.
+var ErrCollector = merry.New("trace collector cannot be used")
+
+// Settings tells where spans go; the zero value drops them.
+type Settings struct {
+	Host      string
+	Collector string
+	Lines     io.Writer
+}
+
+// Start sets the process-wide tracer and returns the function that ends it.
+func Start(ctx context.Context, settings Settings) (stop func(context.Context) error, err error) {
+	attributes := attribute.NewSet(attribute.String("service.name", scope), attribute.String("host.id", settings.Host))
+	options := []trace.TracerProviderOption{trace.WithResource(resource.NewSchemaless(attributes.ToSlice()...))}
+	if settings.Collector != "" {
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(settings.Collector), otlptracehttp.WithInsecure())
+		if err != nil {
+			return nil, merry.Wrap(ErrCollector, merry.WithCause(err))
+		}
+		options = append(options, trace.WithBatcher(exporter))
+	}
+	if settings.Lines != nil {
+		options = append(options, trace.WithSyncer(&lineExporter{out: settings.Lines, host: settings.Host}))
+	}
+	provider := trace.NewTracerProvider(options...)
+	otel.SetTracerProvider(provider)
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	return provider.Shutdown, nil
+}
+
+// Hop starts the span of one hop; the caller ends it.
+func Hop(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, oteltrace.Span) {
+	return otel.Tracer(scope).Start(ctx, name, oteltrace.WithAttributes(attributes...))
+}
+
+// Extract returns the context with the remote span that the headers name.
+func Extract(ctx context.Context, header http.Header) context.Context {
+	return otel.GetTextMapPropagator().Extract(ctx, propagation.HeaderCarrier(header))
+}
+
+// Inject names the present span in the headers.
+func Inject(ctx context.Context, header http.Header) {
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(header))
+}
+
+// lineExporter writes one line a span.
+type lineExporter struct {
+	out   io.Writer
+	host  string
+	mutex sync.Mutex
+}
+
+// ExportSpans writes the spans.
+func (e *lineExporter) ExportSpans(_ context.Context, spans []trace.ReadOnlySpan) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, s := range spans {
+		took := s.EndTime().Sub(s.StartTime()).Round(time.Microsecond)
+		line := fmt.Sprintf("span trace=%s id=%s parent=%s host=%s hop=%q took=%s", s.SpanContext().TraceID(), s.SpanContext().SpanID(),
+			s.Parent().SpanID(), e.host, s.Name(), took)
+		for _, a := range s.Attributes() {
+			line += fmt.Sprintf(" %s=%s", a.Key, a.Value.Emit())
+		}
+		if _, err := fmt.Fprintln(e.out, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Shutdown does nothing.
+func (e *lineExporter) Shutdown(context.Context) error { return nil }
--- /dev/null
+++ b/internal/watcher/doc.go
@@ -0,0 +1,2 @@
+// Package watcher reads and watches the platform's configuration service.
+package watcher
--- /dev/null
+++ b/pkg/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller asks the fleet which hosts to use and sends requests to them.
+package caller
--- a/pkg/cataloguer/parse.go
+++ b/pkg/cataloguer/parse.go
@@ -23,6 +23,11 @@
 	if len(data) > MaxShardBytes {
 		return Shard{}, &decoder.FieldError{File: file, Line: 1, Field: "document", Reason: "is larger than 1048576 bytes"}
 	}
+	return ParseUpdate(file, data)
+}
+
+// ParseUpdate checks a shard that came from another host, whose form may be larger than the published one.
+func ParseUpdate(file string, data []byte) (Shard, error) {
 	document, err := decoder.Decode[Shard](file, data)
 	if err != nil {
 		return Shard{}, err
--- /dev/null
+++ b/pkg/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer reads and checks the settings of a host.
+package configurer
