--- a/internal/commander/request.go
+++ b/internal/commander/request.go
@@ -56,7 +56,7 @@
 		answer, err = client.Complete(context.Background(), f.model, f.prompt, f.maxTokens)
 	}
 	if err != nil {
-		return merry.Wrap(ErrHost, merry.WithCause(err), merry.WithMessage(err.Error()))
+		return merry.Wrap(ErrHost, merry.WithMessage(err.Error()))
 	}
 	return o.print(answer, func() {
 		o.printf("%s\nhost %s  backend server %s  version %s  tries %d\n", answer.Body, answer.Host, answer.BackendServer, answer.Version, answer.Tries)
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -47,7 +47,7 @@
 }
 
 func (w LibraryWriter) write(level string, v any) {
-	w.Recorder.Record(EventLibrary, reducer.Field{Name: "level", Value: level}, reducer.Field{Name: "text", Value: fmt.Sprint(v)})
+	w.Recorder.Record(EventLibrary, reducer.Field{Name: "library_level", Value: level}, reducer.Field{Name: "text", Value: fmt.Sprint(v)})
 }
 
 // Alert records an alert of the library.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -54,15 +54,16 @@
 		deadline = e.Deadline
 	}
 	return &Request{
-		ID:        e.ID,
-		KeyDigest: e.KeyDigest,
-		Service:   e.Service,
-		Permit:    e.Permit,
-		Forwarded: e.Forwarded,
-		From:      e.From,
-		ArrivedAt: now,
-		Deadline:  deadline,
-		Attempt:   e.Attempt,
+		ID:           e.ID,
+		KeyDigest:    e.KeyDigest,
+		Service:      e.Service,
+		Permit:       e.Permit,
+		Forwarded:    e.Forwarded,
+		From:         e.From,
+		ArrivedAt:    now,
+		Deadline:     deadline,
+		Attempt:      e.Attempt,
+		PromptTokens: e.PromptTokens,
 	}
 }
 
@@ -243,6 +244,7 @@
 
 // retryUnknown repeats an idempotent request; the answer of an engine goes on where the caller's part of it ends.
 func retryUnknown[P selector.Policy](s *State, now time.Time, r *Request, reason Reason, delivered int) {
+	r.MayHaveRun = true
 	cut := r.Service != "" && delivered > 0
 	if !r.Repeatable || cut || reason == ReasonCancelled || reason == ReasonKeyWithdrawn {
 		refuse(s, r, OutcomeUnknown, reason, 0)
@@ -292,12 +294,15 @@
 func finish(s *State, r *Request, tokens int) {
 	s.Counters.RequestsDone++
 	s.addRetryBudget("backend/"+r.Backend, r.ArrivedAt)
-	refund(s, r, tokens)
+	refund(s, r, r.PromptTokens+tokens)
 	delete(s.Requests, r.ID)
 }
 
 // refuse ends a request with a typed refusal; what has not run is refunded.
 func refuse(s *State, r *Request, outcome Outcome, reason Reason, after time.Duration) {
+	if r.MayHaveRun {
+		outcome = OutcomeUnknown
+	}
 	s.Counters.RefusedByReason[reason]++
 	if reason == ReasonOverRate {
 		s.wallet(r.Account).Refused++
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -270,28 +270,30 @@
 
 // Request is one request that this host handles.
 type Request struct {
-	ID            string
-	Account       string
-	KeyDigest     string
-	Open          bool
-	Adapter       AdapterKey
-	Service       string
-	Class         int
-	Tokens        float64
-	Charged       float64
-	ChargedAt     time.Time
-	ArrivedAt     time.Time
-	Deadline      time.Time
-	RetryAt       time.Time
-	Repeatable    bool
-	Permit        string
-	Forwarded     bool
-	From          string
-	Phase         Phase
-	Backend       string
-	Attempt       int
-	Tried         []string
-	Dispatched    bool
+	ID         string
+	Account    string
+	KeyDigest  string
+	Open       bool
+	Adapter    AdapterKey
+	Service    string
+	Class      int
+	Tokens     float64
+	Charged    float64
+	ChargedAt  time.Time
+	ArrivedAt  time.Time
+	Deadline   time.Time
+	RetryAt    time.Time
+	Repeatable bool
+	Permit     string
+	Forwarded  bool
+	From       string
+	Phase      Phase
+	Backend    string
+	Attempt    int
+	Tried      []string
+	// MayHaveRun is set once a backend server may have received the request.
+	MayHaveRun    bool
+	PromptTokens  int
 	PermitAskedAt time.Time
 	Stalled       bool
 	QueuedAt      time.Time
