--- a/internal/exampler/exampler.go
+++ b/internal/exampler/exampler.go
@@ -134,7 +134,7 @@
 	return cataloguer.BackendServer{
 		ID: fmt.Sprintf("%s-%d", d.Engines, i+1), Kind: cataloguer.KindEngine, Address: address(d.backendPort(firstPort, i)),
 		FailureDomain: d.FailureDomains[i%len(d.FailureDomains)], State: cataloguer.StateInService, BaseModel: d.BaseModel,
-		ChecksFencing: i%fenceEvery != 0, MaxRunning: 32, AdapterSlots: 24, ColdRunning: 4,
+		ChecksFencing: i%fenceEvery != 0, MaxRunning: 32, AdapterSlots: 24, ColdRunning: 4, ColdFor: 10 * time.Second,
 	}
 }
 
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -1,5 +1,10 @@
 package queuer
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Lane is the waiting items of one key and the weighted service that the key has had.
 type Lane[T any] struct {
 	Items   []T
@@ -8,7 +13,7 @@
 }
 
 // Fair serves the lane that has had the least service for its weight, as in the Virtual Token Counter scheduler.
-type Fair[K comparable, T any] struct {
+type Fair[K cmp.Ordered, T any] struct {
 	Lanes map[K]*Lane[T]
 	Size  int
 	floor float64
@@ -28,9 +33,14 @@
 func (f *Fair[K, T]) Pop(cost func(T) float64) (T, bool) {
 	var none T
 	var best *Lane[T]
-	for _, l := range f.Lanes {
-		if len(l.Items) > 0 && (best == nil || l.Service < best.Service) {
+	var bestKey K
+	for k, l := range f.Lanes {
+		if len(l.Items) == 0 {
+			continue
+		}
+		if best == nil || l.Service < best.Service || l.Service == best.Service && k < bestKey {
 			best = l
+			bestKey = k
 		}
 	}
 	if best == nil {
@@ -47,7 +57,8 @@
 // Remove takes out the items for which match is true and returns them.
 func (f *Fair[K, T]) Remove(match func(T) bool) []T {
 	var removed []T
-	for _, l := range f.Lanes {
+	for _, k := range f.keys() {
+		l := f.Lanes[k]
 		kept := l.Items[:0]
 		for _, item := range l.Items {
 			if match(item) {
@@ -62,6 +73,15 @@
 	return removed
 }
 
+func (f *Fair[K, T]) keys() []K {
+	keys := make([]K, 0, len(f.Lanes))
+	for k := range f.Lanes {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func (f *Fair[K, T]) lane(key K, weight float64) *Lane[T] {
 	if f.Lanes == nil {
 		f.Lanes = map[K]*Lane[T]{}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -39,6 +39,7 @@
 		Strangers:   map[AdapterKey]time.Time{},
 		SilentUntil: now,
 		AcquiredAt:  now,
+		ColdUntil:   now.Add(server.ColdFor),
 	}
 	if former, ok := s.Backends[r.Name]; ok {
 		b.Running = former.Running
@@ -65,6 +66,7 @@
 	b.Incarnation = h.Incarnation
 	b.Limit = max(h.Limit, b.Limit)
 	b.Foreign = h.Running
+	b.ColdUntil = now.Add(h.ColdLeft)
 	b.SilentUntil = now
 	b.ReadFrom = now
 	b.LimitRaisedAt = now
@@ -75,12 +77,12 @@
 	}
 }
 
-func backendHandover(s *State, id string) *BackendHandover {
+func backendHandover(s *State, now time.Time, id string) *BackendHandover {
 	b, ok := s.Backends[id]
 	if !ok || !b.Known {
 		return nil
 	}
-	h := &BackendHandover{Incarnation: b.Incarnation, Limit: b.Limit, Running: b.Running + b.Foreign}
+	h := &BackendHandover{ColdLeft: max(b.ColdUntil.Sub(now), 0), Incarnation: b.Incarnation, Limit: b.Limit, Running: b.Running + b.Foreign}
 	for _, key := range b.residentKeys() {
 		resident := b.Residents[key]
 		if resident.Stage == ResidencyReady {
@@ -342,8 +344,10 @@
 }
 
 func (s *State) turnCold(now time.Time, b *Backend) {
-	b.Limit = s.Config.BackendServers[b.ID].ColdRunning
+	server := s.Config.BackendServers[b.ID]
+	b.Limit = server.ColdRunning
 	b.LimitRaisedAt = now
+	b.ColdUntil = now.Add(server.ColdFor)
 	b.Healthy = 0
 	s.Counters.ColdDetected++
 	s.note(EventBackendCold, Field{"backend_server", b.ID})
@@ -441,6 +445,7 @@
 	b.takeResidents(now, e.Residents)
 	if !b.Known {
 		b.Known = true
+		s.takeNote(now, b)
 		s.Wants.Dirty = true
 		s.note(EventBackendKnown, Field{"backend_server", b.ID}, Field{"fence", strconv.FormatUint(b.Fence, 10)})
 	}
@@ -515,6 +520,7 @@
 		s.poll(now, b)
 		b.fadeHistory(now)
 		s.raiseLimit(now, b)
+		s.sendNote(now, b)
 		giveUpFailed[P](s, now, b)
 		pump[P](s, now, b)
 	}
@@ -550,6 +556,9 @@
 	if b.LimitRaisedAt.IsZero() {
 		b.LimitRaisedAt = now
 	}
+	if now.Before(b.ColdUntil) {
+		return
+	}
 	if now.Sub(b.LimitRaisedAt) < s.Limits.RampEvery || b.Healthy < b.Limit {
 		return
 	}
@@ -558,6 +567,49 @@
 	b.Healthy = 0
 }
 
+const (
+	// noteEvery is how often a note is repeated, since messages can be lost.
+	noteEvery = 3 * time.Second
+	// noteFor is how long a note is believed.
+	noteFor = 30 * time.Second
+)
+
+// sendNote tells the host that would follow how much the backend server bears.
+func (s *State) sendNote(now time.Time, b *Backend) {
+	if !b.Known {
+		return
+	}
+	next := s.candidateExcept(s.backendRight(s.Config.BackendServers[b.ID]), now, s.Self.HostID)
+	note := BackendNote{Backend: b.ID, Incarnation: b.Incarnation, Limit: b.Limit}
+	same := note == b.Noted && next == b.NotedTo
+	if next == "" || same && now.Sub(b.NotedAt) < noteEvery {
+		return
+	}
+	b.Noted = note
+	b.NotedTo = next
+	b.NotedAt = now
+	s.send(next, BackendNotes{Notes: []BackendNote{note}})
+}
+
+func receiveNotes(s *State, now time.Time, m BackendNotes) {
+	for _, n := range m.Notes {
+		s.Notes[n.Backend] = KeptNote{Note: n, At: now}
+	}
+}
+
+// takeNote keeps the limit of the former owner if the backend server has not restarted since.
+func (s *State) takeNote(now time.Time, b *Backend) {
+	kept, ok := s.Notes[b.ID]
+	delete(s.Notes, b.ID)
+	if !ok || now.Sub(kept.At) > noteFor || kept.Note.Incarnation != b.Incarnation {
+		return
+	}
+	b.Limit = max(b.Limit, min(kept.Note.Limit, s.Config.BackendServers[b.ID].MaxRunning))
+	if kept.Note.Limit > s.Config.BackendServers[b.ID].ColdRunning {
+		b.ColdUntil = now
+	}
+}
+
 // giveUpFailed sends the requests of a failing, leaving or withdrawn backend server elsewhere.
 func giveUpFailed[P selector.Policy](s *State, now time.Time, b *Backend) {
 	reason := ReasonNone
--- a/internal/reducer/handover.go
+++ b/internal/reducer/handover.go
@@ -23,7 +23,7 @@
 	case KindAccount:
 		message.Account = accountHandover(now, h)
 	case KindBackend:
-		message.Backend = backendHandover(s, r.Name)
+		message.Backend = backendHandover(s, now, r.Name)
 	}
 	s.Counters.Handovers++
 	s.note(EventLeaseHandedOver, Field{"right", r.String()}, Field{"to", to})
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -68,6 +68,20 @@
 	Limit       int
 	Running     int
 	Pins        []ReportedAdapter
+	// ColdLeft is how long the limit is still not to be raised.
+	ColdLeft time.Duration
+}
+
+// BackendNotes tells the next host in rank what it must know to take over backend servers without a handover.
+type BackendNotes struct {
+	Notes []BackendNote
+}
+
+// BackendNote is how much a backend server bears in one incarnation.
+type BackendNote struct {
+	Backend     string
+	Incarnation uint64
+	Limit       int
 }
 
 // GrantRequest asks the keeper of a client account for tokens and reports those that are held.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -96,6 +96,8 @@
 		answerClaim[P](s, now, e, m)
 	case LeaseHandover:
 		takeHandover(s, now, m)
+	case BackendNotes:
+		receiveNotes(s, now, m)
 	case GrantRequest:
 		grantTokens(s, now, e.From, e.Incarnation, m)
 	case GrantReply:
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -19,6 +19,7 @@
 	Leases       Leases
 	Wallets      map[string]*Wallet
 	Backends     map[string]*Backend
+	Notes        map[string]KeptNote
 	Stores       map[string]*Store
 	Wants        Wants
 	Requests     map[string]*Request
@@ -189,6 +190,12 @@
 	ResidencyReady
 )
 
+// KeptNote is a BackendNote with the time at which it came.
+type KeptNote struct {
+	Note BackendNote
+	At   time.Time
+}
+
 // Resident is one adapter on one backend server, or on its way there.
 type Resident struct {
 	Stage     Residency
@@ -218,8 +225,14 @@
 	ReadFrom      time.Time
 	FadedAt       time.Time
 	// Strangers holds when reports first named an adapter that this host did not order.
-	Strangers   map[AdapterKey]time.Time
-	PolledAt    time.Time
+	Strangers map[AdapterKey]time.Time
+	PolledAt  time.Time
+	// ColdUntil is the time before which the limit is not raised.
+	ColdUntil time.Time
+	// Noted is the note that was last sent to the next host in rank, and NotedTo that host.
+	Noted       BackendNote
+	NotedTo     string
+	NotedAt     time.Time
 	FailedUntil time.Time
 	Failures    int
 	Residents   map[AdapterKey]*Resident
@@ -386,6 +399,7 @@
 		Leases:       newLeases(),
 		Wallets:      map[string]*Wallet{},
 		Backends:     map[string]*Backend{},
+		Notes:        map[string]KeptNote{},
 		Stores:       map[string]*Store{},
 		Requests:     map[string]*Request{},
 		Permits:      Permits{Issued: map[string]*Permit{}},
--- a/internal/translator/parts.go
+++ b/internal/translator/parts.go
@@ -59,6 +59,7 @@
 	if m.Backend != nil {
 		wire.Backend = &peerv1.BackendHandover{
 			Incarnation: m.Backend.Incarnation, Limit: uint32(m.Backend.Limit), Running: uint32(m.Backend.Running),
+			ColdLeftMs: milliseconds(m.Backend.ColdLeft),
 		}
 		for _, p := range m.Backend.Pins {
 			wire.Backend.Pins = append(wire.Backend.Pins, &peerv1.Resident{Adapter: adapterToWire(p.Adapter), Running: uint32(p.Running)})
@@ -73,7 +74,7 @@
 		handover.Account = &reducer.AccountHandover{Level: a.GetLevel(), Outstanding: a.GetOutstanding()}
 	}
 	if b := m.GetBackend(); b != nil {
-		handover.Backend = &reducer.BackendHandover{Incarnation: b.GetIncarnation(), Limit: int(b.GetLimit()), Running: int(b.GetRunning())}
+		handover.Backend = &reducer.BackendHandover{Incarnation: b.GetIncarnation(), Limit: int(b.GetLimit()), Running: int(b.GetRunning()), ColdLeft: duration(b.GetColdLeftMs())}
 		for _, p := range b.GetPins() {
 			pin := reducer.ReportedAdapter{Adapter: adapterFromWire(p.GetAdapter()), Running: int(p.GetRunning())}
 			handover.Backend.Pins = append(handover.Backend.Pins, pin)
@@ -82,6 +83,23 @@
 	return handover
 }
 
+func notesToWire(m reducer.BackendNotes) *peerv1.BackendNotes {
+	wire := &peerv1.BackendNotes{}
+	for _, n := range m.Notes {
+		wire.Notes = append(wire.Notes, &peerv1.BackendNote{BackendServer: n.Backend, Incarnation: n.Incarnation, Limit: uint32(n.Limit)})
+	}
+	return wire
+}
+
+func notesFromWire(m *peerv1.BackendNotes) reducer.BackendNotes {
+	notes := reducer.BackendNotes{}
+	for _, n := range m.GetNotes() {
+		note := reducer.BackendNote{Backend: n.GetBackendServer(), Incarnation: n.GetIncarnation(), Limit: int(n.GetLimit())}
+		notes.Notes = append(notes.Notes, note)
+	}
+	return notes
+}
+
 func grantRequestToWire(m reducer.GrantRequest) *peerv1.GrantRequest {
 	wire := &peerv1.GrantRequest{
 		Account: m.Account, Sequence: m.Sequence, Acknowledged: m.Acknowledged,
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -60,6 +60,8 @@
 		return &peerv1.Message{Kind: &peerv1.Message_LeaseClaim{LeaseClaim: &peerv1.LeaseClaim{Rights: rightsToWire(m.Rights)}}}
 	case reducer.LeaseHandover:
 		return &peerv1.Message{Kind: &peerv1.Message_LeaseHandover{LeaseHandover: handoverToWire(m)}}
+	case reducer.BackendNotes:
+		return &peerv1.Message{Kind: &peerv1.Message_BackendNotes{BackendNotes: notesToWire(m)}}
 	}
 	return grantToWire(message)
 }
@@ -116,6 +118,8 @@
 		return reducer.LeaseClaim{Rights: rightsFromWire(k.LeaseClaim.GetRights())}
 	case *peerv1.Message_LeaseHandover:
 		return handoverFromWire(k.LeaseHandover)
+	case *peerv1.Message_BackendNotes:
+		return notesFromWire(k.BackendNotes)
 	}
 	return grantFromWire(message)
 }
--- a/pkg/cataloguer/catalogue.go
+++ b/pkg/cataloguer/catalogue.go
@@ -43,6 +43,8 @@
 	MaxRunning    int    `yaml:"max_running"`
 	AdapterSlots  int    `yaml:"adapter_slots,omitempty"`
 	ColdRunning   int    `yaml:"cold_running"`
+	// ColdFor is how long the server bears no more than ColdRunning requests after it starts.
+	ColdFor time.Duration `yaml:"cold_for"`
 }
 
 // Key is the digest of a key of a client account.
--- a/pkg/cataloguer/parse.go
+++ b/pkg/cataloguer/parse.go
@@ -134,6 +134,8 @@
 		return "max_running", "must be at least 1"
 	case b.ColdRunning < 1 || b.ColdRunning > b.MaxRunning:
 		return "cold_running", "must be between 1 and max_running"
+	case b.ColdFor < 0:
+		return "cold_for", "must not be negative"
 	case b.Kind == KindEngine && b.AdapterSlots < 1:
 		return "adapter_slots", "must be at least 1 for an engine"
 	}
