Take an unmet backend server as cold from when its state is first read

Ruled out: the note of the former owner, which named another incarnation. Change: the cold start counts from the first report. A failed load keeps its victim: it was forgotten when the load was ordered, so a refusal by the store emptied slots that were still full. Failed try: evicting by decayed demand, by the last three uses, and by uses within a window.

--- a/cmd/redwingpick-standin/main.go
+++ b/cmd/redwingpick-standin/main.go
@@ -75,6 +75,7 @@
 		if shard.WeightStore != nil {
 			store.Model.LoadTime = shard.WeightStore.LoadTime
 			store.Model.MaxInFlight = shard.WeightStore.MaxInFlight
+			store.Model.Rate = shard.WeightStore.LoadsPerSecond
 		}
 		platform.Put(strings.TrimSuffix(filepath.Base(f), ".yaml"), data)
 	}
--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
@@ -120,7 +121,7 @@
 		if b.Level > 0 && b.Level+b.Outstanding > b.Burst+tolerance*b.Burst {
 			found = append(found, Violation{"burst", fmt.Sprintf("%s: %.3f+%.3f over %.3f", right, b.Level, b.Outstanding, b.Burst)})
 		}
-		if b.Outstanding+tolerance*max(b.Burst, 1) < outstanding {
+		if math.Abs(b.Outstanding-outstanding) > tolerance*max(b.Burst, 1) {
 			found = append(found, Violation{"grants_counted", fmt.Sprintf("%s: %.3f of %.3f", right, b.Outstanding, outstanding)})
 		}
 	}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -182,7 +182,10 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	e.Store.Transfer()
+	if !e.Store.Transfer() {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.faults.FailLoads > 0 {
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -19,15 +19,20 @@
 	Model modeler.Store
 }
 
-// Transfer waits for as long as one load takes.
-func (s *Store) Transfer() {
+// Transfer waits for as long as one load takes, or reports false if the store refuses it.
+func (s *Store) Transfer() bool {
 	s.mutex.Lock()
-	took := s.Model.Begin(time.Now())
+	if !s.Model.Admit(time.Now()) {
+		s.mutex.Unlock()
+		return false
+	}
+	took := s.Model.Begin()
 	s.mutex.Unlock()
 	time.Sleep(took)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.Model.End()
+	return true
 }
 
 // Runs counts how often each request ran and whether a key ever reached a backend server.
--- a/internal/exerciser/backend.go
+++ b/internal/exerciser/backend.go
@@ -92,6 +92,11 @@
 		if h.Starts != incarnation || !h.Up {
 			return
 		}
+		if w.track(e.ID) == nil {
+			gone := reducer.DispatchEnded{ID: e.ID, Backend: e.Backend, Outcome: reducer.OutcomeUnknown, Reason: reducer.ReasonCancelled}
+			w.postLater(h, w.delay(), gone)
+			return
+		}
 		if e.Service != "" {
 			w.callService(h, e)
 			return
@@ -171,7 +176,12 @@
 			return
 		}
 		event.BackendIncarnation = engine.Model.Incarnation
-		took := w.Store.Begin(w.Now)
+		if !w.Store.Admit(w.Now) {
+			event.Failed = true
+			w.postLater(h, w.delay(), event)
+			return
+		}
+		took := w.Store.Begin()
 		w.after(took, func() {
 			w.Store.End()
 			w.finishLoad(h, engine, e, event)
--- a/internal/exerciser/callers.go
+++ b/internal/exerciser/callers.go
@@ -228,7 +228,7 @@
 // entryLost is a caller whose connection to the entry host broke; it comes again if that is safe.
 func (w *World[P]) entryLost(t *tracked) {
 	call := t.call
-	if call.tracked != t || call.Ended() {
+	if w.tracked[t.id] != t || call.Ended() {
 		return
 	}
 	delete(w.tracked, t.id)
--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -145,7 +145,7 @@
 	m := engine.Model
 	cold := w.Now.Before(m.ColdUntil)
 	if cold && len(m.Sequences) > m.Spec.ColdRunning && w.Now.After(engine.CanKnow) {
-		w.Checks.broken(w.at(), "cold_bound", fmt.Sprintf("%s runs %d of %d", engine.ID, len(m.Sequences), m.Spec.ColdRunning))
+		w.Checks.broken(w.at(), "cold_bound", fmt.Sprintf("%s runs %d of %d, cold since %v, by %s", engine.ID, len(m.Sequences), m.Spec.ColdRunning, engine.ColdSince.Sub(Start), t.runnerID(e)))
 	}
 	if e.Adapter.Name != t.call.Model {
 		w.Checks.broken(w.at(), "own_adapter", fmt.Sprintf("%s asked for %s and ran on %s", t.id, t.call.Model, e.Adapter.Name))
--- a/internal/exerciser/requests.go
+++ b/internal/exerciser/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/modeler"
@@ -138,8 +139,8 @@
 			w.watchForward(t, h, starts, to, toStarts, t.delivered)
 			return
 		}
-		w.abandonRun(t)
 		w.endForward(t, to, reducer.ForwardEnded{ID: t.id, Outcome: reducer.OutcomeUnknown, Reason: reducer.ReasonConnection, Tokens: t.delivered})
+		w.abandonRun(t)
 	})
 }
 
@@ -197,9 +198,8 @@
 		return
 	}
 	if h == t.entry && t.forwarded {
-		owner := t.owner
+		w.endForward(t, t.owner, reducer.ForwardEnded{ID: e.ID, Outcome: reducer.OutcomeUnknown, Reason: e.Reason, Tokens: t.delivered})
 		w.abandonRun(t)
-		w.endForward(t, owner, reducer.ForwardEnded{ID: e.ID, Outcome: reducer.OutcomeUnknown, Reason: e.Reason, Tokens: t.delivered})
 	}
 }
 
@@ -225,3 +225,11 @@
 		return a.Name < b.Name || a.Name == b.Name && a.Version < b.Version
 	})
 }
+
+// runnerID names the host that sent a request to a backend server.
+func (t *tracked) runnerID(e reducer.Dispatch) string {
+	if t.owner != nil && t.forwarded {
+		return t.owner.ID + " fence " + strconv.FormatUint(e.Fence, 10)
+	}
+	return t.entry.ID + " fence " + strconv.FormatUint(e.Fence, 10)
+}
--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -86,6 +86,6 @@
 			}
 		}
 		t.Logf("seed %d: %d events, %d calls, %d done, %d violations", seed, w.Events, len(w.Callers.Calls), done, len(violations))
-		assert.Equal(t, len(violations), 0, "seed %d: %v", seed, violations)
+		assert.Check(t, len(violations) == 0, "seed %d: %v", seed, violations)
 	}
 }
--- a/internal/exerciser/workload.go
+++ b/internal/exerciser/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -14,7 +15,7 @@
 	Rate map[string]float64
 	// Skew is the exponent of the Zipf law of the adapters' popularity.
 	Skew float64
-	// ShiftEvery is how often the order of popularity changes; 0 for never.
+	// ShiftEvery is how often the order of popularity of one client account changes; 0 for never.
 	ShiftEvery   time.Duration
 	PromptTokens int
 	MaxTokens    int
@@ -26,12 +27,19 @@
 	adapters map[string][]string
 	weights  map[string][]float64
 	keys     map[string]string
-	shift    int
+	shift    map[string]int
+	shifts   int
+	// random is apart from that of the world, so that all policies get the same calls.
+	random *rand.Rand
 }
 
+// shiftBy is the number of ranks by which one shift moves the popularity.
+const shiftBy = 37
+
 // Begin starts the calls of the workload, which go on until the given virtual time.
 func (w *World[P]) Begin(load *Workload, until time.Time) {
 	load.prepare(w)
+	load.random = rand.New(rand.NewPCG(w.Options.Seed, 1))
 	for _, account := range sortedIDs(load.Rate) {
 		w.nextCall(load, account, until)
 	}
@@ -47,6 +55,7 @@
 	load.adapters = map[string][]string{}
 	load.weights = map[string][]float64{}
 	load.keys = map[string]string{}
+	load.shift = map[string]int{}
 	for _, name := range w.shardNames() {
 		shard := w.Shard(name)
 		for _, a := range shard.Adapters {
@@ -70,7 +79,7 @@
 func (w *World[P]) shardNames() []string { return sortedIDs(w.Platform.shards) }
 
 func (w *World[P]) nextCall(load *Workload, account string, until time.Time) {
-	gap := time.Duration(w.random.ExpFloat64() / load.Rate[account] * float64(time.Second))
+	gap := time.Duration(load.random.ExpFloat64() / load.Rate[account] * float64(time.Second))
 	w.after(gap, func() {
 		if w.Now.After(until) {
 			return
@@ -82,26 +91,28 @@
 
 func (w *World[P]) newCall(load *Workload, account string) *Call {
 	call := &Call{Account: account, KeyDigest: load.keys[account], Timeout: load.Timeout}
-	if w.random.Float64() < load.ServiceShare {
+	if load.random.Float64() < load.ServiceShare {
 		call.Service = load.Service
 		return call
 	}
 	names := load.adapters[account]
 	sums := load.weights[account]
-	rank := sort.SearchFloat64s(sums, w.random.Float64()*sums[len(sums)-1])
-	call.Model = names[(rank+load.shift)%len(names)]
-	call.PromptTokens = 1 + w.random.IntN(2*load.PromptTokens)
-	call.MaxTokens = 1 + w.random.IntN(2*load.MaxTokens)
+	rank := sort.SearchFloat64s(sums, load.random.Float64()*sums[len(sums)-1])
+	call.Model = names[(rank+load.shift[account])%len(names)]
+	call.PromptTokens = 1 + load.random.IntN(2*load.PromptTokens)
+	call.MaxTokens = 1 + load.random.IntN(2*load.MaxTokens)
 	return call
 }
 
-// shiftLater moves the popularity to other adapters without notice.
+// shiftLater moves the popularity of one client account after another to other adapters, without notice.
 func (w *World[P]) shiftLater(load *Workload, until time.Time) {
 	w.after(load.ShiftEvery, func() {
 		if w.Now.After(until) {
 			return
 		}
-		load.shift += 37
+		accounts := sortedIDs(load.Rate)
+		load.shift[accounts[load.shifts%len(accounts)]] += shiftBy
+		load.shifts++
 		w.shiftLater(load, until)
 	})
 }
--- a/internal/modeler/store.go
+++ b/internal/modeler/store.go
@@ -6,19 +6,43 @@
 type Store struct {
 	LoadTime    time.Duration
 	MaxInFlight int
-	Rate        float64
-	InFlight    int
+	// Rate is the loads a second that the store allows; it refuses what comes faster.
+	Rate     float64
+	InFlight int
 	// Over counts the loads that began above the limits.
-	Over  uint64
-	Loads uint64
-	begun []time.Time
+	Over    uint64
+	Loads   uint64
+	Refused uint64
+	level   float64
+	last    time.Time
+}
+
+// storeBurst is how many seconds of the rate the store lets come at once.
+const storeBurst = 1
+
+// Admit reports whether the store's rate allows a load now.
+func (s *Store) Admit(now time.Time) bool {
+	if s.Rate <= 0 {
+		return true
+	}
+	if s.last.IsZero() {
+		s.level = storeBurst * s.Rate
+	} else {
+		s.level = min(s.level+now.Sub(s.last).Seconds()*s.Rate, storeBurst*s.Rate)
+	}
+	s.last = now
+	if s.level < 1 {
+		s.Refused++
+		return false
+	}
+	s.level--
+	return true
 }
 
 // Begin starts a load and returns how long it takes.
-func (s *Store) Begin(now time.Time) time.Duration {
+func (s *Store) Begin() time.Duration {
 	s.Loads++
 	s.InFlight++
-	s.countRate(now)
 	if s.InFlight <= s.MaxInFlight {
 		return s.LoadTime
 	}
@@ -30,22 +54,3 @@
 func (s *Store) End() {
 	s.InFlight--
 }
-
-// RateWithin returns how many loads began in the window before now.
-func (s *Store) RateWithin(now time.Time, window time.Duration) int {
-	count := 0
-	for _, b := range s.begun {
-		if now.Sub(b) < window {
-			count++
-		}
-	}
-	return count
-}
-
-func (s *Store) countRate(now time.Time) {
-	const kept = 256
-	s.begun = append(s.begun, now)
-	if len(s.begun) > kept {
-		s.begun = s.begun[len(s.begun)-kept:]
-	}
-}
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -10,8 +10,12 @@
 const (
 	// askTimeout is how long a host waits for a keeper's answer before it asks again.
 	askTimeout = 400 * time.Millisecond
+	// shortBacklog is how long the waiting requests of one host may need at the full rate before more are refused.
+	shortBacklog = 2 * time.Second
 	// shortWait is how long a request may wait for tokens once the keeper has said that they are short.
-	shortWait = 2 * time.Second
+	shortWait = 6 * time.Second
+	// shortAskEvery is how often a host asks again while the keeper is short.
+	shortAskEvery = 250 * time.Millisecond
 	// refundEvery is how often unused tokens are returned when nothing else is asked for.
 	refundEvery = 200 * time.Millisecond
 	// maxTokenWaiting is the number of requests of one client account that may wait for tokens on one host.
@@ -90,8 +94,8 @@
 		charged[P](s, now, r)
 		return
 	}
-	if len(w.Waiting) >= maxTokenWaiting {
-		refuse(s, r, OutcomeNotRun, ReasonOverRate, time.Second)
+	if backlog := s.backlog(w, r, account.Rate); len(w.Waiting) >= maxTokenWaiting || !w.ShortSince.IsZero() && backlog > shortBacklog {
+		refuse(s, r, OutcomeNotRun, ReasonOverRate, backlog)
 		return
 	}
 	r.Phase = PhaseTokens
@@ -221,13 +225,25 @@
 		w.ShortSince = time.Time{}
 		return
 	}
+	w.RetryAt = now.Add(max(min(m.Wait, shortAskEvery), s.Limits.BackoffFirst))
+	if m.Settling {
+		return
+	}
 	if w.ShortSince.IsZero() {
 		w.ShortSince = now
 	}
-	w.RetryAt = now.Add(max(min(m.Wait, 250*time.Millisecond), s.Limits.BackoffFirst))
 	refuseShort(s, now, w, m.Wait)
 }
 
+// backlog returns how long the waiting requests and one more need at the full rate of the region.
+func (s *State) backlog(w *Wallet, r *Request, rate float64) time.Duration {
+	tokens := r.Tokens
+	for _, id := range w.Waiting {
+		tokens += s.Requests[id].Tokens
+	}
+	return time.Duration(tokens / s.regionShare(rate) * float64(time.Second))
+}
+
 func chargeWaiting[P selector.Policy](s *State, now time.Time, w *Wallet) {
 	for len(w.Waiting) > 0 {
 		r := s.Requests[w.Waiting[0]]
@@ -235,7 +251,6 @@
 			return
 		}
 		w.Waiting = w.Waiting[1:]
-		w.ShortSince = time.Time{}
 		spend(s, now, r)
 		charged[P](s, now, r)
 	}
@@ -246,7 +261,7 @@
 	var kept []string
 	for _, id := range w.Waiting {
 		r := s.Requests[id]
-		if now.Sub(r.ArrivedAt) < shortWait || now.Sub(w.ShortSince) < shortWait/2 {
+		if now.Sub(r.ArrivedAt) < shortWait || now.Sub(w.ShortSince) < shortBacklog {
 			kept = append(kept, id)
 			continue
 		}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -19,8 +19,8 @@
 	slowFirstToken = 0.25
 	// historyEvery is how often demand that has faded is forgotten.
 	historyEvery = 30 * time.Second
-	// historyWorth is the demand below which it is forgotten.
-	historyWorth = 0.05
+	// historyRate is the rate of requests a second below which an adapter is forgotten.
+	historyRate = 0.0008
 	// firstTokenShare is the weight of a new sample in the mean time to the first token.
 	firstTokenShare = 0.1
 	// fenceShift leaves the low bits of a fencing number to the lease term.
@@ -184,7 +184,6 @@
 	s.Counters.LoadStalls++
 	resident.Waiting = append(resident.Waiting, r.ID)
 	s.Backends[r.Backend].waiting++
-	resident.Prefetch = false
 	if resident.Stage == 0 {
 		resident.Stage = ResidencyWanted
 		resident.WantedAt = now
@@ -229,10 +228,7 @@
 	r.Phase = PhaseRunning
 	b.Running++
 	s.Counters.Dispatches++
-	if r.Stalled {
-		s.Counters.LoadStallMillis += uint64(now.Sub(r.QueuedAt).Milliseconds())
-		r.Stalled = false
-	}
+	s.endStall(now, r)
 	s.emit(Dispatch{
 		ID:         r.ID,
 		Backend:    b.ID,
@@ -249,6 +245,14 @@
 	})
 }
 
+// endStall counts the time for which a request has waited for a load.
+func (s *State) endStall(now time.Time, r *Request) {
+	if r.Stalled {
+		s.Counters.LoadStallMillis += uint64(now.Sub(r.QueuedAt).Milliseconds())
+		r.Stalled = false
+	}
+}
+
 // dispatchEnded frees the request's place on the backend server and follows its outcome.
 func dispatchEnded[P selector.Policy](s *State, now time.Time, e DispatchEnded) {
 	r, ok := s.Requests[e.ID]
@@ -431,6 +435,7 @@
 	if b.Incarnation != 0 && b.Incarnation != e.Incarnation {
 		s.restarted(now, b, e.Incarnation)
 	}
+	unmet := b.Incarnation == 0
 	b.Incarnation = e.Incarnation
 	if !b.Known && now.Before(b.ReadFrom) {
 		return
@@ -445,7 +450,9 @@
 	b.takeResidents(now, e.Residents)
 	if !b.Known {
 		b.Known = true
-		s.takeNote(now, b)
+		if unmet {
+			s.takeNote(now, b)
+		}
 		s.Wants.Dirty = true
 		s.note(EventBackendKnown, Field{"backend_server", b.ID}, Field{"fence", strconv.FormatUint(b.Fence, 10)})
 	}
@@ -532,7 +539,7 @@
 	}
 	b.FadedAt = now
 	for key, use := range b.History {
-		if use.At(now) < historyWorth {
+		if use.Rate(now) < historyRate {
 			delete(b.History, key)
 		}
 	}
@@ -597,17 +604,18 @@
 	}
 }
 
-// takeNote keeps the limit of the former owner if the backend server has not restarted since.
+// takeNote keeps the limit of the former owner if the backend server has not restarted since, and else takes it as cold.
 func (s *State) takeNote(now time.Time, b *Backend) {
 	kept, ok := s.Notes[b.ID]
 	delete(s.Notes, b.ID)
-	if !ok || now.Sub(kept.At) > noteFor || kept.Note.Incarnation != b.Incarnation {
+	server := s.Config.BackendServers[b.ID]
+	warm := ok && now.Sub(kept.At) <= noteFor && kept.Note.Incarnation == b.Incarnation && kept.Note.Limit > server.ColdRunning
+	if !warm {
+		b.ColdUntil = now.Add(server.ColdFor)
 		return
 	}
-	b.Limit = max(b.Limit, min(kept.Note.Limit, s.Config.BackendServers[b.ID].MaxRunning))
-	if kept.Note.Limit > s.Config.BackendServers[b.ID].ColdRunning {
-		b.ColdUntil = now
-	}
+	b.Limit = min(kept.Note.Limit, server.MaxRunning)
+	b.ColdUntil = now
 }
 
 // giveUpFailed sends the requests of a failing, leaving or withdrawn backend server elsewhere.
--- a/internal/reducer/keeper.go
+++ b/internal/reducer/keeper.go
@@ -32,6 +32,7 @@
 		keeper.Bucket.Refund(now, r.Tokens, now.Add(-r.Age))
 	}
 	reply.Tokens = keeper.give(s, now, g, m)
+	reply.Settling = len(keeper.Grants[""].Grants) > 0
 	if m.Wanted > reply.Tokens {
 		reply.Wait, _ = keeper.Bucket.Wait(max(m.Minimum, 1))
 	}
--- a/internal/reducer/load.go
+++ b/internal/reducer/load.go
@@ -11,14 +11,16 @@
 const (
 	// historySize is the number of adapters without a slot whose demand a backend server's owner remembers.
 	historySize = 1024
+	// wantsPause is the least time between two lists of loads.
+	wantsPause = 10 * time.Millisecond
 	// wantsPerMessage is the largest number of loads in one list.
 	wantsPerMessage = 64
 	// storeSilence is how long a new keeper of the weight store waits for the loads of a former one.
 	storeSilence = time.Second
 	// prefetchUrgency ranks below every load that a request waits for.
 	prefetchUrgency = 1e-6
-	// prefetchWorth is the decayed demand from which an adapter is worth a prefetch.
-	prefetchWorth = 0.5
+	// prefetchRate is the rate of requests a second from which an adapter is worth a prefetch.
+	prefetchRate = 0.005
 	// prefetchShare is the part of the transfers in flight that prefetches may fill.
 	prefetchShare = 0.5
 	// loadRetryAfter is the delay after a load has failed.
@@ -35,9 +37,8 @@
 	}
 }
 
-// tickStores sends this host's loads to the keeper and, where this host keeps the store, gives permits.
+// tickStores gives permits where this host keeps the store.
 func tickStores[P selector.Policy](s *State, now time.Time) {
-	sendWants[P](s, now)
 	for _, region := range sortedKeys(s.Stores) {
 		if s.holds(storeRight(region), now) {
 			permitLoads[P](s, now, s.Stores[region])
@@ -47,11 +48,17 @@
 
 // sendWants lists the loads for which requests wait here, at once when they change and then now and again.
 func sendWants[P selector.Policy](s *State, now time.Time) {
-	due := now.Sub(s.Wants.SentAt) >= s.Limits.WantsEvery
-	if !s.Wants.Dirty && !due {
+	since := now.Sub(s.Wants.SentAt)
+	if since < wantsPause || !s.Wants.Dirty && since < s.Limits.WantsEvery {
 		return
 	}
 	wants := listWants[P](s, now)
+	var policy P
+	if !policy.SharedPermits() {
+		s.Wants = Wants{SentAt: now}
+		loadAtOnce[P](s, now, wants)
+		return
+	}
 	if len(wants) == 0 && s.Wants.Count == 0 {
 		s.Wants.Dirty = false
 		return
@@ -62,12 +69,19 @@
 	}
 	s.Wants = Wants{SentAt: now, Count: len(wants)}
 	if keeper == s.Self.HostID {
-		receiveWants(s, now, keeper, LoadWants{Wants: wants})
+		receiveWants[P](s, now, keeper, LoadWants{Wants: wants})
 		return
 	}
 	s.send(keeper, LoadWants{Wants: wants})
 }
 
+// loadAtOnce orders loads without a permit, as the baselines do.
+func loadAtOnce[P selector.Policy](s *State, now time.Time, wants []LoadWant) {
+	for _, want := range wants {
+		startLoad[P](s, now, s.Backends[want.Backend], "", LoadPermit{Backend: want.Backend, Adapter: want.Adapter})
+	}
+}
+
 func listWants[P selector.Policy](s *State, now time.Time) []LoadWant {
 	var policy P
 	var wants []LoadWant
@@ -101,12 +115,12 @@
 	return wants[:min(len(wants), b.freeable())]
 }
 
-// prefetchLoads names the adapter without a slot that had the most demand, if a free slot or a lesser adapter is there.
+// prefetchLoads names the adapter without a slot that had the most demand, if a slot is free.
 func prefetchLoads[P selector.Policy](policy P, now time.Time, b *Backend) []LoadWant {
 	best := AdapterKey{}
-	worth := prefetchWorth
+	worth := prefetchRate
 	for key, use := range b.History {
-		w := use.At(now)
+		w := use.Rate(now)
 		if w > worth || w == worth && best.Name != "" && less(key, best) {
 			best = key
 			worth = w
@@ -115,8 +129,7 @@
 	if best.Name == "" {
 		return nil
 	}
-	victim, needed := victimFor(policy, now, b)
-	if needed && (victim.Name == "" || b.Residents[victim].Use.At(now) >= worth/2) {
+	if _, full := victimFor(policy, b); full {
 		return nil
 	}
 	return []LoadWant{{Backend: b.ID, Adapter: best, Urgency: prefetchUrgency * worth}}
@@ -141,18 +154,18 @@
 }
 
 // victimFor returns the adapter to evict for a new one, and whether one must be evicted at all.
-func victimFor[P selector.Policy](policy P, now time.Time, b *Backend) (victim AdapterKey, needed bool) {
+func victimFor[P selector.Policy](policy P, b *Backend) (victim AdapterKey, needed bool) {
 	taken := 0
 	worth := 0.0
 	for key, resident := range b.Residents {
-		if resident.Stage == ResidencyWanted {
+		if resident.Stage == ResidencyWanted || resident.Stage == ResidencyEvicting {
 			continue
 		}
 		taken++
 		if resident.Stage != ResidencyReady || resident.inUse() {
 			continue
 		}
-		w := policy.Worth(resident.Use, now)
+		w := policy.Worth(resident.Use)
 		if victim.Name == "" || w < worth || w == worth && less(key, victim) {
 			victim = key
 			worth = w
@@ -162,7 +175,7 @@
 }
 
 // receiveWants replaces the list of loads that one host waits for.
-func receiveWants(s *State, now time.Time, from string, m LoadWants) {
+func receiveWants[P selector.Policy](s *State, now time.Time, from string, m LoadWants) {
 	store, ok := s.Stores[s.Self.Region]
 	if !ok || !s.holds(storeRight(s.Self.Region), now) {
 		return
@@ -172,6 +185,7 @@
 		return
 	}
 	store.Wants[from] = m.Wants
+	permitLoads[P](s, now, store)
 }
 
 // permitLoads gives permits to the most urgent loads while the store's rate and transfers allow.
@@ -208,7 +222,7 @@
 }
 
 func (st *Store) mayPrefetch(inFlight int) bool {
-	return float64(len(st.InFlight)) < prefetchShare*float64(inFlight) && st.Bucket.Level >= st.Bucket.Burst*prefetchShare
+	return float64(len(st.InFlight)) < prefetchShare*float64(inFlight) && st.Bucket.Level >= st.Bucket.Burst-1e-9
 }
 
 func (st *Store) mostUrgent() (host string, want LoadWant, ok bool) {
@@ -246,11 +260,11 @@
 	if known && present.Stage != ResidencyWanted {
 		return false
 	}
-	if !known && b.History[m.Adapter].Demand == 0 {
+	if !known && b.History[m.Adapter].Last().IsZero() {
 		return false
 	}
 	var policy P
-	victim, needed := victimFor(policy, now, b)
+	victim, needed := victimFor(policy, b)
 	if needed && victim.Name == "" {
 		return false
 	}
@@ -258,7 +272,6 @@
 	resident.Stage = ResidencyLoading
 	resident.LoadingAt = now
 	if !known {
-		resident.Prefetch = true
 		s.Counters.Prefetches++
 	}
 	s.Counters.Loads++
@@ -269,13 +282,17 @@
 	if needed {
 		s.Counters.Evictions++
 		order.Evict = victim
-		b.forget(victim)
+		resident.Victim = victim
+		b.Residents[victim].Stage = ResidencyEvicting
 	}
 	s.emit(order)
 	return true
 }
 
 func (s *State) returnPermit(now time.Time, to string, sequence uint64, unused bool) {
+	if to == "" {
+		return
+	}
 	m := LoadReturn{Sequence: sequence, Unused: unused}
 	if to == s.Self.HostID {
 		returnLoadPermit(s, now, to, m)
@@ -314,8 +331,37 @@
 	restarted := e.BackendIncarnation != 0 && b.Incarnation != 0 && e.BackendIncarnation != b.Incarnation
 	if e.Failed || restarted {
 		loadFailed(s, now, b, e, resident)
+		restoreVictim[P](s, now, b, resident, !restarted)
+		return
+	}
+	restoreVictim[P](s, now, b, resident, false)
+	makeReady[P](s, now, b, resident)
+	pump[P](s, now, b)
+	s.Wants.Dirty = true
+}
+
+// restoreVictim makes the adapter that a load was to replace ready again, or drops it when its slot was taken.
+func restoreVictim[P selector.Policy](s *State, now time.Time, b *Backend, resident *Resident, kept bool) {
+	key := resident.Victim
+	resident.Victim = AdapterKey{}
+	victim, ok := b.Residents[key]
+	if !ok || victim.Stage != ResidencyEvicting {
 		return
 	}
+	if kept {
+		makeReady[P](s, now, b, victim)
+		return
+	}
+	if len(victim.Waiting) == 0 {
+		b.forget(key)
+		return
+	}
+	victim.Stage = ResidencyWanted
+	victim.WantedAt = now
+}
+
+// makeReady queues the requests that waited for an adapter.
+func makeReady[P selector.Policy](s *State, now time.Time, b *Backend, resident *Resident) {
 	resident.Stage = ResidencyReady
 	resident.ReadyAt = now
 	waiting := resident.Waiting
@@ -324,8 +370,6 @@
 	for _, id := range waiting {
 		queue[P](s, now, s.Requests[id], b)
 	}
-	pump[P](s, now, b)
-	s.Wants.Dirty = true
 }
 
 func loadFailed(s *State, now time.Time, b *Backend, e LoadEnded, resident *Resident) {
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -114,6 +114,8 @@
 	// Wait is how long the keeper expects to need for the rest.
 	Wait      time.Duration
 	NotKeeper bool
+	// Settling says that the keeper is new and must wait until the grants of the former one are over.
+	Settling bool
 }
 
 // LoadWants lists the loads for which a host waits; it replaces the list sent before.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -44,6 +44,7 @@
 	case EffectExpired:
 		effectExpired[P](s, now, e)
 	}
+	sendWants[P](s, now)
 	return s.flush(now)
 }
 
@@ -103,7 +104,7 @@
 	case GrantReply:
 		receiveGrant[P](s, now, e.From, m)
 	case LoadWants:
-		receiveWants(s, now, e.From, m)
+		receiveWants[P](s, now, e.From, m)
 	case LoadPermit:
 		receiveLoadPermit[P](s, now, e.From, m)
 	case LoadReturn:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -357,6 +357,7 @@
 	case PhaseForwarded:
 		s.emit(Cancel{ID: r.ID, Reason: reason})
 	default:
+		s.endStall(now, r)
 		s.detach(r)
 		refuse(s, r, OutcomeNotRun, reason, 0)
 		pumpAll[P](s, now)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -188,6 +188,8 @@
 	ResidencyWanted Residency = iota + 1
 	ResidencyLoading
 	ResidencyReady
+	// ResidencyEvicting is an adapter that leaves when the load that takes its slot succeeds.
+	ResidencyEvicting
 )
 
 // KeptNote is a BackendNote with the time at which it came.
@@ -207,7 +209,8 @@
 	ReadyAt   time.Time
 	RetryAt   time.Time
 	LoadingAt time.Time
-	Prefetch  bool
+	// Victim is the adapter whose slot the load takes.
+	Victim AdapterKey
 }
 
 // Backend is a backend server that this host owns.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -1,7 +1,6 @@
 package selector
 
 import (
-	"math"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
@@ -14,37 +13,56 @@
 	// Lane returns the queue lane of a client account.
 	Lane(account string) string
 	// Worth returns the value of keeping an adapter resident; the least is evicted first.
-	Worth(use Use, now time.Time) float64
+	Worth(use Use) float64
 	// Urgency returns the rank of a load; the highest goes first.
 	Urgency(waiting int, waited time.Duration) float64
 	// Prefetch reports whether idle load permits fetch adapters before they are asked for.
 	Prefetch() bool
+	// SharedPermits reports whether the hosts share the weight store's limits.
+	SharedPermits() bool
 	// StaticShares reports whether each host has a fixed part of each client account's rate.
 	StaticShares() bool
 }
 
-// DemandHalfLife is the time in which the remembered demand for an adapter halves.
-const DemandHalfLife = 2 * time.Minute
+const (
+	// remembered is the number of past requests from which a rate is estimated, as in the LRU-K page replacement.
+	remembered = 3
+	// unseen is the age that is taken for a request that has not happened yet.
+	unseen = 10 * time.Minute
+)
 
-// Use is the decayed demand for one adapter.
+// Use is the times of the last requests for one adapter, the newest first; a zero time is a request not seen yet.
 type Use struct {
-	Demand    float64
-	TouchedAt time.Time
+	Times [remembered]time.Time
 }
 
-// Touch adds one request at now to the demand.
+// Touch notes a request at now.
 func (u *Use) Touch(now time.Time) {
-	u.Demand = u.At(now) + 1
-	u.TouchedAt = now
+	copy(u.Times[1:], u.Times[:])
+	u.Times[0] = now
 }
 
-// At returns the demand as decayed until now.
-func (u Use) At(now time.Time) float64 {
-	if u.Demand == 0 {
+// Last returns the time of the newest request.
+func (u Use) Last() time.Time { return u.Times[0] }
+
+// Rate returns the estimated requests a second: the requests remembered over the age of the oldest of them.
+func (u Use) Rate(now time.Time) float64 {
+	if u.Times[0].IsZero() {
 		return 0
 	}
-	age := now.Sub(u.TouchedAt).Seconds() / DemandHalfLife.Seconds()
-	return u.Demand * math.Exp2(-age)
+	seen := 0
+	age := time.Duration(0)
+	for _, t := range u.Times {
+		if t.IsZero() {
+			break
+		}
+		seen++
+		age = now.Sub(t)
+	}
+	if seen < remembered {
+		age += unseen
+	}
+	return float64(seen) / max(age.Seconds(), 1e-3)
 }
 
 // Adaptive is the policy that the daemons run.
@@ -66,8 +84,8 @@
 // Lane gives each client account a lane of its own.
 func (Adaptive) Lane(account string) string { return account }
 
-// Worth is the decayed demand.
-func (Adaptive) Worth(use Use, now time.Time) float64 { return use.At(now) }
+// Worth is the time of the last use: the least recently used adapter goes first.
+func (Adaptive) Worth(use Use) float64 { return float64(use.Last().UnixNano()) }
 
 // Urgency grows with the requests that wait and with the time the first of them has waited.
 func (Adaptive) Urgency(waiting int, waited time.Duration) float64 {
@@ -77,10 +95,13 @@
 // Prefetch is true.
 func (Adaptive) Prefetch() bool { return true }
 
+// SharedPermits is true.
+func (Adaptive) SharedPermits() bool { return true }
+
 // StaticShares is false: shares follow the demand.
 func (Adaptive) StaticShares() bool { return false }
 
-// Rendezvous is the baseline of plain rendezvous hashing with least-recently-used eviction and no replicas.
+// Rendezvous is the baseline of plain rendezvous hashing: no replicas, no prefetch, and each host loads when it likes.
 type Rendezvous struct{ Adaptive }
 
 // Order is the first of the ranking alone.
@@ -88,17 +109,21 @@
 	return ranked[:min(len(ranked), 1)]
 }
 
-// Worth is the time of the last use.
-func (Rendezvous) Worth(use Use, _ time.Time) float64 {
-	return float64(use.TouchedAt.UnixNano())
-}
-
 // Urgency is the time waited: first come, first served.
 func (Rendezvous) Urgency(_ int, waited time.Duration) float64 { return waited.Seconds() }
 
 // Prefetch is false.
 func (Rendezvous) Prefetch() bool { return false }
 
+// SharedPermits is false.
+func (Rendezvous) SharedPermits() bool { return false }
+
+// SharedRendezvous is plain rendezvous hashing with shared load permits.
+type SharedRendezvous struct{ Rendezvous }
+
+// SharedPermits is true.
+func (SharedRendezvous) SharedPermits() bool { return true }
+
 // Random is the baseline of random placement.
 type Random struct{ Rendezvous }
 
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -73,7 +73,7 @@
 	case reducer.GrantReply:
 		return &peerv1.Message{Kind: &peerv1.Message_GrantReply{GrantReply: &peerv1.GrantReply{
 			Account: m.Account, Sequence: m.Sequence, Tokens: m.Tokens, SentAtNs: uint64(m.SentAt),
-			WaitMs: milliseconds(m.Wait), NotKeeper: m.NotKeeper,
+			WaitMs: milliseconds(m.Wait), NotKeeper: m.NotKeeper, Settling: m.Settling,
 		}}}
 	case reducer.LoadWants:
 		return &peerv1.Message{Kind: &peerv1.Message_LoadWants{LoadWants: wantsToWire(m)}}
@@ -132,6 +132,7 @@
 		return reducer.GrantReply{
 			Account: k.GrantReply.GetAccount(), Sequence: k.GrantReply.GetSequence(), Tokens: k.GrantReply.GetTokens(),
 			SentAt: time.Duration(k.GrantReply.GetSentAtNs()), Wait: duration(k.GrantReply.GetWaitMs()), NotKeeper: k.GrantReply.GetNotKeeper(),
+			Settling: k.GrantReply.GetSettling(),
 		}
 	case *peerv1.Message_LoadWants:
 		return wantsFromWire(k.LoadWants)
