Go on behind a broken answer, and let retries after a lost owner cost no budget

Cause: after the kill of a host the demo showed 2 of 12 answers cut: every request on the dead owner took one retry from a budget of 10, although none of them loads a backend server; and a caller whose entry host died could not go on. Change: a lost owner costs no budget, budgets cover what runs on one backend server, and a completions request may carry the part of the answer that has come.

--- a/internal/exerciser/backend.go
+++ b/internal/exerciser/backend.go
@@ -125,7 +125,7 @@
 		return
 	}
 	w.checkStart(engine, e, t)
-	t.started(h, e.Backend, w.Now, w.localTime(h))
+	t.started(h, e.Backend, w.localTime(h))
 	w.stepLater(engine)
 }
 
@@ -147,7 +147,7 @@
 		return
 	}
 	t := w.track(e.ID)
-	t.started(h, e.Backend, w.Now, w.localTime(h))
+	t.started(h, e.Backend, w.localTime(h))
 	w.checkCall(e, t)
 	service.Running++
 	incarnation := service.Incarnation
--- a/internal/exerciser/requests.go
+++ b/internal/exerciser/requests.go
@@ -27,13 +27,12 @@
 	startedLocal time.Time
 	firstLocal   time.Duration
 	runs         int
-	forward      reducer.Forward
 	forwarded    bool
 }
 
 func (w *World[P]) track(id string) *tracked { return w.tracked[id] }
 
-func (t *tracked) started(h *Host, backend string, _, local time.Time) {
+func (t *tracked) started(h *Host, backend string, local time.Time) {
 	t.runner = h
 	t.runnerStarts = h.Starts
 	t.backend = backend
@@ -102,7 +101,11 @@
 
 func (w *World[P]) forward(h *Host, e reducer.Forward) {
 	t := w.track(e.ID)
-	t.forward = e
+	if t == nil {
+		gone := reducer.ForwardEnded{ID: e.ID, To: e.To, Outcome: reducer.OutcomeNotRun, Reason: reducer.ReasonCancelled}
+		w.postLater(h, w.delay(), gone)
+		return
+	}
 	t.forwarded = true
 	to, ok := w.hosts[e.To]
 	if !ok || !to.Up || w.cut(h.ID, e.To) {
@@ -119,7 +122,7 @@
 		Deadline: w.deadlineAt(to, h, e.Deadline), Forwarded: true, From: h.ID, Account: e.Account, Version: e.Version,
 		Backend: e.Backend, Attempt: e.Attempt,
 	})
-	w.watchForward(t, h, starts, to, to.Starts, t.delivered)
+	w.watchForward(t, h, starts, to, to.Starts)
 }
 
 // deadlineAt carries the time that is left to another host's clock.
@@ -128,7 +131,7 @@
 }
 
 // watchForward finds that the owner of a forwarded request is gone or cut off.
-func (w *World[P]) watchForward(t *tracked, h *Host, starts uint64, to *Host, toStarts uint64, _ int) {
+func (w *World[P]) watchForward(t *tracked, h *Host, starts uint64, to *Host, toStarts uint64) {
 	w.after(2*time.Second, func() {
 		current := t.forwarded && t.owner == to && t.ownerStarts == toStarts && t.alive(h, starts)
 		if !current {
@@ -136,7 +139,7 @@
 		}
 		lost := !to.Up || to.Starts != toStarts || w.cut(h.ID, to.ID)
 		if !lost {
-			w.watchForward(t, h, starts, to, toStarts, t.delivered)
+			w.watchForward(t, h, starts, to, toStarts)
 			return
 		}
 		w.endForward(t, to, reducer.ForwardEnded{ID: t.id, Outcome: reducer.OutcomeUnknown, Reason: reducer.ReasonConnection, Tokens: t.delivered})
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -52,6 +52,10 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream"`
+	// Prefix and PrefixTokens are the part of the answer that the caller has from a host that failed; the answer goes on
+	// behind it.
+	Prefix       string `json:"prefix,omitempty"`
+	PrefixTokens int    `json:"prefix_tokens,omitempty"`
 }
 
 // LocateResponse names the hosts that a caller should use.
@@ -169,12 +173,16 @@
 	if body.MaxTokens == 0 {
 		body.MaxTokens = defaultMaxTokens
 	}
+	if body.PrefixTokens < 0 || body.PrefixTokens >= body.MaxTokens {
+		badRequest(w, "prefix_tokens must be below max_tokens")
+		return
+	}
 	prompt := (len(body.Prompt) + bytesPerToken - 1) / bytesPerToken
 	event := c.arrived(r)
 	event.Model = body.Model
 	event.PromptTokens = prompt
 	event.MaxTokens = body.MaxTokens
-	call := dispatcher.Call{Prompt: body.Prompt, PromptTokens: prompt, MaxTokens: body.MaxTokens}
+	call := dispatcher.Call{Prompt: body.Prompt, PromptTokens: prompt, MaxTokens: body.MaxTokens, Offset: body.PrefixTokens, Prefix: []byte(body.Prefix)}
 	sink := &callerSink{writer: w, id: event.ID, host: c.HostID, model: body.Model, stream: body.Stream, promptTokens: prompt}
 	c.run(r, event, call, sink)
 }
--- a/internal/listener/refusal.go
+++ b/internal/listener/refusal.go
@@ -56,6 +56,7 @@
 	reducer.ReasonPermitUnknown: "the host that issued the permit cannot tell whether it was used",
 	reducer.ReasonConnection:    "the connection broke before the answer was whole",
 	reducer.ReasonBackendFailed: "the backend server failed",
+	reducer.ReasonOwnerLost:     "the host that owns the backend server broke off",
 }
 
 func refusalOf(r reducer.Refuse) Refusal {
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -108,6 +108,8 @@
 	ReasonSpill
 	ReasonVersion
 	ReasonNotLoaded
+	// ReasonOwnerLost means that the host that owns the backend server broke off.
+	ReasonOwnerLost
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -115,7 +117,7 @@
 var reasonTexts = [ReasonCount]string{
 	"", "unauthorized", "forbidden", "unknown_model", "over_rate", "too_large", "overloaded", "not_owner", "no_backend_server",
 	"deadline", "not_ready", "isolated", "key_withdrawn", "permit_spent", "permit_unknown", "backend_server_failed",
-	"connection", "cancelled", "stopped", "spill", "version", "not_loaded",
+	"connection", "cancelled", "stopped", "spill", "version", "not_loaded", "owner_lost",
 }
 
 // String returns the reason in the form that callers see.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -16,8 +16,8 @@
 	stopAfter = 5 * time.Second
 	// retryShare is the number of retries that each request adds to the retry budgets.
 	retryShare = 0.2
-	// retryBurst is the most retries that a budget saves up.
-	retryBurst = 10
+	// retryBurst is the most retries that a budget saves up; it covers what runs on one failing backend server.
+	retryBurst = 100
 	// quickTries is the number of tries that a redirected request makes without a delay.
 	quickTries = 3
 	// ownerTries is the number of tries after which another backend server is tried in place of one without an owner.
@@ -193,10 +193,14 @@
 		finish(s, r, e.Tokens)
 	case e.Outcome == OutcomeNotRun:
 		s.learnFromRefusal(now, r, e)
+		if e.Reason == ReasonConnection {
+			e.Reason = ReasonOwnerLost
+		}
 		retry[P](s, now, r, OutcomeNotRun, e.Reason)
 	default:
 		if e.Reason == ReasonConnection {
 			s.suspect(e.To, now)
+			e.Reason = ReasonOwnerLost
 		}
 		retryUnknown[P](s, now, r, e.Reason, e.Tokens)
 	}
@@ -255,7 +259,7 @@
 
 func retriable(reason Reason) bool {
 	switch reason {
-	case ReasonNotOwner, ReasonOverloaded, ReasonSpill, ReasonBackendFailed, ReasonConnection, ReasonStopped, ReasonNoBackend, ReasonNotLoaded:
+	case ReasonNotOwner, ReasonOverloaded, ReasonSpill, ReasonBackendFailed, ReasonConnection, ReasonStopped, ReasonNoBackend, ReasonNotLoaded, ReasonOwnerLost:
 		return true
 	}
 	return false
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -138,14 +138,21 @@
 	return location, err
 }
 
-// Complete sends a completions request; it is repeated on other hosts while none of its answer has come.
+// Complete sends a completions request; when a host fails, another one goes on where the answer broke off.
 func (c *Client) Complete(ctx context.Context, model, prompt string, maxTokens int) (Answer, error) {
-	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": maxTokens, "stream": true})
-	if err != nil {
-		return Answer{}, err
-	}
 	query := url.Values{"model": {model}}
-	return c.send(ctx, query, exchange{path: "/v1/completions", body: body, repeatable: true, stream: true})
+	request := completion{Model: model, Prompt: prompt, MaxTokens: maxTokens, Stream: true}
+	return c.send(ctx, query, &exchange{path: "/v1/completions", completion: &request})
+}
+
+// completion is the body of a completions request.
+type completion struct {
+	Model        string `json:"model"`
+	Prompt       string `json:"prompt"`
+	MaxTokens    int    `json:"max_tokens"`
+	Stream       bool   `json:"stream"`
+	Prefix       string `json:"prefix,omitempty"`
+	PrefixTokens int    `json:"prefix_tokens,omitempty"`
 }
 
 // Call sends a call to a plain service under a permit; it is repeated only while it has certainly not run.
@@ -155,19 +162,26 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return c.send(ctx, query, exchange{path: "/v1/services/" + url.PathEscape(service), body: body, permit: location.Permit})
+	return c.send(ctx, query, &exchange{path: "/v1/services/" + url.PathEscape(service), body: body, permit: location.Permit})
 }
 
 // exchange is one request as it goes over the wire.
 type exchange struct {
-	path       string
-	body       []byte
-	permit     string
-	repeatable bool
-	stream     bool
+	path   string
+	body   []byte
+	permit string
+	// completion is set for a completions request, which may be repeated and goes on behind what has come.
+	completion *completion
 }
 
-func (c *Client) send(ctx context.Context, query url.Values, e exchange) (Answer, error) {
+func (e *exchange) encode() ([]byte, error) {
+	if e.completion == nil {
+		return e.body, nil
+	}
+	return json.Marshal(e.completion)
+}
+
+func (c *Client) send(ctx context.Context, query url.Values, e *exchange) (Answer, error) {
 	var last error = ErrNoHost
 	delay := firstDelay
 	for try := range tries {
@@ -197,18 +211,17 @@
 // brokenError is an exchange that broke off.
 type brokenError struct {
 	err error
-	// notSent is true when no byte can have left, begun when a part of the answer has come.
+	// notSent is true when no byte can have left.
 	notSent bool
-	begun   bool
 }
 
 func (e *brokenError) Error() string { return e.err.Error() }
 func (e *brokenError) Unwrap() error { return e.err }
 
-func again(err error, e exchange) bool {
+func again(err error, e *exchange) bool {
 	var broken *brokenError
 	if errors.As(err, &broken) {
-		return broken.notSent || e.repeatable && !broken.begun
+		return broken.notSent || e.completion != nil
 	}
 	var refused *RefusedError
 	if errors.As(err, &refused) {
@@ -217,14 +230,18 @@
 	return false
 }
 
-func (c *Client) sendAt(ctx context.Context, address string, e exchange) (Answer, error) {
+func (c *Client) sendAt(ctx context.Context, address string, e *exchange) (Answer, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+e.path, io.NopCloser(bytes.NewReader(e.body)))
+	body, err := e.encode()
+	if err != nil {
+		return Answer{}, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+e.path, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return Answer{}, err
 	}
-	request.ContentLength = int64(len(e.body))
+	request.ContentLength = int64(len(body))
 	request.Header.Set("Content-Type", "application/json")
 	if c.Key != "" {
 		request.Header.Set("Authorization", "Bearer "+c.Key)
@@ -243,17 +260,18 @@
 	answer := Answer{
 		Host: response.Header.Get("X-Host"), BackendServer: response.Header.Get("X-Backend-Server"), Version: response.Header.Get("X-Adapter-Version"),
 	}
-	if e.stream {
-		return c.readStream(response, answer)
+	if e.completion != nil {
+		return c.readStream(response, answer, e.completion)
 	}
 	answer.Body, err = io.ReadAll(response.Body)
 	if err != nil {
-		return answer, &brokenError{err: err, begun: true}
+		return answer, &brokenError{err: err}
 	}
 	return answer, nil
 }
 
-func (c *Client) readStream(response *http.Response, answer Answer) (Answer, error) {
+// readStream adds the pieces of a stream to what has come before.
+func (c *Client) readStream(response *http.Response, answer Answer, e *completion) (Answer, error) {
 	lines := bufio.NewScanner(response.Body)
 	failed := false
 	for lines.Scan() {
@@ -264,6 +282,7 @@
 			continue
 		}
 		if data == "[DONE]" {
+			answer.Text = e.Prefix
 			return answer, nil
 		}
 		if failed {
@@ -271,14 +290,18 @@
 		}
 		text, err := textOf(data)
 		if err != nil {
-			return answer, &brokenError{err: err, begun: true}
+			return answer, &brokenError{err: err}
+		}
+		if text == "" {
+			continue
 		}
-		answer.Text += text
+		e.Prefix += text
+		e.PrefixTokens++
 		if c.OnText != nil {
 			c.OnText(text)
 		}
 	}
-	return answer, &brokenError{err: io.ErrUnexpectedEOF, begun: true}
+	return answer, &brokenError{err: io.ErrUnexpectedEOF}
 }
 
 func textOf(data string) (string, error) {
@@ -300,7 +323,7 @@
 func refusedBy(response *http.Response) error {
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return &brokenError{err: err, begun: true}
+		return &brokenError{err: err}
 	}
 	return refusalIn(data, response.StatusCode)
 }
