Keep the reply of a request that comes again under its id

A host that had refused a request and got it again registered the new run under the same id; the end of the earlier run then forgot the id and cancelled the new one. Ruled out: the takeover and the retry budget, which the refusals' reasons excluded.

--- a/internal/executor/replies.go
+++ b/internal/executor/replies.go
@@ -38,12 +38,12 @@
 	return reply
 }
 
-// Forget removes an id.
-func (r *Replies) Forget(id string) {
+// Forget ends a Reply; a later one that was registered under the same id stays.
+func (r *Replies) Forget(id string, reply *Reply) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if reply, ok := r.waiting[id]; ok {
-		reply.cancel()
+	reply.cancel()
+	if r.waiting[id] == reply {
 		delete(r.waiting, id)
 	}
 }
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -40,7 +40,7 @@
 func (s *Session[P, S]) Run(ctx context.Context) {
 	id := s.Arrived.ID
 	reply := s.Control.Replies.Register(ctx, id)
-	defer s.Control.Replies.Forget(id)
+	defer s.Control.Replies.Forget(id, reply)
 	if !s.Control.Post(s.Arrived) {
 		s.Control.Recorder.Record(recorder.EventMailboxFull)
 		s.Sink.Refused(reducer.Refuse{ID: id, Outcome: reducer.OutcomeNotRun, Reason: reducer.ReasonOverloaded, RetryAfter: time.Second})
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -129,7 +129,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply := c.Control.Replies.Register(ctx, id)
-	defer c.Control.Replies.Forget(id)
+	defer c.Control.Replies.Forget(id, reply)
 	if !c.Control.Post(event) {
 		return nil
 	}
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	replyID := fmt.Sprintf("status-%d", o.sequence.Add(1))
 	reply := o.Control.Replies.Register(ctx, replyID)
-	defer o.Control.Replies.Forget(replyID)
+	defer o.Control.Replies.Forget(replyID, reply)
 	o.Control.Report(ctx, reducer.StatusAsked{ReplyID: replyID})
 	select {
 	case effect := <-reply.Effects:
--- a/internal/listener/peers.go
+++ b/internal/listener/peers.go
@@ -61,7 +61,7 @@
 func (p *Peers[P]) Updates(ctx context.Context, request *connect.Request[peerv1.UpdatesRequest]) (*connect.Response[peerv1.UpdatesResponse], error) {
 	id := fmt.Sprintf("updates-%d", p.sequence.Add(1))
 	reply := p.Control.Replies.Register(ctx, id)
-	defer p.Control.Replies.Forget(id)
+	defer p.Control.Replies.Forget(id, reply)
 	p.Control.Report(ctx, reducer.UpdatesAsked{ReplyID: id, Have: request.Msg.GetHave()})
 	select {
 	case effect := <-reply.Effects:
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -105,8 +105,10 @@
 	right := accountRight(id, s.Self.Region)
 	if h, ok := s.Leases.Holdings[right]; ok && h.Account != nil && s.holds(right, now) {
 		answer.Keeper = true
-		answer.Level = h.Account.Bucket.Level
-		answer.Outstanding = h.Account.Bucket.Outstanding
+		bucket := h.Account.Bucket
+		bucket.Refill(now)
+		answer.Level = bucket.Level
+		answer.Outstanding = bucket.Outstanding
 	}
 	return answer
 }
