--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+SEEDS ?= 200
+FIRST_SEED ?= 1
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+REVIVE := github.com/mgechev/revive@v1.17.0
+BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
+
+.PHONY: build demo test lint bench generate soak mutate measure capacity
+
+build:
+	go build -o bin ./cmd/...
+
+demo: build
+	scripts/demo.sh
+
+test:
+	go test ./...
+
+lint:
+	test -z "$$(gofmt -l .)"
+	go vet ./...
+	go run $(STATICCHECK) ./...
+	go run $(REVIVE) -config revive.toml -set_exit_status -exclude ./internal/wire/... ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+generate:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
+	PATH="$$(go env GOPATH)/bin:$$PATH" go run $(BUF) generate
+
+soak:
+	go test ./internal/exerciser -run '^TestSoak$$' -v -timeout 2h -seeds $(SEEDS) -first-seed $(FIRST_SEED) | grep -E 'seed [0-9]+:|FAIL|ok'
+
+mutate:
+	scripts/mutate.sh
+
+measure:
+	go run ./cmd/redwingpick-measure --csv docs/measures.csv
+
+capacity:
+	go run ./cmd/redwingpick-capacity --plots docs
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -158,16 +158,6 @@
 	}
 }
 
-// setting returns the settings of a host.
-func (f *fleet) setting(id string) configurer.Settings {
-	for _, s := range f.settings {
-		if s.HostID == id {
-			return s
-		}
-	}
-	return configurer.Settings{}
-}
-
 func (f *fleet) status(s configurer.Settings) (reducer.Status, error) {
 	var status reducer.Status
 	response, err := http.Get("http://" + s.OperatorAddress + "/v1/status")
--- a/internal/exerciser/network.go
+++ b/internal/exerciser/network.go
@@ -3,7 +3,11 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/internal/translator"
+	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
 )
 
 // unreachableAfter is how long it takes a host to find that a peer cannot be reached.
@@ -51,15 +55,33 @@
 		return
 	}
 	w.Messages += uint64(len(e.Messages))
+	w.Envelopes++
 	event := reducer.PeerReceived{
 		From: h.ID, Incarnation: h.State.Self.Incarnation, ToIncarnation: e.ToIncarnation, Leaving: e.Leaving, Messages: e.Messages,
 	}
+	if w.Options.Encode {
+		event = w.overTheWire(h, e)
+	}
 	w.after(w.delay(), func() { w.post(to, event) })
 	if w.random.Float64() < w.Options.DoubleShare {
 		w.after(w.delay()+w.delay(), func() { w.post(to, event) })
 	}
 }
 
+// overTheWire encodes an envelope, counts its bytes and decodes it again.
+func (w *World[P]) overTheWire(h *Host, e reducer.SendPeer) reducer.PeerReceived {
+	data, err := proto.Marshal(translator.Envelope(h.ID, h.State.Self.Incarnation, e))
+	if err != nil {
+		w.Checks.broken(w.at(), "envelope_encodes", err.Error())
+	}
+	w.EnvelopeBytes += uint64(len(data))
+	var request peerv1.ExchangeRequest
+	if err := proto.Unmarshal(data, &request); err != nil {
+		w.Checks.broken(w.at(), "envelope_decodes", err.Error())
+	}
+	return translator.Received(&request)
+}
+
 func (w *World[P]) readUpdates(h *Host, e reducer.ReadUpdates) {
 	from := w.peerOf(e)
 	if from == nil || !from.Up || w.cut(h.ID, from.ID) || w.paused(from) {
--- a/internal/exerciser/platform.go
+++ b/internal/exerciser/platform.go
@@ -14,6 +14,11 @@
 	// Faults holds the names of shards whose newest value is refused by every reader.
 	Faults map[string]bool
 	Calls  uint64
+	// PeakCalls is the most calls in one second.
+	PeakCalls int
+
+	second   int64
+	inSecond int
 
 	revision uint64
 	shards   map[string]published
@@ -86,10 +91,24 @@
 	return index, newest
 }
 
+// overRate counts a call and reports whether the platform refuses it.
+func (w *World[P]) overRate() bool {
+	p := &w.Platform
+	p.Calls++
+	second := w.Now.Unix()
+	if second != p.second {
+		p.second = second
+		p.inSecond = 0
+	}
+	p.inSecond++
+	p.PeakCalls = max(p.PeakCalls, p.inSecond)
+	return w.Options.PlatformCalls > 0 && p.inSecond > w.Options.PlatformCalls
+}
+
 func (w *World[P]) watchPlatform(h *Host, e reducer.WatchPlatform) {
-	w.Platform.Calls++
+	over := w.overRate()
 	asked := w.localTime(h)
-	if w.Platform.Down || w.cut(h.ID, "platform") {
+	if over || w.Platform.Down || w.cut(h.ID, "platform") {
 		w.postLater(h, staleAfterDown, reducer.IndexRead{AskedAt: asked, Failed: true})
 		return
 	}
@@ -112,10 +131,10 @@
 }
 
 func (w *World[P]) readShard(h *Host, e reducer.ReadShard) {
-	w.Platform.Calls++
+	over := w.overRate()
 	v, ok := w.Platform.seen()[e.Name]
 	event := reducer.ShardRead{Name: e.Name, Revision: v.revision, Shard: v.shard}
-	if !ok || v.revision < e.Revision || w.Platform.Down || w.cut(h.ID, "platform") {
+	if over || !ok || v.revision < e.Revision || w.Platform.Down || w.cut(h.ID, "platform") {
 		event = reducer.ShardRead{Name: e.Name, Revision: e.Revision, Failed: true}
 	} else if w.Platform.Faults[e.Name] {
 		event.Fault = "refused by the test"
--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -31,7 +31,7 @@
 	return Options{
 		Seed: seed, Shards: d.Shards(20000), Engine: engine, Limits: reducer.DefaultLimits(),
 		Latency: 500 * time.Microsecond, Jitter: 5 * time.Millisecond, DropShare: 0.02, DoubleShare: 0.02,
-		Drift: 0.005, LateShare: 0.001, ServiceTime: 30 * time.Millisecond,
+		Drift: 0.005, LateShare: 0.001, ServiceTime: 30 * time.Millisecond, Encode: seed%3 == 0,
 	}
 }
 
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -34,6 +34,10 @@
 	Drift float64
 	// LateShare is the part of the effects that leave their host only after a pause.
 	LateShare float64
+	// Encode sends every envelope through its wire form and counts the bytes.
+	Encode bool
+	// PlatformCalls is the calls a second that the platform allows; 0 for no limit.
+	PlatformCalls int
 	// ServiceTime is how long a call to a plain service takes.
 	ServiceTime time.Duration
 }
@@ -63,6 +67,11 @@
 	Events uint64
 	// Messages and MessageCount count control messages between hosts.
 	Messages uint64
+	// Envelopes and EnvelopeBytes count what carries the messages, the bytes only with Options.Encode.
+	Envelopes     uint64
+	EnvelopeBytes uint64
+	// Busy is the real time spent in Reduce.
+	Busy time.Duration
 }
 
 // Host is one entry host.
@@ -233,11 +242,6 @@
 	return Start.Add(time.Duration(float64(w.Now.Sub(Start)) * h.rate))
 }
 
-// trueTime is when a host's clock shows a time.
-func (w *World[P]) trueTime(h *Host, local time.Time) time.Time {
-	return Start.Add(time.Duration(float64(local.Sub(Start)) / h.rate))
-}
-
 // Cut stops all exchange between two parts, each a host, a backend server or "platform".
 func (w *World[P]) Cut(a, b string) {
 	w.cuts[pair(a, b)] = true
@@ -326,7 +330,9 @@
 func (w *World[P]) reduce(h *Host, event reducer.Event) {
 	w.Events++
 	now := w.localTime(h)
+	began := time.Now()
 	effects := reducer.Reduce[P](h.State, now, event)
+	w.Busy += time.Since(began)
 	w.check(h, now, event, effects)
 	for _, e := range effects {
 		w.start(h, e)
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -21,7 +21,7 @@
 
 // tickWatch watches the platform if this host is one of its region's watchers or has no fresh word from a peer.
 func tickWatch(s *State, now time.Time) {
-	askStartPeers(s, now)
+	askStartPeers(s)
 	if s.Watch.Waiting || now.Before(s.Watch.RetryAt) || !watches(s, now) {
 		return
 	}
@@ -42,7 +42,7 @@
 	return false
 }
 
-func askStartPeers(s *State, now time.Time) {
+func askStartPeers(s *State) {
 	if s.Ready || s.Draining.Active || s.Watch.ReadingPeer || s.Watch.PeersAsked >= 4*startPeers {
 		return
 	}
@@ -105,7 +105,7 @@
 	}
 	if s.Config.Seen > s.Config.Revision {
 		s.Config.Revision = s.Config.Seen
-		spreadSummary(s, now)
+		spreadSummary(s)
 	}
 }
 
@@ -156,7 +156,7 @@
 }
 
 // spreadSummary tells all chord peers at once, so that a change reaches every host in log2(hosts) hops.
-func spreadSummary(s *State, now time.Time) {
+func spreadSummary(s *State) {
 	for _, id := range s.chords() {
 		s.touch(id)
 	}
@@ -229,7 +229,7 @@
 	s.Config.Seen = max(s.Config.Seen, e.Revision)
 	if complete && e.Revision > s.Config.Revision {
 		s.Config.Revision = e.Revision
-		spreadSummary(s, now)
+		spreadSummary(s)
 	}
 }
 
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -81,7 +81,7 @@
 		line := fmt.Sprintf("span trace=%s id=%s parent=%s host=%s hop=%q took=%s", s.SpanContext().TraceID(), s.SpanContext().SpanID(),
 			s.Parent().SpanID(), e.host, s.Name(), took)
 		for _, a := range s.Attributes() {
-			line += fmt.Sprintf(" %s=%s", a.Key, a.Value.Emit())
+			line += fmt.Sprintf(" %s=%s", a.Key, a.Value.String())
 		}
 		if _, err := fmt.Fprintln(e.out, line); err != nil {
 			return err
