Move the catalogue between hosts and from the platform two shards at a time

Cause: a daemon with 180,000 adapters in 180 shards reached 884 MB and settled at 173 MB: all shards were read from the platform at once, and a peer's answer held the whole catalogue as one YAML tree. Ruled out: the state itself, 81 bytes an adapter. Change: two shards at a time in both directions, and a collector that runs at 30% of garbage.

--- a/cmd/redwingpickd/main.go
+++ b/cmd/redwingpickd/main.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -30,6 +31,8 @@
 const (
 	exitUsage  = 2
 	exitFailed = 1
+	// garbagePercent is the garbage, as a share of the live heap, at which the collector runs; memory is scarcer than time.
+	garbagePercent = 30
 	// lastWords is the time left to the last answers after the drain.
 	lastWords = 2 * time.Second
 )
@@ -113,6 +116,7 @@
 	// go-zero ends the process by itself some seconds after a signal, which would cut requests.
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	debug.SetGCPercent(garbagePercent)
 	dispatcher.UseTransport()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/commander/files.go
+++ b/internal/commander/files.go
@@ -123,7 +123,7 @@
 
 func newExample(o *options) *cobra.Command {
 	var folder string
-	var firstPort int
+	var firstPort, adapters int
 	command := &cobra.Command{
 		Use:   "example DEPLOYMENT",
 		Short: "Write the catalogue and the settings of an example deployment: sutokatha or tsagaan-tsuivan",
@@ -133,10 +133,14 @@
 			if !ok {
 				return merry.Wrap(ErrUsage, merry.WithMessage("no example "+args[0]))
 			}
+			if adapters > 0 {
+				deployment.Adapters = adapters
+			}
 			return o.writeExample(deployment, folder, firstPort)
 		},
 	}
 	command.Flags().StringVar(&folder, "dir", ".", "folder to write to")
+	command.Flags().IntVar(&adapters, "adapters", 0, "number of adapters; 0 for the deployment's own")
 	command.Flags().IntVar(&firstPort, "first-port", 21000, "first of the loopback ports")
 	return command
 }
--- a/internal/estimator/state.go
+++ b/internal/estimator/state.go
@@ -67,16 +67,23 @@
 	now := time.Unix(1_700_000_000, 0)
 	s := loaded(size, now)
 	bytes := 0
-	for _, e := range reducer.Reduce[selector.Adaptive](s, now, reducer.UpdatesAsked{ReplyID: "a"}) {
-		answer, ok := e.(reducer.UpdatesAnswer)
-		if !ok {
-			continue
+	have := map[string]uint64{}
+	for more := true; more; {
+		for _, e := range reducer.Reduce[selector.Adaptive](s, now, reducer.UpdatesAsked{ReplyID: "a", Have: have}) {
+			answer, ok := e.(reducer.UpdatesAnswer)
+			if !ok {
+				continue
+			}
+			response, err := translator.Updates("host-0000", answer)
+			if err != nil {
+				return Point{}, err
+			}
+			bytes += proto.Size(response)
+			more = answer.More
+			for _, u := range answer.Updates {
+				have[u.Name] = u.Delta.To
+			}
 		}
-		response, err := translator.Updates("host-0000", answer)
-		if err != nil {
-			return Point{}, err
-		}
-		bytes += proto.Size(response)
 	}
 	return Point{Size: float64(adapters), Cost: float64(bytes)}, nil
 }
--- a/internal/exerciser/network.go
+++ b/internal/exerciser/network.go
@@ -91,7 +91,7 @@
 	w.sequence++
 	id := h.ID + "/updates/" + time.Duration(w.sequence).String()
 	w.Callers.updates(id, func(answer reducer.UpdatesAnswer) {
-		w.postLater(h, w.delay(), reducer.UpdatesRead{From: from.ID, Revision: answer.Revision, Updates: answer.Updates})
+		w.postLater(h, w.delay(), reducer.UpdatesRead{From: from.ID, Revision: answer.Revision, Updates: answer.Updates, More: answer.More})
 	})
 	w.postLater(from, w.delay(), reducer.UpdatesAsked{ReplyID: id, Have: e.Have})
 	w.after(4*time.Second, func() {
--- a/internal/reducer/config.go
+++ b/internal/reducer/config.go
@@ -13,6 +13,12 @@
 // keptDeltas is the number of differences of each shard that a host keeps for its peers.
 const keptDeltas = 32
 
+// fullShards is the largest number of full shards in one answer to a peer.
+const fullShards = 2
+
+// parallelReads is the largest number of shards that a host reads from the platform at a time.
+const parallelReads = 2
+
 // Config is the configuration in force, with the tables that are derived from it.
 type Config struct {
 	Shards map[string]*ShardState
@@ -22,6 +28,8 @@
 	Seen        uint64
 	ConfirmedAt time.Time
 	Pending     map[string]uint64
+	// Reading holds the shards that are being read from the platform.
+	Reading map[string]bool
 
 	Adapters map[string]AdapterEntry
 	Names    Names
@@ -87,6 +95,7 @@
 	return Config{
 		Shards:   map[string]*ShardState{},
 		Pending:  map[string]uint64{},
+		Reading:  map[string]bool{},
 		Adapters: map[string]AdapterEntry{},
 	}
 }
@@ -270,8 +279,9 @@
 }
 
 // updatesFor returns what a host with the given revisions lacks: kept differences where they reach, else full shards.
-func (c *Config) updatesFor(have map[string]uint64) []ShardUpdate {
-	var updates []ShardUpdate
+//
+// It returns at most fullShards full shards and reports whether more are left, which bounds the memory of both sides.
+func (c *Config) updatesFor(have map[string]uint64) (updates []ShardUpdate, more bool) {
 	full := map[string]bool{}
 	for _, name := range sortedKeys(c.Shards) {
 		state := c.Shards[name]
@@ -279,6 +289,10 @@
 			continue
 		}
 		chain := state.chainFrom(have[name])
+		if chain == nil && len(full) >= fullShards {
+			more = true
+			continue
+		}
 		if chain == nil {
 			full[name] = true
 			continue
@@ -288,7 +302,7 @@
 		}
 	}
 	if len(full) == 0 {
-		return updates
+		return updates, more
 	}
 	adapters := c.adaptersByShard(full)
 	for _, name := range sortedKeys(full) {
@@ -297,7 +311,7 @@
 		delta := cataloguer.Delta{To: c.Shards[name].Revision, Full: true, Set: shard}
 		updates = append(updates, ShardUpdate{Name: name, Delta: delta})
 	}
-	return updates
+	return updates, more
 }
 
 func (s *ShardState) chainFrom(revision uint64) []cataloguer.Delta {
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -120,6 +120,8 @@
 	ReplyID  string
 	Revision uint64
 	Updates  []ShardUpdate
+	// More says that the asker should ask again for what is left.
+	More bool
 }
 
 // StatusAnswer answers an operator's request for the state of this host.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -134,6 +134,7 @@
 	Failed   bool
 	Revision uint64
 	Updates  []ShardUpdate
+	More     bool
 }
 
 // ShardUpdate brings one shard from one revision to another.
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -88,7 +88,7 @@
 		revision := e.Shards[name]
 		highest = max(highest, revision)
 		if revision > s.Config.known(name) {
-			readShard(s, name, revision)
+			s.Config.Pending[name] = max(s.Config.Pending[name], revision)
 		}
 	}
 	if highest < s.Config.Seen {
@@ -96,16 +96,28 @@
 		return
 	}
 	s.Config.Seen = highest
+	readPending(s)
 	completeRevision(s, now, e.AskedAt)
 }
 
-func readShard(s *State, name string, revision uint64) {
-	if s.Config.Pending[name] >= revision {
-		return
+// readPending reads the shards that are missing, a few at a time.
+func readPending(s *State) {
+	for _, name := range sortedKeys(s.Config.Pending) {
+		if len(s.Config.Reading) >= parallelReads {
+			return
+		}
+		revision := s.Config.Pending[name]
+		if s.Config.known(name) >= revision {
+			delete(s.Config.Pending, name)
+			continue
+		}
+		if s.Config.Reading[name] {
+			continue
+		}
+		s.Config.Reading[name] = true
+		s.Counters.PlatformReads++
+		s.emit(ReadShard{Name: name, Revision: revision})
 	}
-	s.Config.Pending[name] = revision
-	s.Counters.PlatformReads++
-	s.emit(ReadShard{Name: name, Revision: revision})
 }
 
 // completeRevision marks the highest revision seen as in force once no shard is missing.
@@ -124,9 +136,11 @@
 
 // shardRead puts a shard from the platform in force, or keeps the old one if the new one was refused.
 func shardRead[P selector.Policy](s *State, now time.Time, e ShardRead) {
+	delete(s.Config.Reading, e.Name)
 	if s.Config.Pending[e.Name] <= e.Revision || e.Failed {
 		delete(s.Config.Pending, e.Name)
 	}
+	readPending(s)
 	if e.Failed {
 		s.Watch.Failures++
 		s.Watch.RetryAt = now.Add(s.backoff(s.Watch.Failures))
@@ -219,7 +233,8 @@
 
 // updatesAsked answers a peer with what it lacks.
 func updatesAsked(s *State, e UpdatesAsked) {
-	s.emit(UpdatesAnswer{ReplyID: e.ReplyID, Revision: s.Config.Revision, Updates: s.Config.updatesFor(e.Have)})
+	updates, more := s.Config.updatesFor(e.Have)
+	s.emit(UpdatesAnswer{ReplyID: e.ReplyID, Revision: s.Config.Revision, Updates: updates, More: more})
 }
 
 // updatesRead puts a peer's newer shards in force.
@@ -228,7 +243,6 @@
 	if e.Failed {
 		return
 	}
-	s.Watch.PeersAnswered[e.From] = true
 	changed := false
 	complete := true
 	for _, u := range e.Updates {
@@ -240,6 +254,12 @@
 		applied[P](s, now)
 	}
 	s.Config.Seen = max(s.Config.Seen, e.Revision)
+	if e.More && changed {
+		s.Watch.ReadingPeer = true
+		s.emit(ReadUpdates{From: e.From, Address: s.Config.Hosts[e.From].PeerAddress, Have: s.Config.have()})
+		return
+	}
+	s.Watch.PeersAnswered[e.From] = true
 	if complete && e.Revision > s.Config.Revision {
 		s.Config.Revision = e.Revision
 		spreadSummary(s)
--- a/internal/translator/updates.go
+++ b/internal/translator/updates.go
@@ -13,7 +13,7 @@
 
 // Updates returns the wire form of an answer with newer shards.
 func Updates(from string, answer reducer.UpdatesAnswer) (*peerv1.UpdatesResponse, error) {
-	response := &peerv1.UpdatesResponse{From: from, Revision: answer.Revision}
+	response := &peerv1.UpdatesResponse{From: from, Revision: answer.Revision, More: answer.More}
 	for _, u := range answer.Updates {
 		set, err := cataloguer.Encode(u.Delta.Set)
 		if err != nil {
@@ -36,7 +36,7 @@
 
 // UpdatesEvent returns the event for a peer's answer; an update that cannot be read fails the whole answer.
 func UpdatesEvent(response *peerv1.UpdatesResponse) (reducer.UpdatesRead, error) {
-	event := reducer.UpdatesRead{From: response.GetFrom(), Revision: response.GetRevision()}
+	event := reducer.UpdatesRead{From: response.GetFrom(), Revision: response.GetRevision(), More: response.GetMore()}
 	for _, u := range response.GetUpdates() {
 		set, err := cataloguer.ParseUpdate(u.GetName(), u.GetSet())
 		if err != nil {
