--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -25,8 +25,10 @@
 type Checks struct {
 	Violations []string
 
-	charges   map[string][]charge
-	open      map[string]*charge
+	charges map[string][]charge
+	open    map[string]*charge
+	// closed holds the requests whose charge has been settled, which their host may still name for a moment.
+	closed    map[string]bool
 	withdrawn map[string]time.Time
 	domains   map[string]time.Time
 	keys      map[string]time.Time
@@ -46,6 +48,7 @@
 func (c *Checks) setUp() {
 	c.charges = map[string][]charge{}
 	c.open = map[string]*charge{}
+	c.closed = map[string]bool{}
 	c.withdrawn = map[string]time.Time{}
 	c.domains = map[string]time.Time{}
 	c.keys = map[string]time.Time{}
@@ -190,7 +193,10 @@
 // checkCall asserts that a call that may not be repeated runs at most once.
 func (w *World[P]) checkCall(e reducer.Dispatch, t *tracked) {
 	w.checkInService(e.Backend)
-	key := t.call.ID
+	key := t.call.Permit
+	if key == "" {
+		key = t.call.ID
+	}
 	w.Checks.permits[key]++
 	if !e.Repeatable && w.Checks.permits[key] > 1 {
 		w.Checks.broken(w.at(), "at_most_once", fmt.Sprintf("%s ran %d times", key, w.Checks.permits[key]))
@@ -212,7 +218,7 @@
 		return
 	}
 	for id, r := range h.State.Requests {
-		if r.Charged == 0 || w.Checks.open[id] != nil {
+		if r.Charged == 0 || r.Forwarded || w.Checks.open[id] != nil || w.Checks.closed[id] {
 			continue
 		}
 		w.Checks.open[id] = &charge{account: r.Account, at: w.Now, tokens: r.Charged}
@@ -221,6 +227,7 @@
 
 // settle turns the charge of a request into what it used: all of it unless the outcome is known.
 func (w *World[P]) settle(t *tracked, outcome reducer.Outcome) {
+	w.Checks.closed[t.id] = true
 	open, ok := w.Checks.open[t.id]
 	if !ok {
 		return
@@ -268,12 +275,12 @@
 	sort.SliceStable(list, func(i, j int) bool { return list[i].at.Before(list[j].at) })
 	level := limits.Burst
 	last := Start
-	for _, c := range list {
+	for i, c := range list {
 		level = min(level+c.at.Sub(last).Seconds()*limits.Rate*(1+w.Options.Drift), limits.Burst)
 		last = c.at
 		level -= c.used
 		if level < -tokenTolerance {
-			w.Checks.broken(c.at.Sub(Start).String(), "rate_and_burst", fmt.Sprintf("%s is %.1f tokens over", account, -level))
+			w.Checks.broken(c.at.Sub(Start).String(), "rate_and_burst", fmt.Sprintf("%s is %.1f tokens over at charge %d of %d", account, -level, i, len(list)))
 			return
 		}
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -298,7 +298,11 @@
 func finish(s *State, r *Request, tokens int) {
 	s.Counters.RequestsDone++
 	s.addRetryBudget("backend/"+r.Backend, r.ArrivedAt)
-	refund(s, r, r.PromptTokens+tokens)
+	used := r.PromptTokens + tokens
+	if r.Service != "" {
+		used = int(r.Charged)
+	}
+	refund(s, r, used)
 	delete(s.Requests, r.ID)
 }
 
--- a/internal/reducer/right.go
+++ b/internal/reducer/right.go
@@ -118,8 +118,8 @@
 	return ranked[:count]
 }
 
-// regionRights returns every right of this host's region but the presence of other hosts.
-func (s *State) regionRights() []Right {
+// RegionRights returns every right of this host's region but the presence of other hosts.
+func (s *State) RegionRights() []Right {
 	region := s.Self.Region
 	rights := []Right{storeRight(region)}
 	for _, id := range sortedKeys(s.Config.Accounts) {
@@ -144,7 +144,7 @@
 	if s.Draining.Active {
 		return
 	}
-	for _, r := range s.regionRights() {
+	for _, r := range s.RegionRights() {
 		if s.candidate(r, now) == s.Self.HostID {
 			s.Leases.Wanted[r] = true
 		}
