--- a/internal/exerciser/backend.go
+++ b/internal/exerciser/backend.go
@@ -48,8 +48,11 @@
 	e.Up = false
 }
 
-// StartEngine brings an engine up, cold and empty.
+// StartEngine brings an engine up, cold and empty, unless it is up already.
 func (w *World[P]) StartEngine(e *Engine) {
+	if e.Up {
+		return
+	}
 	e.Up = true
 	e.Model.Restart(w.Now)
 	e.ColdSince = w.Now
--- a/internal/exerciser/proof_test.go
+++ b/internal/exerciser/proof_test.go
@@ -233,3 +233,23 @@
 		assert.DeepEqual(t, w.Finish(), []string(nil))
 	}
 }
+
+// TestProofWithdrawnGetsNoWork takes a failure domain and then a backend server out for long under load.
+func TestProofWithdrawnGetsNoWork(t *testing.T) {
+	for seed := uint64(1); seed <= 2; seed++ {
+		w := quiet(seed)
+		load := soakLoad(seed)
+		load.Skew = 2
+		w.Run(15 * time.Second)
+		w.Begin(load, w.Now.Add(80*time.Second))
+		w.Run(5 * time.Second)
+		w.setDomain(0, cataloguer.StateWithdrawn)
+		w.Run(30 * time.Second)
+		w.setDomain(0, cataloguer.StateInService)
+		w.publishServerState(0, cataloguer.StateLeaving)
+		w.Run(30 * time.Second)
+		w.publishServerState(0, cataloguer.StateInService)
+		w.Run(50 * time.Second)
+		assert.DeepEqual(t, w.Finish(), []string(nil))
+	}
+}
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -7,7 +7,7 @@
 trap 'rm -rf "$scratch"' EXIT
 missed=0
 only=${1:-}
-while IFS='|' read -r name file from to rule; do
+while IFS='|' read -r name file from to rule file2 from2 to2; do
   [[ -z "$name" || "$name" == \#* ]] && continue
   [[ -n "$only" && "$only" != "$name" ]] && continue
   rm -rf "$scratch/tree"
@@ -19,6 +19,9 @@
     continue
   fi
   FROM="$from" TO="$to" perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$scratch/tree/$file"
+  if [[ -n "$file2" ]]; then
+    FROM="$from2" TO="$to2" perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$scratch/tree/$file2"
+  fi
   if (cd "$scratch/tree" && go test ./internal/exerciser -run '^TestSoak$|^TestProof' -seeds 25 -first-seed 1 -timeout 5m) >"$scratch/out" 2>&1; then
     echo "$name: NOT NOTICED"
     missed=1
