Answer an envelope in the call that brought it, and tick less when idle

Cause: an idle daemon spent 2.6 to 3.2% of a core against a budget of 1.1%; every vote was a call of its own. Ruled out: Reduce, a tenth of the profile. Change: the envelope that an event brings about for its sender goes back in the same call; without requests the control goroutine ticks every 200 ms; the collector waits for 60% of garbage in place of 30%, whose 1.2 MB on a small heap made it a quarter of the profile.

--- a/cmd/redwingpickd/main.go
+++ b/cmd/redwingpickd/main.go
@@ -32,7 +32,7 @@
 	exitUsage  = 2
 	exitFailed = 1
 	// garbagePercent is the garbage, as a share of the live heap, at which the collector runs; memory is scarcer than time.
-	garbagePercent = 30
+	garbagePercent = 60
 	// lastWords is the time left to the last answers after the drain.
 	lastWords = 2 * time.Second
 )
--- a/internal/executor/control.go
+++ b/internal/executor/control.go
@@ -11,8 +11,11 @@
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
-// TickEvery is the time between two ticks of the control goroutine.
-const TickEvery = 50 * time.Millisecond
+// Times between two ticks of the control goroutine, while requests are under way and while none is.
+const (
+	TickEvery     = 50 * time.Millisecond
+	IdleTickEvery = 200 * time.Millisecond
+)
 
 // Control owns the state of the host; its exported fields are set before Run.
 type Control[P selector.Policy] struct {
@@ -38,19 +41,21 @@
 	c.drained = make(chan struct{})
 	c.counters.Store(&reducer.Counters{})
 	c.Worker.Results = c.results
+	c.Worker.Messenger.Results = c.results
 }
 
 // Run reduces events until the context ends; it is the only goroutine that touches the state.
 func (c *Control[P]) Run(ctx context.Context) {
-	ticker := time.NewTicker(TickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(TickEvery)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			c.reduce(ctx, reducer.Tick{})
 			c.publish()
+			timer.Reset(c.untilTick())
 		case event := <-c.results:
 			c.reduce(ctx, event)
 		case event := <-c.arrivals:
@@ -59,6 +64,14 @@
 	}
 }
 
+// untilTick returns the time to the next tick, which is longer while no request is under way.
+func (c *Control[P]) untilTick() time.Duration {
+	if len(c.State.Requests) == 0 && c.State.Ready {
+		return IdleTickEvery
+	}
+	return TickEvery
+}
+
 // Post offers a new request to the control goroutine and reports false when its mailbox is full.
 func (c *Control[P]) Post(event reducer.Event) bool {
 	select {
@@ -105,9 +118,24 @@
 		c.Recorder.Record(recorder.EventInvariantBroken, reducer.Field{Name: "rule", Value: v.Rule}, reducer.Field{Name: "detail", Value: v.Detail})
 	}
 	c.busy.Add(int64(time.Since(now)))
+	answered := false
+	received, _ := event.(reducer.PeerReceived)
 	for _, e := range effects {
+		if !answered && answers(received, e) {
+			answered = c.Replies.Deliver(received.ReplyID, e)
+			continue
+		}
 		c.carryOut(ctx, e)
 	}
+	if received.ReplyID != "" && !answered {
+		c.Replies.Deliver(received.ReplyID, reducer.SendPeer{})
+	}
+}
+
+// answers reports whether an effect is the envelope that goes back to the sender of the event, who waits for it.
+func answers(received reducer.PeerReceived, effect reducer.Effect) bool {
+	envelope, ok := effect.(reducer.SendPeer)
+	return ok && received.ReplyID != "" && envelope.To == received.From
 }
 
 // carryOut hands an effect to the goroutine that waits for it or to the worker.
--- a/internal/listener/peers.go
+++ b/internal/listener/peers.go
@@ -51,10 +51,27 @@
 	return mux
 }
 
-// Exchange takes an envelope of control messages.
+// Exchange takes an envelope of control messages and returns the one that answers it, if there is any.
 func (p *Peers[P]) Exchange(ctx context.Context, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
-	p.Control.Report(ctx, translator.Received(request.Msg))
-	return connect.NewResponse(&peerv1.ExchangeResponse{}), nil
+	event := translator.Received(request.Msg)
+	event.ReplyID = fmt.Sprintf("exchange-%d", p.sequence.Add(1))
+	reply := p.Control.Replies.Register(ctx, event.ReplyID)
+	defer p.Control.Replies.Forget(event.ReplyID, reply)
+	p.Control.Report(ctx, event)
+	select {
+	case effect := <-reply.Effects:
+		return connect.NewResponse(p.answerTo(effect)), nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
+
+func (p *Peers[P]) answerTo(effect reducer.Effect) *peerv1.ExchangeResponse {
+	envelope, ok := effect.(reducer.SendPeer)
+	if !ok || envelope.To == "" {
+		return &peerv1.ExchangeResponse{}
+	}
+	return &peerv1.ExchangeResponse{Envelope: translator.Envelope(p.HostID, p.Messenger.Incarnation, envelope)}
 }
 
 // Updates answers with the shards that the caller lacks.
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -37,6 +37,8 @@
 type Client struct {
 	HostID      string
 	Incarnation uint64
+	// Results takes the envelopes that come back in answers.
+	Results chan<- reducer.Event
 
 	once    sync.Once
 	shared  *http.Client
@@ -103,6 +105,7 @@
 
 // drainQueue sends the envelopes of one peer until it has been idle for long.
 func (c *Client) drainQueue(ctx context.Context, address string, queue chan reducer.SendPeer) {
+	peer := c.peer(address)
 	idle := time.NewTimer(senderIdle)
 	defer idle.Stop()
 	for {
@@ -110,7 +113,7 @@
 		case <-ctx.Done():
 			return
 		case envelope := <-queue:
-			c.exchange(ctx, address, envelope)
+			c.exchange(ctx, peer, envelope)
 			idle.Reset(senderIdle)
 		case <-idle.C:
 			if c.retire(address, queue) {
@@ -132,14 +135,21 @@
 }
 
 // exchange sends one envelope unless its time is over; a lost envelope is the reducer's to repeat.
-func (c *Client) exchange(ctx context.Context, address string, envelope reducer.SendPeer) {
+func (c *Client) exchange(ctx context.Context, peer peerv1connect.PeerServiceClient, envelope reducer.SendPeer) {
 	if !envelope.NotAfter.IsZero() && !time.Now().Before(envelope.NotAfter) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	request := connect.NewRequest(translator.Envelope(c.HostID, c.Incarnation, envelope))
-	_, _ = c.peer(address).Exchange(ctx, request)
+	response, err := peer.Exchange(ctx, request)
+	if err != nil || response.Msg.GetEnvelope() == nil || c.Results == nil {
+		return
+	}
+	select {
+	case c.Results <- translator.Received(response.Msg.GetEnvelope()):
+	case <-ctx.Done():
+	}
 }
 
 // ReadUpdates asks a peer for newer shards.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -20,6 +20,8 @@
 	ToIncarnation uint64
 	Leaving       bool
 	Messages      []Message
+	// ReplyID names who waits for the envelope that answers this one, or is empty.
+	ReplyID string
 }
 
 // RequestArrived says that a caller, or another host for its caller, asks for work.
