--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -137,27 +136,7 @@
 }
 
 // sendBack gives a forwarded request back to its sender and marks a local one to be placed elsewhere.
-func (s *State) sendBack(now time.Time, r *Request, reason Reason) {
-	if r.Forwarded {
-		s.giveBack(r, reason, s.notOwnerHint(s.Config.BackendServers[r.Backend], now))
-		return
-	}
-	r.Tried = append(r.Tried, r.Backend)
-	s.delay(now, r)
-}
-
 // retryPlaced places a local request that a crowded backend server sent back at once, while untried servers are left.
-func retryPlaced[P selector.Policy](s *State, now time.Time, r *Request) {
-	r.Attempt++
-	if r.Attempt >= s.Limits.MaxAttempts {
-		refuse(s, r, OutcomeNotRun, ReasonOverloaded, time.Second)
-		return
-	}
-	if len(r.Tried) < candidateCount/2 {
-		place[P](s, now, r)
-	}
-}
-
 // crowded returns why a backend server should not queue the request, or ReasonNone.
 func (s *State) crowded(now time.Time, r *Request, b *Backend) Reason {
 	tries := len(r.Tried)
@@ -301,98 +280,9 @@
 }
 
 // learnFromAnswer watches for failures, restarts and a cold start that came without notice.
-func (s *State) learnFromAnswer(now time.Time, b *Backend, e DispatchEnded) {
-	if e.Reason == ReasonConnection || e.Reason == ReasonBackendFailed {
-		b.Failures++
-		b.FailedUntil = now.Add(s.jitter(failedFor << min(b.Failures-1, 3)))
-		b.Limit = s.Config.BackendServers[b.ID].ColdRunning
-		s.note(EventBackendFailed, Field{"backend_server", b.ID}, Field{"reason", e.Reason.String()})
-		return
-	}
-	if e.Reason == ReasonNotLoaded {
-		s.notLoaded(now, b, e.ID)
-	}
-	if e.Outcome != OutcomeDone {
-		return
-	}
-	b.Failures = 0
-	if e.BackendIncarnation != 0 && e.BackendIncarnation != b.Incarnation {
-		s.restarted(now, b, e.BackendIncarnation)
-	}
-	s.watchFirstToken(now, b, e.FirstTokenAfter.Seconds())
-}
-
 // notLoaded corrects a residency that the backend server has denied.
-func (s *State) notLoaded(now time.Time, b *Backend, id string) {
-	key := s.Requests[id].Adapter
-	if resident, ok := b.Residents[key]; ok && resident.Stage == ResidencyReady {
-		s.requeueUnloaded(now, b, key, resident)
-		s.Wants.Dirty = true
-	}
-}
-
-func (s *State) watchFirstToken(now time.Time, b *Backend, seconds float64) {
-	if seconds <= 0 {
-		return
-	}
-	if b.FirstToken > 0 && seconds > slowFirstToken && seconds > s.Limits.SlowFirstToken*b.FirstToken {
-		s.turnCold(now, b)
-		return
-	}
-	b.Healthy++
-	if b.FirstToken == 0 {
-		b.FirstToken = seconds
-		return
-	}
-	b.FirstToken += firstTokenShare * (seconds - b.FirstToken)
-}
-
-func (s *State) turnCold(now time.Time, b *Backend) {
-	server := s.Config.BackendServers[b.ID]
-	b.Limit = server.ColdRunning
-	b.LimitRaisedAt = now
-	b.ColdUntil = now.Add(server.ColdFor)
-	b.Healthy = 0
-	s.Counters.ColdDetected++
-	s.note(EventBackendCold, Field{"backend_server", b.ID})
-}
-
 // restarted drops what a former incarnation of the backend server had resident.
-func (s *State) restarted(now time.Time, b *Backend, incarnation uint64) {
-	b.Incarnation = incarnation
-	b.FirstToken = 0
-	b.Foreign = 0
-	s.turnCold(now, b)
-	for _, key := range b.residentKeys() {
-		resident := b.Residents[key]
-		if resident.Stage != ResidencyReady {
-			continue
-		}
-		resident.Foreign = 0
-		s.requeueUnloaded(now, b, key, resident)
-	}
-	s.Wants.Dirty = true
-}
-
 // requeueUnloaded turns the queued requests of an adapter that is gone into requests that wait for its load.
-func (s *State) requeueUnloaded(now time.Time, b *Backend, key AdapterKey, resident *Resident) {
-	queued := b.Queue.Remove(func(id string) bool { return s.Requests[id].Adapter == key })
-	resident.Pins -= len(queued)
-	if len(queued) == 0 && resident.Pins == 0 {
-		b.forget(key)
-		return
-	}
-	resident.Stage = ResidencyWanted
-	resident.WantedAt = now
-	for _, id := range queued {
-		r := s.Requests[id]
-		r.Phase = PhaseWaiting
-		r.Stalled = true
-		resident.Waiting = append(resident.Waiting, id)
-		b.waiting++
-	}
-}
-
 // forget removes an adapter that is not resident and remembers the demand for it.
 func (b *Backend) forget(key AdapterKey) {
 	if resident, ok := b.Residents[key]; ok {
@@ -422,100 +312,10 @@
 }
 
 // backendReported takes the state that a backend server reports.
-func backendReported[P selector.Policy](s *State, now time.Time, e BackendReported) {
-	b, ok := s.Backends[e.Backend]
-	if !ok || b.Lost {
-		return
-	}
-	if e.Failed {
-		b.Failures++
-		b.FailedUntil = now.Add(s.jitter(failedFor))
-		return
-	}
-	if b.Incarnation != 0 && b.Incarnation != e.Incarnation {
-		s.restarted(now, b, e.Incarnation)
-	}
-	unmet := b.Incarnation == 0
-	b.Incarnation = e.Incarnation
-	if !b.Known && now.Before(b.ReadFrom) {
-		return
-	}
-	foreign := max(e.Running-b.Running, 0)
-	if b.Known {
-		foreign = min(foreign, b.Foreign)
-	} else {
-		b.Fence = max(b.Fence, e.Fence+1)
-	}
-	b.Foreign = foreign
-	b.takeResidents(now, e.Residents)
-	if !b.Known {
-		b.Known = true
-		if unmet {
-			s.takeNote(now, b)
-		}
-		s.Wants.Dirty = true
-		s.note(EventBackendKnown, Field{"backend_server", b.ID}, Field{"fence", strconv.FormatUint(b.Fence, 10)})
-	}
-	pump[P](s, now, b)
-}
-
 // takeResidents follows what a backend server says is resident.
 //
 // Reports lag, so a difference from what this host has ordered counts only after reportSettles.
-func (b *Backend) takeResidents(now time.Time, reported []ReportedAdapter) {
-	running := make(map[AdapterKey]int, len(reported))
-	for _, a := range reported {
-		running[a.Adapter] = a.Running
-		b.takeResident(now, a)
-	}
-	for _, key := range b.residentKeys() {
-		resident := b.Residents[key]
-		if _, named := running[key]; named || resident.Stage != ResidencyReady {
-			continue
-		}
-		resident.Foreign = 0
-		settled := !b.Known || now.Sub(resident.ReadyAt) > reportSettles
-		if settled && resident.Pins == 0 {
-			b.forget(key)
-		}
-	}
-	for key := range b.Strangers {
-		if _, named := running[key]; !named {
-			delete(b.Strangers, key)
-		}
-	}
-}
-
-func (b *Backend) takeResident(now time.Time, a ReportedAdapter) {
-	resident, known := b.Residents[a.Adapter]
-	switch {
-	case !b.Known:
-		resident = b.resident(a.Adapter)
-		resident.Stage = ResidencyReady
-		resident.ReadyAt = now
-		resident.Foreign = max(a.Running-resident.Pins, 0)
-	case known:
-		resident.Foreign = min(resident.Foreign, max(a.Running-resident.Pins, 0))
-	default:
-		b.meetStranger(now, a)
-	}
-}
-
 // meetStranger takes over an adapter that this host did not order, once reports have named it for long enough.
-func (b *Backend) meetStranger(now time.Time, a ReportedAdapter) {
-	first, met := b.Strangers[a.Adapter]
-	if !met {
-		b.Strangers[a.Adapter] = now
-		return
-	}
-	if now.Sub(first) > reportSettles {
-		resident := b.resident(a.Adapter)
-		resident.Stage = ResidencyReady
-		resident.ReadyAt = now
-		resident.Foreign = a.Running
-	}
-}
-
 // tickBackends polls the owned backend servers, raises their limits and gives up what is lost or withdrawn.
 func tickBackends[P selector.Policy](s *State, now time.Time) {
 	settleLost[P](s, now)
@@ -545,182 +345,14 @@
 	}
 }
 
-func (s *State) poll(now time.Time, b *Backend) {
-	if now.Sub(b.PolledAt) < s.Limits.PollEvery {
-		return
-	}
-	b.PolledAt = now
-	s.emit(PollBackend{Backend: b.ID, Address: s.Config.BackendServers[b.ID].Address})
-}
-
 // raiseLimit doubles the limit of a backend server that has answered well at its present limit.
-func (s *State) raiseLimit(now time.Time, b *Backend) {
-	server := s.Config.BackendServers[b.ID]
-	if b.Limit >= server.MaxRunning {
-		b.Limit = server.MaxRunning
-		return
-	}
-	if b.LimitRaisedAt.IsZero() {
-		b.LimitRaisedAt = now
-	}
-	if now.Before(b.ColdUntil) {
-		return
-	}
-	if now.Sub(b.LimitRaisedAt) < s.Limits.RampEvery || b.Healthy < b.Limit {
-		return
-	}
-	b.Limit = min(2*b.Limit, server.MaxRunning)
-	b.LimitRaisedAt = now
-	b.Healthy = 0
-}
-
-const (
-	// noteEvery is how often a note is repeated, since messages can be lost.
-	noteEvery = 3 * time.Second
-	// noteFor is how long a note is believed.
-	noteFor = 30 * time.Second
-)
-
 // sendNote tells the host that would follow how much the backend server bears.
-func (s *State) sendNote(now time.Time, b *Backend) {
-	if !b.Known {
-		return
-	}
-	note := BackendNote{Backend: b.ID, Incarnation: b.Incarnation, Limit: b.Limit}
-	if note == b.Noted && now.Sub(b.NotedAt) < noteEvery {
-		return
-	}
-	next := s.candidateExcept(s.backendRight(s.Config.BackendServers[b.ID]), now, s.Self.HostID)
-	if next == "" {
-		return
-	}
-	b.Noted = note
-	b.NotedAt = now
-	s.send(next, BackendNotes{Notes: []BackendNote{note}})
-}
-
-func receiveNotes(s *State, now time.Time, m BackendNotes) {
-	for _, n := range m.Notes {
-		s.Notes[n.Backend] = KeptNote{Note: n, At: now}
-	}
-}
-
 // takeNote keeps the limit of the former owner if the backend server has not restarted since, and else takes it as cold.
-func (s *State) takeNote(now time.Time, b *Backend) {
-	kept, ok := s.Notes[b.ID]
-	delete(s.Notes, b.ID)
-	server := s.Config.BackendServers[b.ID]
-	warm := ok && now.Sub(kept.At) <= noteFor && kept.Note.Incarnation == b.Incarnation && kept.Note.Limit > server.ColdRunning
-	if !warm {
-		b.ColdUntil = now.Add(server.ColdFor)
-		return
-	}
-	b.Limit = min(kept.Note.Limit, server.MaxRunning)
-	b.ColdUntil = now
-}
-
 // giveUpFailed sends the requests of a failing, leaving or withdrawn backend server elsewhere.
-func giveUpFailed[P selector.Policy](s *State, now time.Time, b *Backend) {
-	reason := ReasonNone
-	switch {
-	case !s.Config.eligible(s.Config.BackendServers[b.ID]):
-		reason = ReasonNoBackend
-	case now.Before(b.FailedUntil):
-		reason = ReasonBackendFailed
-	}
-	if reason != ReasonNone {
-		moveAll[P](s, now, b, reason)
-	}
-}
-
 // settleLost sends the requests on that waited for a backend server whose lease is over.
-func settleLost[P selector.Policy](s *State, now time.Time) {
-	for _, id := range sortedKeys(s.Backends) {
-		b := s.Backends[id]
-		if b.Lost {
-			moveAll[P](s, now, b, ReasonNotOwner)
-			s.forgetLost(b)
-		}
-	}
-}
-
 // moveAll places every request again that waits or queues at a backend server.
-func moveAll[P selector.Policy](s *State, now time.Time, b *Backend, reason Reason) {
-	for _, r := range s.takeWaiting(b) {
-		if r.Forwarded {
-			s.giveBack(r, reason, "")
-			continue
-		}
-		if reason != ReasonNotOwner {
-			r.Tried = append(r.Tried, b.ID)
-		}
-		r.Attempt++
-		if r.Attempt >= s.Limits.MaxAttempts {
-			refuse(s, r, OutcomeNotRun, reason, time.Second)
-			continue
-		}
-		s.delay(now, r)
-	}
-}
-
-func (s *State) takeWaiting(b *Backend) []*Request {
-	var moved []*Request
-	for _, id := range b.Queue.Remove(func(string) bool { return true }) {
-		r := s.Requests[id]
-		b.unpin(r)
-		moved = append(moved, r)
-	}
-	for _, key := range b.residentKeys() {
-		resident := b.Residents[key]
-		for _, id := range resident.Waiting {
-			moved = append(moved, s.Requests[id])
-		}
-		b.waiting -= len(resident.Waiting)
-		resident.Waiting = nil
-		if resident.Stage == ResidencyWanted {
-			b.forget(key)
-		}
-	}
-	sortRequests(moved)
-	return moved
-}
-
 // refreshBackends follows changed backend servers and notes when this host's own failure domain is withdrawn.
-func refreshBackends[P selector.Policy](s *State, now time.Time) {
-	if !s.Config.withdrawn(s.Self.FailureDomain) {
-		s.WithdrawnAt = time.Time{}
-	} else if s.WithdrawnAt.IsZero() {
-		s.WithdrawnAt = now
-	}
-	for _, id := range sortedKeys(s.Backends) {
-		b := s.Backends[id]
-		server, ok := s.Config.BackendServers[id]
-		if !ok {
-			b.Lost = true
-			continue
-		}
-		b.Slots = server.AdapterSlots
-		if !s.Config.eligible(server) {
-			b.Limit = server.ColdRunning
-			b.Healthy = 0
-		}
-	}
-	settleLost[P](s, now)
-}
-
 // effectExpired undoes what was noted for an effect that did not leave in time.
-func effectExpired[P selector.Policy](s *State, now time.Time, e EffectExpired) {
-	s.Counters.EffectsExpired++
-	switch f := e.Effect.(type) {
-	case Dispatch:
-		dispatchEnded[P](s, now, DispatchEnded{ID: f.ID, Backend: f.Backend, Outcome: OutcomeNotRun, Reason: ReasonNotOwner})
-	case LoadAdapter:
-		loadEnded[P](s, now, LoadEnded{
-			Backend: f.Backend, Adapter: f.Adapter, PermitFrom: f.PermitFrom, PermitSequence: f.PermitSequence, Failed: true,
-		})
-	}
-}
-
 // serves reports whether a backend server is an engine that holds adapters.
 func serves(b cataloguer.BackendServer) bool {
 	return b.Kind == cataloguer.KindEngine
