--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -16,6 +16,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/internal/waiter"
 )
 
 const (
@@ -67,7 +68,7 @@
 	g.answer.Tokens = call.Offset
 	g.first(ctx)
 	for try := 0; g.broken && try < resumeTries; try++ {
-		if !pause(ctx, resumeDelay<<try) {
+		if !waiter.Wait(ctx, resumeDelay<<try) {
 			break
 		}
 		before := g.answer.Tokens
@@ -256,17 +257,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func reasonOf(ctx context.Context) reducer.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return reducer.ReasonDeadline
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/waiter"
 	"github.com/redwingpick/redwingpick/internal/watcher"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
@@ -109,14 +110,8 @@
 }
 
 func wait(r *http.Request, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
+	if d > 0 {
+		waiter.Wait(r.Context(), d)
 	}
 }
 
--- a/internal/exerciser/proof_test.go
+++ b/internal/exerciser/proof_test.go
@@ -253,3 +253,34 @@
 		assert.DeepEqual(t, w.Finish(), []string(nil))
 	}
 }
+
+// TestProofRosterChange takes a host out of the roster while a part of the fleet is cut off and still has the old one.
+func TestProofRosterChange(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		w := quiet(seed)
+		load := soakLoad(seed)
+		load.Skew = 2
+		w.Run(15 * time.Second)
+		w.Begin(load, w.Now.Add(50*time.Second))
+		w.Trouble(FaultCutPart, 8*time.Second)
+		before := w.Shard("fleet")
+		after := before
+		after.PreviousHosts = before.Hosts
+		after.Hosts = before.Hosts[1:]
+		w.Publish(after)
+		w.Run(20 * time.Second)
+		gone := w.Host(before.Hosts[0].ID)
+		assert.DeepEqual(t, w.Finish(), []string(nil))
+		w.Drain(gone)
+		w.Run(20 * time.Second)
+		settled := after
+		settled.PreviousHosts = nil
+		w.Publish(settled)
+		w.Run(50 * time.Second)
+		assert.DeepEqual(t, w.Finish(), []string(nil))
+		for _, r := range w.Host(after.Hosts[0].ID).State.RegionRights() {
+			holder := holderOf(w, r)
+			assert.Assert(t, holder != nil && holder != gone, "seed %d: %v", seed, r)
+		}
+	}
+}
--- a/internal/messenger/forward.go
+++ b/internal/messenger/forward.go
@@ -12,6 +12,7 @@
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/tracer"
+	"github.com/redwingpick/redwingpick/internal/waiter"
 	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
 )
 
@@ -46,7 +47,7 @@
 	f.result.Tokens = int(request.GetOffset())
 	f.run(ctx, request)
 	for try := 0; f.broken && try < attachTries; try++ {
-		if !pause(ctx, attachDelay<<try) {
+		if !waiter.Wait(ctx, attachDelay<<try) {
 			break
 		}
 		before := f.frames
@@ -180,14 +181,3 @@
 	}
 	return reducer.OutcomeUnknown
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -97,7 +97,7 @@
 	}
 	s.Config.Seen = highest
 	readPending(s)
-	completeRevision(s, now, e.AskedAt)
+	completeRevision(s, e.AskedAt)
 }
 
 // readPending reads the shards that are missing, a few at a time.
@@ -121,7 +121,7 @@
 }
 
 // completeRevision marks the highest revision seen as in force once no shard is missing.
-func completeRevision(s *State, now, confirmedAt time.Time) {
+func completeRevision(s *State, confirmedAt time.Time) {
 	if len(s.Config.Pending) > 0 {
 		return
 	}
@@ -152,7 +152,7 @@
 		applied[P](s, now)
 	}
 	if s.Config.Seen > 0 {
-		completeRevision(s, now, s.Config.ConfirmedAt)
+		completeRevision(s, s.Config.ConfirmedAt)
 	}
 }
 
--- /dev/null
+++ b/internal/waiter/doc.go
@@ -0,0 +1,2 @@
+// Package waiter waits without spinning.
+package waiter
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/redwingpick/redwingpick/internal/waiter"
 )
 
 const (
@@ -200,7 +202,7 @@
 			}
 			c.forget(query)
 		}
-		if !pause(ctx, delay) {
+		if !waiter.Wait(ctx, delay) {
 			return Answer{}, ctx.Err()
 		}
 		delay = min(2*delay, maxDelay)
@@ -338,14 +340,3 @@
 	body.Error.Status = status
 	return &body.Error
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
