--- a/cmd/redwingpick-capacity/main.go
+++ b/cmd/redwingpick-capacity/main.go
@@ -22,6 +22,12 @@
 	payloadSizes  = []int{16, 256, 1024}
 )
 
+// A region is cut off for an hour in a fleet of a tenth of the target's size.
+const (
+	cutShare = 0.1
+	cutFor   = time.Hour
+)
+
 func main() {
 	var plots string
 	command := &cobra.Command{
@@ -56,6 +62,8 @@
 	lines = append(lines, fleetLines(fleets)...)
 	printLines(lines)
 	printFleets(fleets, frames)
+	printRecovery(fleets)
+	printCut(estimator.MeasureCut(estimator.Scaled(cutShare), 1, cutFor))
 	if plots == "" {
 		return nil
 	}
@@ -134,6 +142,20 @@
 	}
 }
 
+func printRecovery(fleets []estimator.Fleet) {
+	fmt.Println("\n| hosts | one host restarted: ready after | its rights held after | 8 hosts of a failure domain lost: all owned after |")
+	fmt.Println("| ---: | ---: | ---: | ---: |")
+	for _, f := range fleets {
+		fmt.Printf("| %d | %v | %v | %v |\n", f.Size.Hosts, f.RestartReadyAfter, f.RestartOwnedAfter, f.RackOwnedAfter)
+	}
+}
+
+func printCut(c estimator.Cut) {
+	fmt.Println("\n| hosts | a region cut off for | least share of backend servers owned | newest revision everywhere after the end | bytes of envelopes a host meanwhile | broken rules |")
+	fmt.Println("| ---: | ---: | ---: | ---: | ---: | ---: |")
+	fmt.Printf("| %d | %v | %.0f%% | %v | %.0f | %d |\n", c.Size.Hosts, c.For, 100*c.LeastOwned, c.HealedAfter, c.HealBytes/float64(c.Size.Hosts), len(c.Violations))
+}
+
 func drawAll(folder string, lines []estimator.Line) error {
 	for i, l := range lines {
 		if err := draw(filepath.Join(folder, fmt.Sprintf("slope_%d.svg", i+1)), l); err != nil {
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -75,6 +75,12 @@
 
 // startFleet starts a fleet and waits until every host is ready and every right has a holder.
 func startFleet(t *testing.T, change func(*exampler.Deployment)) *fleet {
+	t.Helper()
+	return startFleetWith(t, change, func(*configurer.Settings, *cataloguer.Host) {})
+}
+
+// startFleetWith starts a fleet whose hosts' settings and catalogue entries were changed before.
+func startFleetWith(t *testing.T, change func(*exampler.Deployment), each func(*configurer.Settings, *cataloguer.Host)) *fleet {
 	t.Helper()
 	d := exampler.Sutokatha()
 	d.Adapters = 60
@@ -87,6 +93,9 @@
 	f := &fleet{t: t, deployment: d, folder: t.TempDir(), firstPort: freePorts(t), hosts: map[string]*exec.Cmd{}, logs: map[string]*lockedBuffer{}}
 	f.settings = d.Settings(f.firstPort)
 	for _, s := range d.Shards(f.firstPort) {
+		for i := range s.Hosts {
+			each(&f.settings[i], &s.Hosts[i])
+		}
 		f.write(filepath.Join("catalogue", s.Name+".yaml"), s)
 	}
 	f.standin = f.start("redwingpick-standin", "standin", "--catalogue", filepath.Join(f.folder, "catalogue"),
--- a/internal/estimator/fleet.go
+++ b/internal/estimator/fleet.go
@@ -92,16 +92,22 @@
 
 // Fleet is what a fleet of one size costs in virtual time.
 type Fleet struct {
-	Size              Size
-	EnvelopesAHost    float64
-	MessagesAHost     float64
-	BytesAHost        float64
-	BusyAHost         time.Duration
-	PlatformCalls     float64
-	StartedAfter      time.Duration
-	StartPeakCalls    int
-	ChangeEverywhere  time.Duration
-	DomainOwnedAfter  time.Duration
+	Size             Size
+	EnvelopesAHost   float64
+	MessagesAHost    float64
+	BytesAHost       float64
+	BusyAHost        time.Duration
+	PlatformCalls    float64
+	StartedAfter     time.Duration
+	StartPeakCalls   int
+	ChangeEverywhere time.Duration
+	DomainOwnedAfter time.Duration
+	// RestartReadyAfter and RestartOwnedAfter are how long a killed and at once restarted host takes to be ready, and its
+	// backend servers to have an owner again.
+	RestartReadyAfter time.Duration
+	RestartOwnedAfter time.Duration
+	// RackOwnedAfter is how long it takes after the loss of rackHosts hosts of one failure domain.
+	RackOwnedAfter    time.Duration
 	DomainOwnedBefore float64
 	Violations        []string
 }
@@ -109,6 +115,8 @@
 const (
 	// longestWait bounds the wait for anything in a run.
 	longestWait = 2 * time.Minute
+	// recoverFor is the time that a fleet is given before the next loss.
+	recoverFor = 15 * time.Second
 	// measuredFor is the virtual time over which the quiet cost is taken.
 	measuredFor = 10 * time.Second
 )
@@ -125,6 +133,8 @@
 	w.Run(20 * time.Second)
 	f.measureQuiet(w)
 	f.ChangeEverywhere = change(w)
+	f.measureRestart(w)
+	f.measureRack(w)
 	f.measureDomain(w)
 	f.Violations = w.Finish()
 	return f
@@ -148,14 +158,96 @@
 	shard.ClientAccounts = append([]cataloguer.ClientAccount(nil), shard.ClientAccounts...)
 	shard.ClientAccounts[0].Rate++
 	revision := w.Publish(shard)
-	return until(w, func() bool {
-		for _, h := range w.Hosts {
-			if h.State.Config.Revision < revision {
-				return false
-			}
+	return until(w, func() bool { return inForce(w, revision) })
+}
+
+// inForce reports whether every host has a revision.
+func inForce(w *exerciser.World[selector.Adaptive], revision uint64) bool {
+	for _, h := range w.Hosts {
+		if h.State.Config.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// rackHosts is the number of hosts behind one rack or switch.
+const rackHosts = 8
+
+// measureRestart kills one host and starts it again at once.
+func (f *Fleet) measureRestart(w *exerciser.World[selector.Adaptive]) {
+	h := w.Hosts[len(w.Hosts)/2]
+	w.Kill(h)
+	w.StartHost(h)
+	f.RestartReadyAfter = until(w, func() bool { return h.State.Ready })
+	f.RestartOwnedAfter = f.RestartReadyAfter + until(w, func() bool { return owned(w) >= f.Size.Backends })
+	w.Run(recoverFor)
+}
+
+// measureRack kills some hosts of one failure domain, waits for their rights to be held, and starts them again.
+func (f *Fleet) measureRack(w *exerciser.World[selector.Adaptive]) {
+	var lost []*exerciser.Host
+	for _, h := range w.Hosts {
+		if h.FailureDomain == domain(1) && len(lost) < rackHosts {
+			w.Kill(h)
+			lost = append(lost, h)
 		}
-		return true
+	}
+	f.RackOwnedAfter = until(w, func() bool { return owned(w) >= f.Size.Backends })
+	for _, h := range lost {
+		w.StartHost(h)
+	}
+	w.Run(recoverFor)
+}
+
+// Cut is what a region cut off from the others and from the platform does to a fleet.
+type Cut struct {
+	Size Size
+	For  time.Duration
+	// LeastOwned is the least share of backend servers with an owner at any minute of the cut.
+	LeastOwned float64
+	// HealedAfter is how long after its end every host has the newest revision.
+	HealedAfter time.Duration
+	// HealBytes is the bytes of envelopes of the whole fleet in that time.
+	HealBytes  float64
+	Violations []string
+}
+
+// MeasureCut cuts the first region off, publishes a change a minute meanwhile, and heals the cut.
+func MeasureCut(size Size, seed uint64, d time.Duration) Cut {
+	w := exerciser.New[selector.Adaptive](exerciser.Options{
+		Seed: seed, Shards: size.Shards(), Engine: modeler.DefaultSpec(), Limits: reducer.DefaultLimits(),
+		Latency: 5 * time.Millisecond, Jitter: 25 * time.Millisecond, Encode: true, Sparse: true,
 	})
+	w.Run(30 * time.Second)
+	cutRegion(w, "region-0")
+	c := Cut{Size: size, For: d, LeastOwned: 1}
+	for waited := time.Duration(0); waited < d; waited += time.Minute {
+		w.Publish(w.Shard("accounts"))
+		w.Run(time.Minute)
+		c.LeastOwned = min(c.LeastOwned, float64(owned(w))/float64(size.Backends))
+	}
+	w.HealAll()
+	before := w.EnvelopeBytes
+	newest := w.Revision()
+	c.HealedAfter = until(w, func() bool { return inForce(w, newest) })
+	c.HealBytes = float64(w.EnvelopeBytes - before)
+	c.Violations = w.Finish()
+	return c
+}
+
+func cutRegion(w *exerciser.World[selector.Adaptive], region string) {
+	for _, a := range w.Hosts {
+		if a.State.Self.Region != region {
+			continue
+		}
+		w.Cut(a.ID, "platform")
+		for _, b := range w.Hosts {
+			if b.State.Self.Region != region {
+				w.Cut(a.ID, b.ID)
+			}
+		}
+	}
 }
 
 // measureDomain kills all hosts of a failure domain at once and waits until every backend server has an owner again.
--- a/internal/estimator/regions_test.go
+++ b/internal/estimator/regions_test.go
@@ -21,17 +21,7 @@
 	})
 	w.Run(20 * time.Second)
 	assert.Equal(t, owned(w), size.Backends)
-	for _, a := range w.Hosts {
-		if a.State.Self.Region != "region-0" {
-			continue
-		}
-		w.Cut(a.ID, "platform")
-		for _, b := range w.Hosts {
-			if b.State.Self.Region != "region-0" {
-				w.Cut(a.ID, b.ID)
-			}
-		}
-	}
+	cutRegion(w, "region-0")
 	for range 12 {
 		w.Run(10 * time.Second)
 		assert.Equal(t, owned(w), size.Backends)
