Survive the loss of one of a region's two failure domains, and finish what a peer sends in parts

Two faults: in a region of two failure domains three of five voters could stand in the lost one; and a host whose answer in parts brought nothing new, since the platform had been faster, took the revision as whole and served without some shards. Ruled out: the offers, which reached living hosts that got no majority. Change: at most two voters of a failure domain, filled up from other regions; a part is never the whole.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -46,7 +46,7 @@
 
 // fleet is one small deployment of real processes on loopback.
 type fleet struct {
-	t          *testing.T
+	t          testing.TB
 	deployment exampler.Deployment
 	folder     string
 	firstPort  int
@@ -74,13 +74,13 @@
 }
 
 // startFleet starts a fleet and waits until every host is ready and every right has a holder.
-func startFleet(t *testing.T, change func(*exampler.Deployment)) *fleet {
+func startFleet(t testing.TB, change func(*exampler.Deployment)) *fleet {
 	t.Helper()
 	return startFleetWith(t, change, func(*configurer.Settings, *cataloguer.Host) {})
 }
 
 // startFleetWith starts a fleet whose hosts' settings and catalogue entries were changed before.
-func startFleetWith(t *testing.T, change func(*exampler.Deployment), each func(*configurer.Settings, *cataloguer.Host)) *fleet {
+func startFleetWith(t testing.TB, change func(*exampler.Deployment), each func(*configurer.Settings, *cataloguer.Host)) *fleet {
 	t.Helper()
 	d := exampler.Sutokatha()
 	d.Adapters = 60
@@ -109,7 +109,7 @@
 	return f
 }
 
-func freePorts(t *testing.T) int {
+func freePorts(t testing.TB) int {
 	t.Helper()
 	for port := 23000 + os.Getpid()%500*16; port < 60000; port += 97 {
 		if portsFree(port) {
--- a/e2e/relay_test.go
+++ b/e2e/relay_test.go
@@ -29,7 +29,7 @@
 	silent chan struct{}
 }
 
-func startRelay(t *testing.T, listen, target string) *relay {
+func startRelay(t testing.TB, listen, target string) *relay {
 	t.Helper()
 	socket, err := net.Listen("tcp", listen)
 	assert.NilError(t, err)
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -119,6 +119,7 @@
 	return reducer.DispatchEnded{
 		ID: order.ID, Backend: order.Backend, BackendIncarnation: answer.Incarnation, Outcome: answer.Outcome,
 		Reason: s.reason(reply, answer.Reason), Tokens: answer.Tokens, FirstTokenAfter: answer.FirstTokenAfter,
+		Mismatched: answer.Mismatched,
 	}
 }
 
--- a/internal/exerciser/callers.go
+++ b/internal/exerciser/callers.go
@@ -163,8 +163,6 @@
 	w.after(callerLatency, func() { answer(e) })
 }
 
-func (w *World[P]) permitIssued(reducer.PermitIssued) {}
-
 func (w *World[P]) connect(call *Call, hosts []string) {
 	h := w.hosts[hosts[call.Tries%len(hosts)]]
 	call.Tries++
--- a/internal/exerciser/network.go
+++ b/internal/exerciser/network.go
@@ -40,8 +40,6 @@
 		w.answerUpdates(h, e)
 	case reducer.LocateAnswer:
 		w.located(e)
-	case reducer.PermitIssued:
-		w.permitIssued(e)
 	case reducer.Drained:
 		h.Up = false
 		w.hostGone(h)
--- a/internal/modeler/engine.go
+++ b/internal/modeler/engine.go
@@ -52,8 +52,6 @@
 	Next      int
 	MaxTokens int
 	Priority  int
-	// Paused is set while no connection reads the sequence.
-	Paused bool
 }
 
 // Token is one generated token.
@@ -72,7 +70,6 @@
 	RefusedNotLoaded Refusal = "not_loaded"
 	RefusedFull      Refusal = "full"
 	RefusedFence     Refusal = "fence"
-	RefusedInUse     Refusal = "in_use"
 )
 
 // Error returns the reason.
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -238,6 +238,7 @@
 	if !ok || r.Phase != PhaseRunning {
 		return
 	}
+	s.Counters.MismatchedAnswers += uint64(e.Mismatched)
 	b, owned := s.Backends[r.Backend]
 	if owned {
 		b.Running--
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -68,6 +68,8 @@
 	Reason             Reason
 	Tokens             int
 	FirstTokenAfter    time.Duration
+	// Mismatched is the number of pieces of other answers that were discarded.
+	Mismatched int
 }
 
 // LoadEnded says how an order to load an adapter ended.
--- a/internal/reducer/load.go
+++ b/internal/reducer/load.go
@@ -270,7 +270,6 @@
 	}
 	resident := b.resident(m.Adapter)
 	resident.Stage = ResidencyLoading
-	resident.LoadingAt = now
 	if !known {
 		s.Counters.Prefetches++
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -75,7 +75,6 @@
 		return
 	}
 	peer.Incarnation = e.Incarnation
-	peer.HeardAt = now
 	peer.SuspectUntil = time.Time{}
 	peer.Leaving = e.Leaving
 	for _, m := range e.Messages {
--- a/internal/reducer/right.go
+++ b/internal/reducer/right.go
@@ -86,7 +86,7 @@
 	if voters, ok := s.Config.Tables.Voters[anchor]; ok {
 		return voters
 	}
-	voters := s.spreadVoters(anchor, s.Config.Tables.Roster[region], s.Config.Hosts)
+	voters := s.spreadVoters(anchor, region, s.Config.Tables.Roster, s.Config.Hosts)
 	s.Config.Tables.Voters[anchor] = voters
 	return voters
 }
@@ -101,12 +101,41 @@
 	if r.Kind != KindHost {
 		anchor = hasher.First(r.key(), previous)
 	}
-	return s.spreadVoters(anchor, previous, s.Config.PreviousHosts)
+	return s.spreadVoters(anchor, r.Region, s.Config.Tables.PreviousRoster, s.Config.PreviousHosts)
 }
 
-func (s *State) spreadVoters(anchor string, roster []hasher.Name, hosts map[string]cataloguer.Host) []string {
-	ranked := hasher.Top(hasher.Key("voters/"+anchor), roster, len(roster))
-	count := min(s.Limits.Voters, len(ranked))
+// votersPerDomain is the most voters of one failure domain, so that the loss of one leaves a majority.
+const votersPerDomain = 2
+
+// spreadVoters takes the ranked hosts of the region, no more than votersPerDomain of a failure domain, and fills up with
+// hosts of other regions where the region has too few failure domains.
+func (s *State) spreadVoters(anchor, region string, roster map[string][]hasher.Name, hosts map[string]cataloguer.Host) []string {
+	key := hasher.Key("voters/" + anchor)
+	ranked := byRounds(hasher.Top(key, roster[region], len(roster[region])), hosts)
+	var others []hasher.Name
+	for _, other := range sortedKeys(roster) {
+		if other != region {
+			others = append(others, roster[other]...)
+		}
+	}
+	ranked = append(ranked, byRounds(hasher.Top(key, others, s.Limits.Voters*s.Limits.Voters), hosts)...)
+	perDomain := map[string]int{}
+	var voters, spare []string
+	for _, id := range ranked {
+		domain := hosts[id].FailureDomain
+		if perDomain[domain] >= votersPerDomain {
+			spare = append(spare, id)
+			continue
+		}
+		perDomain[domain]++
+		voters = append(voters, id)
+	}
+	voters = append(voters, spare...)
+	return voters[:min(s.Limits.Voters, len(voters))]
+}
+
+// byRounds orders ranked hosts so that each failure domain has its first before any has its second.
+func byRounds(ranked []string, hosts map[string]cataloguer.Host) []string {
 	perDomain := map[string]int{}
 	rounds := make(map[string]int, len(ranked))
 	for _, id := range ranked {
@@ -115,7 +144,7 @@
 		perDomain[domain]++
 	}
 	sort.SliceStable(ranked, func(i, j int) bool { return rounds[ranked[i]] < rounds[ranked[j]] })
-	return ranked[:count]
+	return ranked
 }
 
 // RegionRights returns every right of this host's region but the presence of other hosts.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -52,7 +52,6 @@
 // Peer is what this host knows about another host at first hand.
 type Peer struct {
 	Incarnation  uint64
-	HeardAt      time.Time
 	SuspectUntil time.Time
 	Leaving      bool
 	// AckedDigests holds, for each anchor, the digest of the list of rights that the peer has acknowledged.
@@ -202,15 +201,14 @@
 
 // Resident is one adapter on one backend server, or on its way there.
 type Resident struct {
-	Stage     Residency
-	Pins      int
-	Foreign   int
-	Use       selector.Use
-	Waiting   []string
-	WantedAt  time.Time
-	ReadyAt   time.Time
-	RetryAt   time.Time
-	LoadingAt time.Time
+	Stage    Residency
+	Pins     int
+	Foreign  int
+	Use      selector.Use
+	Waiting  []string
+	WantedAt time.Time
+	ReadyAt  time.Time
+	RetryAt  time.Time
 	// Victim is the adapter whose slot the load takes.
 	Victim AdapterKey
 }
@@ -338,6 +336,8 @@
 type Watch struct {
 	Waiting     bool
 	ReadingPeer bool
+	// PeerAddress is where the last question for updates went.
+	PeerAddress string
 	RetryAt     time.Time
 	Failures    int
 	SummaryAt   time.Time
@@ -352,10 +352,9 @@
 
 // Draining is the state of leaving.
 type Draining struct {
-	Active  bool
-	Since   time.Time
-	Done    bool
-	Release bool
+	Active bool
+	Since  time.Time
+	Done   bool
 }
 
 // Counters counts what happened since the start; the executor publishes them.
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -67,8 +67,7 @@
 	}
 	seed := s.Self.Seeds[s.random()%uint64(len(s.Self.Seeds))]
 	s.Watch.AskPeerAt = now.Add(askPeerEvery)
-	s.Watch.ReadingPeer = true
-	s.emit(ReadUpdates{Address: seed, Have: s.Config.have()})
+	s.readPeer("", seed)
 }
 
 // indexRead compares the platform's revisions with those in force and reads what is newer.
@@ -220,8 +219,14 @@
 	if m.Revision <= s.Config.Revision || s.Watch.ReadingPeer {
 		return
 	}
+	s.readPeer(from, s.Config.Hosts[from].PeerAddress)
+}
+
+// readPeer asks a peer for what is newer there.
+func (s *State) readPeer(from, address string) {
 	s.Watch.ReadingPeer = true
-	s.emit(ReadUpdates{From: from, Address: s.Config.Hosts[from].PeerAddress, Have: s.Config.have()})
+	s.Watch.PeerAddress = address
+	s.emit(ReadUpdates{From: from, Address: address, Have: s.Config.have()})
 }
 
 // confirm moves the confirmation forward if it is about the revision in force.
@@ -254,9 +259,8 @@
 		applied[P](s, now)
 	}
 	s.Config.Seen = max(s.Config.Seen, e.Revision)
-	if e.More && changed {
-		s.Watch.ReadingPeer = true
-		s.emit(ReadUpdates{From: e.From, Address: s.Config.Hosts[e.From].PeerAddress, Have: s.Config.have()})
+	if e.More {
+		s.readPeer(e.From, s.Watch.PeerAddress)
 		return
 	}
 	s.Watch.PeersAnswered[e.From] = true
