Tell a sender of this host's new incarnation in place of dropping its messages in silence

Cause: after racks and then a failure domain were lost (85 and 170 hosts), a few backend servers stayed without an owner for good: a host that had not heard from a restarted voter went on to address its former incarnation, and the voter dropped each of its requests. Ruled out: the offers and the voters' spread; two of five voters backed the candidate, two more lived and were never asked by their present incarnation. Change: the receiver answers such an envelope with one of its own. In a small fleet the summaries had hidden it. Also: a host that is being sent the catalogue in parts does not ask the platform meanwhile.

--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -65,9 +65,14 @@
 }
 
 // receive takes the messages of one peer in their order.
+//
+// Messages for an earlier incarnation of this host are not taken; the sender is told of the present one.
 func receive[P selector.Policy](s *State, now time.Time, e PeerReceived) {
-	stale := e.ToIncarnation != 0 && e.ToIncarnation != s.Self.Incarnation
-	if stale || e.From == s.Self.HostID {
+	if e.From == s.Self.HostID {
+		return
+	}
+	if e.ToIncarnation != 0 && e.ToIncarnation != s.Self.Incarnation {
+		s.touch(e.From)
 		return
 	}
 	peer := s.peer(e.From)
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -43,7 +43,7 @@
 	if s.Watch.StartAfter == 0 {
 		s.Watch.StartAfter = time.Duration(s.random() % uint64(startWait))
 	}
-	return s.age(now) < s.Watch.StartAfter
+	return s.age(now) < s.Watch.StartAfter || len(s.Config.Shards) > 0 && s.Watch.ReadingPeer
 }
 
 func watches(s *State, now time.Time) bool {
