--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 .PHONY: build demo test lint bench generate soak mutate measure capacity
 
 build:
-	go build -o bin ./cmd/...
+	go build -o bin/ ./cmd/...
 
 demo: build
 	scripts/demo.sh
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -17,6 +17,8 @@
 	// startWait is how long a starting host waits for those who have not answered yet.
 	startWait = 2 * time.Second
 	watchKey  = "platform_watch"
+	// startSpread is the time over which starting hosts turn to the platform, if no peer has helped them before.
+	startSpread = 4 * time.Second
 	// askPeerEvery is the least time between two questions of a starting host to its peers.
 	askPeerEvery = 150 * time.Millisecond
 )
@@ -41,7 +43,7 @@
 		return false
 	}
 	if s.Watch.StartAfter == 0 {
-		s.Watch.StartAfter = time.Duration(s.random() % uint64(startWait))
+		s.Watch.StartAfter = time.Duration(s.random() % uint64(startSpread))
 	}
 	return s.age(now) < s.Watch.StartAfter || len(s.Config.Shards) > 0 && s.Watch.ReadingPeer
 }
