Serve the requests that waited for an adapter when its new owner finds it resident

Cause: two demos in a row, and then one of three, hung for two minutes after the kill: a request that reached the new owner before it had read the engine's state waited for a load; the first report made the adapter ready but left those requests waiting until their deadline. Ruled out: the takeover (owner known after 4 s) and the tokens (nobody waited for a keeper). Change: the first report queues them.

--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -97,6 +97,9 @@
 			if r.Stage == reducer.ResidencyLoading {
 				taken++
 			}
+			if r.Stage == reducer.ResidencyReady && len(r.Waiting) > 0 {
+				found = append(found, Violation{"ready_keeps_nobody_waiting", fmt.Sprintf("%s %v", id, key)})
+			}
 		}
 		if b.Slots > 0 && taken > b.Slots {
 			found = append(found, Violation{"slots", fmt.Sprintf("%s loads %d adapters into %d slots", id, taken, b.Slots)})
--- a/internal/reducer/report.go
+++ b/internal/reducer/report.go
@@ -75,6 +75,11 @@
 	}
 	b.Foreign = foreign
 	b.takeResidents(now, e.Residents)
+	for _, key := range b.residentKeys() {
+		if resident := b.Residents[key]; resident.Stage == ResidencyReady && len(resident.Waiting) > 0 {
+			makeReady[P](s, now, b, resident)
+		}
+	}
 	if !b.Known {
 		b.Known = true
 		if unmet {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -18,7 +18,7 @@
 free_port() { # finds a run of 64 free ports
   local port
   for _ in $(seq 50); do
-    port=$((20000 + RANDOM % 20000))
+    port=$((20000 + RANDOM % 12000))
     if ! ss -Htln 2>/dev/null | awk '{print $4}' | sed 's/.*://' | awk -v a="$port" '$1>=a && $1<a+64{f=1} END{exit !f}'; then
       echo "$port"
       return
