List a holding's voters in one place, and use the standard library to look up strings

Found on reading the whole change: groupVoters and releaseVoters each removed doubles from the voters of both rosters, and two packages searched string lists by hand. Behaviour is the same; exerciser, estimator and commander tests pass. Left as they are: the shapes shared by the four cobra commands and by the two stand-ins' fault handlers.

--- a/internal/reducer/handover.go
+++ b/internal/reducer/handover.go
@@ -36,7 +36,7 @@
 }
 
 func (s *State) release(now time.Time, r Right, h *Holding) {
-	for _, v := range s.releaseVoters(h) {
+	for _, v := range distinctVoters(h) {
 		if v == s.Self.HostID {
 			own := PeerReceived{From: s.Self.HostID, Incarnation: s.Self.Incarnation}
 			releasePromises(s, now, own, LeaseRelease{SentAt: s.age(now), Rights: []Right{r}})
@@ -47,20 +47,6 @@
 	}
 }
 
-func (s *State) releaseVoters(h *Holding) []string {
-	seen := map[string]bool{}
-	var voters []string
-	for _, list := range [][]string{h.Voters, h.OldVoters} {
-		for _, v := range list {
-			if !seen[v] {
-				seen[v] = true
-				voters = append(voters, v)
-			}
-		}
-	}
-	return voters
-}
-
 // takeHandover keeps what the former holder passed on and asks the voters at once.
 func takeHandover(s *State, now time.Time, m LeaseHandover) {
 	if s.Draining.Active || s.holds(m.Right, now) || !s.rightExists(m.Right) {
--- a/internal/reducer/offer.go
+++ b/internal/reducer/offer.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
@@ -90,7 +91,7 @@
 		return
 	}
 	top := hasher.Top(r.key(), s.Config.Tables.Candidates[r.Region], orphanRanks)
-	if containsString(top, s.Self.HostID) {
+	if slices.Contains(top, s.Self.HostID) {
 		seekVacant(s, now, LeaseVacant{Rights: []Right{r}})
 	}
 }
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
@@ -88,7 +89,7 @@
 // untried returns the first backend server that has not sent the request back; when all have, it starts again.
 func (s *State) untried(r *Request, ordered []string) string {
 	for _, id := range ordered {
-		if !containsString(r.Tried, id) {
+		if !slices.Contains(r.Tried, id) {
 			return id
 		}
 	}
@@ -96,15 +97,6 @@
 	return ordered[0]
 }
 
-func containsString(list []string, value string) bool {
-	for _, l := range list {
-		if l == value {
-			return true
-		}
-	}
-	return false
-}
-
 // holderHint returns the host that this host believes to hold a right.
 func (s *State) holderHint(r Right, now time.Time) string {
 	if s.holds(r, now) {
@@ -186,7 +178,7 @@
 func (s *State) addLocated(answer *LocateAnswer, id string, now time.Time) {
 	h, ok := s.Config.Hosts[id]
 	full := len(answer.Hosts) >= locateCount
-	if !ok || full || s.unfit(id, now) || s.Config.withdrawn(h.FailureDomain) || containsString(answer.Hosts, id) {
+	if !ok || full || s.unfit(id, now) || s.Config.withdrawn(h.FailureDomain) || slices.Contains(answer.Hosts, id) {
 		return
 	}
 	if s.Config.LiveKnown && !s.Config.Live[id] {
--- a/internal/reducer/vote.go
+++ b/internal/reducer/vote.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -51,13 +52,19 @@
 }
 
 func (s *State) groupVoters(rights []Right) []string {
-	seen := map[string]bool{}
-	var voters []string
+	holdings := make([]*Holding, 0, len(rights))
 	for _, r := range rights {
-		h := s.Leases.Holdings[r]
-		for _, v := range append(append([]string(nil), h.Voters...), h.OldVoters...) {
-			if !seen[v] {
-				seen[v] = true
+		holdings = append(holdings, s.Leases.Holdings[r])
+	}
+	return distinctVoters(holdings...)
+}
+
+// distinctVoters returns the voters of the holdings by both rosters, each once.
+func distinctVoters(holdings ...*Holding) []string {
+	var voters []string
+	for _, h := range holdings {
+		for _, v := range slices.Concat(h.Voters, h.OldVoters) {
+			if !slices.Contains(voters, v) {
 				voters = append(voters, v)
 			}
 		}
--- a/pkg/cataloguer/parse.go
+++ b/pkg/cataloguer/parse.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"go.yaml.in/yaml/v3"
@@ -194,7 +195,7 @@
 		return "base_model", "is required"
 	case a.Owner == "" && !a.Open:
 		return "owner", "is required unless open is true"
-	case !contains(Classes, a.Class):
+	case !slices.Contains(Classes, a.Class):
 		return "class", "must be interactive, standard or batch"
 	case a.MaxTokens < 1:
 		return "max_tokens", "must be at least 1"
@@ -253,12 +254,3 @@
 	parsed, err := netip.ParseAddrPort(address)
 	return err == nil && parsed.Port() != 0
 }
-
-func contains(list []string, value string) bool {
-	for _, v := range list {
-		if v == value {
-			return true
-		}
-	}
-	return false
-}
