--- a/internal/asserter/doc.go
+++ b/internal/asserter/doc.go
@@ -1,2 +1,2 @@
-// Package asserter checks what must always hold of the state of one host and of the effects that it decides.
+// Package asserter checks rules on the state and the effects after each event, in tests and in production.
 package asserter
--- /dev/null
+++ b/internal/clocker/doc.go
@@ -0,0 +1,2 @@
+// Package clocker tells the time that all decisions are made by.
+package clocker
--- a/internal/commander/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package commander holds the commands of the operators' client.
-package commander
--- a/internal/dispatcher/orders.go
+++ b/internal/dispatcher/orders.go
@@ -3,116 +3,101 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
 const (
-	stateTimeout = time.Second
-	loadTimeout  = 20 * time.Second
-	maxReplySize = 4 << 20
+	orderTimeout  = 700 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	maxReport     = 1 << 20
 )
 
-// ReadState asks a backend server for its state.
-func ReadState(ctx context.Context, order reducer.PollBackend) reducer.BackendReported {
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
-	event := reducer.BackendReported{Backend: order.Backend}
-	var state StateResponse
-	if err := getJSON(ctx, "http://"+order.Address+"/v1/state", &state); err != nil {
-		event.Failed = true
-		return event
-	}
-	event.Incarnation = state.Incarnation
-	event.Running = state.Running
-	event.Fence = state.Fence
-	for _, a := range state.Adapters {
-		key := reducer.AdapterKey{Name: a.Name, Version: a.Version}
-		event.Residents = append(event.Residents, reducer.ReportedAdapter{Adapter: key, Running: a.Running})
+// ErrNotAfter is returned when an order would leave this process after its time.
+var ErrNotAfter = merry.New("the time for the order is over")
+
+// ErrBackend is returned when a backend server fails an order or a report.
+var ErrBackend = merry.New("backend server failed")
+
+// guardedBody is a request body that fails when it is read after its time, so that a late order is never complete.
+type guardedBody struct {
+	io.Reader
+	notAfter time.Time
+}
+
+// Read checks the clock before it hands over the next bytes.
+func (g *guardedBody) Read(p []byte) (int, error) {
+	if !clocker.Now().Before(g.notAfter) {
+		return 0, ErrNotAfter
 	}
-	return event
+	return g.Reader.Read(p)
 }
 
-// Load orders a backend server to load an adapter; it reports false when the order was too late to leave.
-func Load(ctx context.Context, order reducer.LoadAdapter) (reducer.LoadEnded, bool) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+// Order gives an order; inTime is false if its time was over before it left.
+func (c *Client[C, S]) Order(ctx context.Context, order reducer.OrderAdapter) (event reducer.OrderEnded, inTime bool) {
+	event = reducer.OrderEnded{Backend: order.Backend, Born: order.Born, Adapter: order.Adapter, Unload: order.Unload}
+	path, header, body := c.Codec.Order(order)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	event := reducer.LoadEnded{
-		Backend: order.Backend, Adapter: order.Adapter, PermitFrom: order.PermitFrom, PermitSequence: order.PermitSequence,
+	guarded := &guardedBody{Reader: bytes.NewReader(body), notAfter: order.NotAfter}
+	if !clocker.Now().Before(order.NotAfter) {
+		return event, false
 	}
-	body := LoadRequest{
-		Name: order.Adapter.Name, Version: order.Adapter.Version, EvictName: order.Evict.Name, EvictVersion: order.Evict.Version,
-	}
-	request, err := newRequest(ctx, "http://"+order.Address+"/v1/adapters", body, order.NotAfter)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+order.Address+path, guarded)
 	if err != nil {
-		event.Failed = true
+		event.Result = reducer.OrderRefused
 		return event, true
 	}
-	request.Header.Set(HeaderFence, strconv.FormatUint(order.Fence, 10))
+	request.Header = header
+	request.ContentLength = int64(len(body))
 	response, err := httpc.DoRequest(request)
 	if err != nil {
-		event.Failed = true
-		return event, !expired(err)
+		event.Result = reducer.OrderUnknown
+		return event, !errors.Is(err, ErrNotAfter)
 	}
-	defer drainBody(response)
-	event.BackendIncarnation = incarnationOf(response)
-	event.Failed = response.StatusCode != http.StatusOK
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReport))
+	event.Result = c.Codec.Ordered(response.StatusCode)
 	return event, true
 }
 
-func newRequest(ctx context.Context, url string, body any, notAfter time.Time) (*http.Request, error) {
-	data, err := json.Marshal(body)
+// ReadReport asks a backend server for its state.
+func (c *Client[C, S]) ReadReport(ctx context.Context, now time.Time, order reducer.ReadReport) reducer.BackendReported {
+	event := reducer.BackendReported{Backend: order.Backend, Born: order.Born, AskedAt: now}
+	body, err := c.readReport(ctx, order)
 	if err != nil {
-		return nil, merry.Wrap(ErrBackend, merry.WithCause(err))
+		event.Failed = true
+		return event
 	}
-	return rawRequest(ctx, url, data, notAfter)
+	event.Resident, event.Coming, err = c.Codec.Report(body)
+	event.Failed = err != nil
+	return event
 }
 
-// rawRequest returns a POST whose body cannot be replayed by the HTTP client.
-func rawRequest(ctx context.Context, url string, data []byte, notAfter time.Time) (*http.Request, error) {
-	body := &guardedBody{Reader: bytes.NewReader(data), notAfter: notAfter}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+func (c *Client[C, S]) readReport(ctx context.Context, order reducer.ReadReport) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	path, header := c.Codec.ReportCall(order.Backend)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+order.Address+path, nil)
 	if err != nil {
 		return nil, merry.Wrap(ErrBackend, merry.WithCause(err))
 	}
-	request.ContentLength = int64(len(data))
-	request.Header.Set("Content-Type", "application/json")
-	return request, nil
-}
-
-func getJSON(ctx context.Context, url string, value any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return merry.Wrap(ErrBackend, merry.WithCause(err))
-	}
+	request.Header = header
 	response, err := httpc.DoRequest(request)
 	if err != nil {
-		return merry.Wrap(ErrBackend, merry.WithCause(err))
+		return nil, merry.Wrap(ErrBackend, merry.WithCause(err))
 	}
-	defer drainBody(response)
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return merry.Wrap(ErrBackend, merry.WithMessagef("status %d", response.StatusCode))
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplySize)).Decode(value); err != nil {
-		return merry.Wrap(ErrBackend, merry.WithCause(err))
+		return nil, merry.Wrap(ErrBackend, merry.WithMessagef("status %d", response.StatusCode))
 	}
-	return nil
-}
-
-func drainBody(response *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplySize))
-	_ = response.Body.Close()
-}
-
-func incarnationOf(response *http.Response) uint64 {
-	incarnation, _ := strconv.ParseUint(response.Header.Get(HeaderIncarnation), 10, 64)
-	return incarnation
+	return io.ReadAll(io.LimitReader(response.Body, maxReport))
 }
--- a/internal/emulator/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package emulator runs small stand-ins for the platform, the engines and the plain services.
-package emulator
--- a/internal/executor/replies.go
+++ b/internal/executor/replies.go
@@ -22,7 +22,6 @@
 	// Context ends when the reducer cancels what runs under the id.
 	Context context.Context
 	cancel  context.CancelFunc
-	reason  reducer.Reason
 }
 
 // Register makes a Reply for an id, under a context of the caller.
@@ -65,22 +64,14 @@
 }
 
 // Cancel ends what runs under the id.
-func (r *Replies) Cancel(id string, reason reducer.Reason) {
+func (r *Replies) Cancel(id string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if reply, ok := r.waiting[id]; ok {
-		reply.reason = reason
 		reply.cancel()
 	}
 }
 
-// Reason returns why the id was cancelled, or ReasonNone.
-func (r *Replies) Reason(reply *Reply) reducer.Reason {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return reply.reason
-}
-
 // Count returns how many ids are waited for.
 func (r *Replies) Count() int {
 	r.mutex.Lock()
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -3,47 +3,59 @@
 import (
 	"context"
 
+	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/messenger"
 	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/internal/translator"
 	"github.com/redwingpick/redwingpick/internal/watcher"
 )
 
+// Codec translates all calls that leave a host.
+type Codec interface { // type constraint
+	dispatcher.Codec
+	watcher.Codec
+	translator.DocumentCodec
+}
+
 // Worker carries out the effects for which no request waits; its exported fields are set before its first use.
-type Worker struct {
-	Messenger *messenger.Client
-	Watcher   *watcher.Watcher
+type Worker[C Codec, S Sink] struct {
+	Messenger *messenger.Client[C]
+	Watcher   *watcher.Watcher[C]
+	Backends  *dispatcher.Client[C, S]
 	Results   chan<- reducer.Event
 }
 
 // Start carries out an effect without holding up the control goroutine.
-func (w *Worker) Start(ctx context.Context, effect reducer.Effect) {
+func (w *Worker[C, S]) Start(ctx context.Context, effect reducer.Effect) {
 	switch e := effect.(type) {
 	case reducer.SendPeer:
 		w.Messenger.Send(ctx, e)
-	case reducer.LoadAdapter:
-		go w.load(ctx, e)
-	case reducer.PollBackend:
-		go func() { w.report(ctx, dispatcher.ReadState(ctx, e)) }()
+	case reducer.OrderAdapter:
+		go w.order(ctx, e)
+	case reducer.ReadReport:
+		go func() { w.report(ctx, w.Backends.ReadReport(ctx, clocker.Now(), e)) }()
+	case reducer.ForgetBackend:
+		w.Backends.Forget(e.Backend)
 	case reducer.WatchPlatform:
-		go func() { w.report(ctx, w.Watcher.Watch(ctx, e)) }()
-	case reducer.ReadShard:
-		go func() { w.report(ctx, w.Watcher.Read(ctx, e)) }()
+		go func() { w.report(ctx, w.Watcher.Watch(ctx, clocker.Now(), e)) }()
+	case reducer.ListPlatform:
+		go func() { w.report(ctx, w.Watcher.List(ctx, clocker.Now())) }()
 	case reducer.ReadUpdates:
 		go func() { w.report(ctx, w.Messenger.ReadUpdates(ctx, e)) }()
 	}
 }
 
-func (w *Worker) load(ctx context.Context, order reducer.LoadAdapter) {
-	event, inTime := dispatcher.Load(ctx, order)
+func (w *Worker[C, S]) order(ctx context.Context, order reducer.OrderAdapter) {
+	event, inTime := w.Backends.Order(ctx, order)
 	if !inTime {
-		w.report(ctx, reducer.EffectExpired{Effect: order})
+		w.report(ctx, reducer.EffectExpired{Backend: order.Backend, Adapter: order.Adapter, Unload: order.Unload})
 		return
 	}
 	w.report(ctx, event)
 }
 
-func (w *Worker) report(ctx context.Context, event reducer.Event) {
+func (w *Worker[C, S]) report(ctx context.Context, event reducer.Event) {
 	select {
 	case w.Results <- event:
 	case <-ctx.Done():
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -2,74 +2,53 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"fmt"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
-	"github.com/zeromicro/go-zero/rest/pathvar"
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
-	"github.com/redwingpick/redwingpick/internal/messenger"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/internal/tracer"
 )
 
 const (
-	maxBodyBytes     = 4 << 20
-	bytesPerToken    = 4
-	defaultMaxTokens = 16
-	askTimeout       = 2 * time.Second
+	// defaultMaxBody bounds bodies before a catalogue is in force.
+	defaultMaxBody = 4 << 20
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+	callerIdle     = 2 * time.Minute
+	askTimeout     = time.Second
 )
 
-// Callers serves the callers of one host; its exported fields are set before Server.
-type Callers[P selector.Policy] struct {
-	HostID      string
-	Incarnation uint64
-	Address     string
-	Control     *executor.Control[P]
-	Messenger   *messenger.Client
-
-	sequence atomic.Uint64
-	running  atomic.Int64
-}
-
-// CompletionRequest is the body of a completions call.
-type CompletionRequest struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream"`
-	// Prefix and PrefixTokens are the part of the answer that the caller has from a host that failed; the answer goes on
-	// behind it.
-	Prefix       string `json:"prefix,omitempty"`
-	PrefixTokens int    `json:"prefix_tokens,omitempty"`
+// Front translates what callers send and are sent.
+type Front interface { // type constraint
+	// Request decodes a request; its body is read later. ok is false if it lacks what every request must have.
+	Request(r *http.Request) (event reducer.RequestArrived, call dispatcher.Call, ok bool)
+	DirectoryPath() string
+	Directory(r *http.Request) reducer.LocateAsked
+	DirectoryAnswer(answer reducer.LocateAnswer) []byte
+	ReadinessPath() string
 }
 
-// LocateResponse names the hosts that a caller should use.
-type LocateResponse struct {
-	Hosts      []string `json:"hosts"`
-	Addresses  []string `json:"addresses"`
-	ValidForMs int64    `json:"valid_for_ms"`
-	// Permit goes with a request that may not be repeated, however often the caller sends it.
-	Permit string `json:"permit,omitempty"`
-}
+// Callers serves the callers of one host; its exported fields are set before Start.
+type Callers[P selector.Policy, C executor.Codec, F Front] struct {
+	Address string
+	Control *executor.Control[P, C, *Sink]
+	Front   F
 
-// PermitResponse holds the permit for one request that may not be repeated.
-type PermitResponse struct {
-	Permit string `json:"permit"`
+	sequence atomic.Uint64
+	running  atomic.Int64
+	server   *http.Server
 }
 
 // RestConf returns the settings of go-zero's server with everything off that would refuse or cut a request by itself.
@@ -82,158 +61,140 @@
 	if err != nil {
 		return rest.RestConf{}, err
 	}
-	conf := rest.RestConf{Host: host, Port: number, MaxBytes: maxBodyBytes}
+	conf := rest.RestConf{Host: host, Port: number}
 	conf.Name = "redwingpickd"
 	conf.Mode = service.PreMode
 	conf.Telemetry.Disabled = true
-	conf.Middlewares = rest.MiddlewaresConf{Recover: true, MaxBytes: true}
 	return conf, nil
 }
 
-// Server returns go-zero's server with the routes for callers.
-func (c *Callers[P]) Server() (*rest.Server, error) {
+// Start serves callers until the server is shut down; it returns once the server has been made.
+func (c *Callers[P, C, F]) Start() error {
 	conf, err := RestConf(c.Address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	server, err := rest.NewServer(conf)
+	server, err := rest.NewServer(conf, rest.WithRouter(direct{handler: http.HandlerFunc(c.serve)}))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	server.AddRoutes([]rest.Route{
-		{Method: http.MethodGet, Path: "/v1/locate", Handler: c.locate},
-		{Method: http.MethodPost, Path: "/v1/permits", Handler: c.permit},
-		{Method: http.MethodPost, Path: "/v1/completions", Handler: c.complete},
-		{Method: http.MethodPost, Path: "/v1/services/:service", Handler: c.call},
-		{Method: http.MethodGet, Path: "/readyz", Handler: c.readiness},
+	made := make(chan struct{})
+	go server.StartWithOpts(func(s *http.Server) {
+		s.MaxHeaderBytes = maxHeaderBytes
+		s.ReadHeaderTimeout = headerTimeout
+		s.IdleTimeout = callerIdle
+		c.server = s
+		close(made)
 	})
-	return server, nil
+	<-made
+	return nil
 }
 
+// Shutdown ends the server after the answers under way.
+func (c *Callers[P, C, F]) Shutdown(ctx context.Context) error { return c.server.Shutdown(ctx) }
+
 // Running returns how many requests of callers are under way.
-func (c *Callers[P]) Running() int64 { return c.running.Load() }
+func (c *Callers[P, C, F]) Running() int64 { return c.running.Load() }
 
-// NewID returns an id that no other request of the fleet has.
-func (c *Callers[P]) newID() string {
-	return fmt.Sprintf("%s-%s-%d", c.HostID, strconv.FormatUint(c.Incarnation, 36), c.sequence.Add(1))
+// direct is a router that hands every request to one handler, since routes change with the catalogue.
+type direct struct {
+	handler http.Handler
 }
 
-func (c *Callers[P]) readiness(w http.ResponseWriter, _ *http.Request) {
-	if !c.Control.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
+// ServeHTTP serves a request.
+func (d direct) ServeHTTP(w http.ResponseWriter, r *http.Request) { d.handler.ServeHTTP(w, r) }
 
-// ask posts an event that is answered by one effect.
-func (c *Callers[P]) ask(ctx context.Context, id string, event reducer.Event) reducer.Effect {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	reply := c.Control.Replies.Register(ctx, id)
-	defer c.Control.Replies.Forget(id, reply)
-	if !c.Control.Post(event) {
-		return nil
-	}
-	select {
-	case effect := <-reply.Effects:
-		return effect
-	case <-ctx.Done():
-		return nil
-	}
-}
+// Handle ignores routes.
+func (d direct) Handle(string, string, http.Handler) error { return nil }
 
-func (c *Callers[P]) locate(w http.ResponseWriter, r *http.Request) {
-	id := c.newID()
-	event := reducer.LocateAsked{ReplyID: id, Model: r.URL.Query().Get("model"), Service: r.URL.Query().Get("service")}
-	answer, ok := c.ask(r.Context(), id, event).(reducer.LocateAnswer)
-	if !ok || !answer.Known && len(answer.Hosts) == 0 {
-		writeRefusal(w, reducer.Refuse{Outcome: reducer.OutcomeNotRun, Reason: reducer.ReasonNotReady, RetryAfter: time.Second})
-		return
-	}
-	writeJSON(w, http.StatusOK, LocateResponse{
-		Hosts: answer.Hosts, Addresses: answer.Addresses, ValidForMs: answer.ValidFor.Milliseconds(), Permit: answer.Permit,
-	})
-}
+// SetNotFoundHandler ignores the handler.
+func (d direct) SetNotFoundHandler(http.Handler) {}
 
-func (c *Callers[P]) permit(w http.ResponseWriter, r *http.Request) {
-	id := c.newID()
-	answer, ok := c.ask(r.Context(), id, reducer.PermitAsked{ReplyID: id}).(reducer.PermitIssued)
-	if !ok || answer.Refused {
-		writeRefusal(w, reducer.Refuse{Outcome: reducer.OutcomeNotRun, Reason: reducer.ReasonNotReady, RetryAfter: time.Second})
-		return
-	}
-	writeJSON(w, http.StatusOK, PermitResponse{Permit: answer.Permit})
-}
+// SetNotAllowedHandler ignores the handler.
+func (d direct) SetNotAllowedHandler(http.Handler) {}
 
-func (c *Callers[P]) complete(w http.ResponseWriter, r *http.Request) {
-	var body CompletionRequest
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Model == "" || body.MaxTokens < 0 {
-		badRequest(w, "body must be a completions request with a model")
+func (c *Callers[P, C, F]) serve(w http.ResponseWriter, r *http.Request) {
+	c.running.Add(1)
+	defer c.running.Add(-1)
+	sink := &Sink{writer: w, leaving: c.Control.Leaving()}
+	event, call, ok := c.Front.Request(r)
+	if !ok {
+		sink.Refuse(reducer.Refuse{Reason: reducer.ReasonBadRequest})
 		return
 	}
-	if body.MaxTokens == 0 {
-		body.MaxTokens = defaultMaxTokens
-	}
-	if body.PrefixTokens < 0 || body.PrefixTokens >= body.MaxTokens {
-		badRequest(w, "prefix_tokens must be below max_tokens")
+	if reason := c.readBody(w, r, &call); reason != reducer.ReasonNone {
+		sink.Refuse(reducer.Refuse{Reason: reason})
 		return
 	}
-	prompt := (len(body.Prompt) + bytesPerToken - 1) / bytesPerToken
-	event := c.arrived(r)
-	event.Model = body.Model
-	event.PromptTokens = prompt
-	event.MaxTokens = body.MaxTokens
-	call := dispatcher.Call{Prompt: body.Prompt, PromptTokens: prompt, MaxTokens: body.MaxTokens, Offset: body.PrefixTokens, Prefix: []byte(body.Prefix)}
-	sink := &callerSink{writer: w, id: event.ID, host: c.HostID, model: body.Model, stream: body.Stream, promptTokens: prompt}
-	c.run(r, event, call, sink)
+	event.ID = strconv.FormatUint(c.sequence.Add(1), 36)
+	ctx, span := tracer.Hop(tracer.Extract(r.Context(), r.Header), "host", attribute.String("request", event.CallerID))
+	defer span.End()
+	session := executor.Session[P, C, *Sink]{Control: c.Control, Sink: sink, Arrived: event, Call: call}
+	session.Run(ctx)
+	if sink.aborted {
+		panic(http.ErrAbortHandler)
+	}
 }
 
-func (c *Callers[P]) call(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+// readBody reads the whole body, which may have to be sent more than once.
+func (c *Callers[P, C, F]) readBody(w http.ResponseWriter, r *http.Request, call *dispatcher.Call) reducer.Reason {
+	limit := c.Control.CallerLimits().MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return reducer.ReasonTooLarge
+	}
 	if err != nil {
-		badRequest(w, "body cannot be read")
-		return
+		return reducer.ReasonBadRequest
 	}
-	event := c.arrived(r)
-	event.Service = pathvar.Vars(r)["service"]
-	event.Permit = r.Header.Get("X-Permit")
-	sink := &callerSink{writer: w, id: event.ID, host: c.HostID, model: event.Service, raw: true}
-	c.run(r, event, dispatcher.Call{Body: body}, sink)
+	call.Body = body
+	return reducer.ReasonNone
 }
 
-func (c *Callers[P]) run(r *http.Request, event reducer.RequestArrived, call dispatcher.Call, sink *callerSink) {
-	c.running.Add(1)
-	defer c.running.Add(-1)
-	ctx := tracer.Extract(r.Context(), r.Header)
-	ctx, span := tracer.Hop(ctx, "host", attribute.String("request_id", event.ID), attribute.String("model", sink.model))
-	defer span.End()
-	session := executor.Session[P, *callerSink]{Control: c.Control, Messenger: c.Messenger, Sink: sink, Arrived: event, Call: call}
-	session.Run(ctx)
-	span.SetAttributes(attribute.String("result", sink.result))
+// Directory serves the callers that ask which hosts to use.
+func (c *Callers[P, C, F]) Directory() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+c.Front.DirectoryPath(), c.locate)
+	return mux
 }
 
-func (c *Callers[P]) arrived(r *http.Request) reducer.RequestArrived {
-	event := reducer.RequestArrived{ID: c.newID(), KeyDigest: keyDigest(r)}
-	if ms, err := strconv.Atoi(r.Header.Get("X-Timeout-Ms")); err == nil && ms > 0 {
-		event.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	}
-	return event
+// Readiness serves the platform's question whether the host may be sent callers.
+func (c *Callers[P, C, F]) Readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+c.Front.ReadinessPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !c.Control.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
 }
 
-// keyDigest returns the digest of the bearer token, which is all that leaves this function of a key.
-func keyDigest(r *http.Request) string {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
-		return ""
+func (c *Callers[P, C, F]) locate(w http.ResponseWriter, r *http.Request) {
+	event := c.Front.Directory(r)
+	event.ReplyID = "locate-" + strconv.FormatUint(c.sequence.Add(1), 36)
+	answer, ok := ask(r.Context(), c.Control, event.ReplyID, event).(reducer.LocateAnswer)
+	if !ok || len(answer.Addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
-	return Digest(key)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(c.Front.DirectoryAnswer(answer))
 }
 
-// Digest returns the form of a key that the catalogue stores.
-func Digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
-func badRequest(w http.ResponseWriter, message string) {
-	writeJSON(w, http.StatusBadRequest, ErrorBody{Error: Refusal{Outcome: "not_run", Reason: "bad_request", Message: message}})
+// ask posts an event that is answered by one effect, and returns nil if the answer does not come in time.
+func ask[P selector.Policy, C executor.Codec, S executor.Sink](ctx context.Context, control *executor.Control[P, C, S], id string, event reducer.Event) reducer.Effect {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply := control.Replies.Register(ctx, id)
+	defer control.Replies.Forget(id, reply)
+	control.Report(ctx, event)
+	select {
+	case effect := <-reply.Effects:
+		return effect
+	case <-ctx.Done():
+		return nil
+	}
 }
--- a/internal/listener/doc.go
+++ b/internal/listener/doc.go
@@ -1,2 +1,2 @@
-// Package listener serves callers, other hosts and operators, and turns what they send into events.
+// Package listener serves callers, the directory, peer hosts and operators.
 package listener
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -1,7 +1,6 @@
 package listener
 
 import (
-	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -15,49 +14,37 @@
 )
 
 // Operators serves operators and monitoring; its exported fields are set before Handler.
-type Operators[P selector.Policy] struct {
-	Control *executor.Control[P]
+type Operators[P selector.Policy, C executor.Codec] struct {
+	Control *executor.Control[P, C, *Sink]
 
 	sequence atomic.Uint64
 }
 
 // Handler returns the HTTP handler for operators.
-func (o *Operators[P]) Handler() http.Handler {
+func (o *Operators[P, C]) Handler() http.Handler {
 	o.publish()
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", o.readiness)
 	mux.HandleFunc("GET /v1/status", o.status)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	return mux
 }
 
-func (o *Operators[P]) readiness(w http.ResponseWriter, _ *http.Request) {
-	if !o.Control.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-func (o *Operators[P]) status(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
-	defer cancel()
-	replyID := fmt.Sprintf("status-%d", o.sequence.Add(1))
-	reply := o.Control.Replies.Register(ctx, replyID)
-	defer o.Control.Replies.Forget(replyID, reply)
-	o.Control.Report(ctx, reducer.StatusAsked{ReplyID: replyID})
-	select {
-	case effect := <-reply.Effects:
-		answer, _ := effect.(reducer.StatusAnswer)
-		writeJSON(w, http.StatusOK, answer.Status)
-	case <-ctx.Done():
+func (o *Operators[P, C]) status(w http.ResponseWriter, r *http.Request) {
+	id := fmt.Sprintf("status-%d", o.sequence.Add(1))
+	answer, ok := ask(r.Context(), o.Control, id, reducer.StatusAsked{ReplyID: id}).(reducer.StatusAnswer)
+	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer.Status)
 }
 
 // publish makes the counters visible under one expvar name, with units in the names.
-func (o *Operators[P]) publish() {
+func (o *Operators[P, C]) publish() {
 	if expvar.Get("redwingpick") != nil {
 		return
 	}
--- a/internal/listener/sink.go
+++ b/internal/listener/sink.go
@@ -1,143 +1,121 @@
 package listener
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
-// Completion is a whole or partial answer of an adapter.
-type Completion struct {
-	ID             string   `json:"id"`
-	Object         string   `json:"object"`
-	Model          string   `json:"model"`
-	AdapterVersion uint32   `json:"adapter_version"`
-	BackendServer  string   `json:"backend_server"`
-	Choices        []Choice `json:"choices"`
-	Usage          *Usage   `json:"usage,omitempty"`
+// Sink writes the answer of one request to its caller.
+type Sink struct {
+	writer  http.ResponseWriter
+	leaving bool
+	began   bool
+	aborted bool
 }
 
-// Choice is one text of a Completion.
-type Choice struct {
-	Index        int    `json:"index"`
-	Text         string `json:"text"`
-	FinishReason string `json:"finish_reason,omitempty"`
+// connectionHeaders concern one connection and are not handed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// Usage is the tokens of a whole answer.
-type Usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-}
-
-// callerSink writes the answer of one request to its caller.
-type callerSink struct {
-	writer       http.ResponseWriter
-	id           string
-	host         string
-	model        string
-	stream       bool
-	raw          bool
-	promptTokens int
-
-	backend string
-	version uint32
-	begun   bool
-	text    strings.Builder
-	reply   dispatcher.Chunk
-	result  string
-}
-
-// Started remembers which backend server runs the request.
-func (s *callerSink) Started(backend string, version uint32) {
-	s.backend = backend
-	s.version = version
+// Begin sends the head of a streamed answer; a later backend server that continues the stream keeps the first one's.
+func (s *Sink) Begin(status int, header http.Header) {
+	if s.began {
+		return
+	}
+	s.copyHeader(header)
+	s.writer.WriteHeader(status)
+	s.flush()
 }
 
-// Chunk streams a piece of the answer, or keeps it until the answer is whole.
-func (s *callerSink) Chunk(chunk dispatcher.Chunk) error {
-	if s.raw {
-		s.reply = chunk
+// Write sends the next piece of a streamed answer at once.
+func (s *Sink) Write(p []byte) error {
+	if len(p) == 0 {
 		return nil
 	}
-	if !s.stream {
-		s.text.Write(chunk.Data)
-		return nil
+	if _, err := s.writer.Write(p); err != nil {
+		return err
 	}
-	s.begin("text/event-stream", http.StatusOK)
-	return s.event(s.completion(string(chunk.Data), ""))
+	s.flush()
+	return nil
 }
 
-// Ended writes the end of a stream, or the whole answer.
-func (s *callerSink) Ended(tokens int) {
-	s.result = "done"
-	switch {
-	case s.raw:
-		s.begin(s.reply.ContentType, max(s.reply.Status, http.StatusOK))
-		_, _ = s.writer.Write(s.reply.Data)
-	case s.stream:
-		s.begin("text/event-stream", http.StatusOK)
-		_ = s.event(s.completion("", "stop"))
-		_, _ = fmt.Fprint(s.writer, "data: [DONE]\n\n")
-	default:
-		whole := s.completion(s.text.String(), "stop")
-		whole.Usage = &Usage{PromptTokens: s.promptTokens, CompletionTokens: tokens}
-		s.begin("application/json", http.StatusOK)
-		_ = json.NewEncoder(s.writer).Encode(whole)
-	}
+// Whole sends a complete answer.
+func (s *Sink) Whole(answer dispatcher.Answer) error {
+	s.copyHeader(answer.Header)
+	s.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	s.writer.WriteHeader(answer.Status)
+	_, err := s.writer.Write(answer.Body)
+	return err
 }
 
-// Refused writes a refusal, as the last event if the stream has begun.
-func (s *callerSink) Refused(refusal reducer.Refuse) {
-	s.result = refusal.Outcome.String() + "/" + refusal.Reason.String()
-	if !s.begun {
-		s.writer.Header().Set("X-Host", s.host)
-		writeRefusal(s.writer, refusal)
+// Refuse answers with a refusal, or breaks the answer off if it has begun.
+func (s *Sink) Refuse(refusal reducer.Refuse) {
+	if s.began {
+		s.aborted = true
 		return
 	}
-	data, err := json.Marshal(ErrorBody{Error: refusalOf(refusal)})
-	if err == nil {
-		_, _ = fmt.Fprintf(s.writer, "event: error\ndata: %s\n\n", data)
+	s.began = true
+	header := s.writer.Header()
+	s.closeIfLeaving()
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	header.Set("Content-Type", "application/json")
+	body := fmt.Sprintf("{\"error\":%q}\n", refusal.Reason)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	s.writer.WriteHeader(statusOf(refusal))
+	_, _ = s.writer.Write([]byte(body))
 }
 
-func (s *callerSink) begin(contentType string, status int) {
-	if s.begun {
-		return
+// statusOf returns the status code of a refusal; those that promise that a request has not run are kept for such requests.
+func statusOf(refusal reducer.Refuse) int {
+	switch refusal.Reason {
+	case reducer.ReasonNoRoute:
+		return http.StatusNotFound
+	case reducer.ReasonNoKey:
+		return http.StatusUnauthorized
+	case reducer.ReasonOverRate:
+		return http.StatusTooManyRequests
+	case reducer.ReasonBadRequest:
+		return http.StatusBadRequest
+	case reducer.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case reducer.ReasonTimeout:
+		if refusal.MayHaveRun {
+			return http.StatusGatewayTimeout
+		}
 	}
-	s.begun = true
-	header := s.writer.Header()
-	if contentType != "" {
-		header.Set("Content-Type", contentType)
+	if refusal.MayHaveRun {
+		return http.StatusBadGateway
 	}
-	header.Set("X-Host", s.host)
-	header.Set("X-Request-Id", s.id)
-	header.Set("X-Backend-Server", s.backend)
-	if s.version > 0 {
-		header.Set("X-Adapter-Version", strconv.Itoa(int(s.version)))
-	}
-	s.writer.WriteHeader(status)
+	return http.StatusServiceUnavailable
 }
 
-func (s *callerSink) completion(text, finish string) Completion {
-	return Completion{
-		ID: s.id, Object: "text_completion", Model: s.model, AdapterVersion: s.version, BackendServer: s.backend,
-		Choices: []Choice{{Text: text, FinishReason: finish}},
+func (s *Sink) copyHeader(header http.Header) {
+	s.began = true
+	out := s.writer.Header()
+	for name, values := range header {
+		out[name] = values
 	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	s.closeIfLeaving()
 }
 
-func (s *callerSink) event(completion Completion) error {
-	data, err := json.Marshal(completion)
-	if err != nil {
-		return err
+func (s *Sink) closeIfLeaving() {
+	if s.leaving {
+		s.writer.Header().Set("Connection", "close")
 	}
-	if _, err := fmt.Fprintf(s.writer, "data: %s\n\n", data); err != nil {
-		return err
+}
+
+func (s *Sink) flush() {
+	if f, ok := s.writer.(http.Flusher); ok {
+		f.Flush()
 	}
-	return http.NewResponseController(s.writer).Flush()
 }
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -10,50 +10,66 @@
 
 // Numbers of the events that the programs record outside the reducer.
 const (
-	EventStarted          = 1
-	EventStopped          = 2
-	EventSettingsBad      = 3
-	EventListenFailed     = 4
-	EventInvariantBroken  = 11
-	EventLibrary          = 12
-	EventMailboxFull      = 13
-	EventAnswerMismatched = 14
-	EventTraceFailed      = 15
+	EventStarted         = 1
+	EventStopped         = 2
+	EventSettingsBad     = 3
+	EventListenFailed    = 4
+	EventReloaded        = 5
+	EventInvariantBroken = 11
+	EventLibrary         = 12
+	EventMailboxFull     = 13
+	EventLinesLeftOut    = 14
+	EventPlatformCall    = 15
 )
 
-// Entry describes one numbered event.
+// Entry describes one numbered event; lines of Routine events are the first to be left out.
 type Entry struct {
 	Number  int
 	Level   log.Level
+	Routine bool
 	Text    string
 	Meaning string
 	Action  string
 }
 
 var entries = []Entry{
-	{EventStarted, log.InfoLevel, "host started", "The daemon has read its settings and listens.", "None."},
-	{EventStopped, log.InfoLevel, "host stopped", "The daemon has ended; cut_requests counts the requests it could not finish.", "If cut_requests is above 0, raise drain_for."},
-	{EventSettingsBad, log.ErrorLevel, "settings refused", "The settings file is wrong at the named line and field.", "Correct the field; try `redwingpick check`."},
-	{EventListenFailed, log.ErrorLevel, "cannot listen", "An address of the settings cannot be used.", "Free the address or change it."},
-	{EventInvariantBroken, log.ErrorLevel, "invariant broken", "A check inside the program has failed; rule names it.", "Report it with the log; the host goes on."},
-	{EventLibrary, log.InfoLevel, "library message", "A message of the HTTP library.", "None."},
-	{EventMailboxFull, log.WarnLevel, "mailbox full", "The control goroutine is behind; requests are refused as not run.", "Add hosts."},
-	{EventAnswerMismatched, log.WarnLevel, "answer discarded", "A backend server sent a piece of another request's answer.", "Watch the backend server."},
-	{EventTraceFailed, log.WarnLevel, "trace export failed", "The trace collector cannot be reached.", "Check trace_collector."},
-	{reducer.EventConfigAdopted, log.InfoLevel, "configuration in force", "A newer catalogue revision is in force on this host.", "None."},
-	{reducer.EventShardRefused, log.WarnLevel, "shard refused", "A published shard is wrong; the one before stays in force.", "Publish a corrected shard; fault names line and field."},
-	{reducer.EventPlatformUnreachable, log.WarnLevel, "configuration service unreachable", "A read failed; the configuration in force stays.", "Check the service if it lasts."},
-	{reducer.EventPlatformStale, log.WarnLevel, "configuration service stale", "The service answered with revisions older than those seen before; they are ignored.", "Check the service's replicas."},
-	{reducer.EventReadiness, log.InfoLevel, "readiness changed", "The host has become ready or stopped being so.", "None."},
-	{reducer.EventLeaseTaken, log.InfoLevel, "lease taken", "This host now holds the named right.", "None."},
-	{reducer.EventLeaseLost, log.WarnLevel, "lease lost", "A quorum of voters did not answer in time; this host no longer acts under the right.", "Look for a partition or a paused host."},
-	{reducer.EventLeaseHandedOver, log.InfoLevel, "lease handed over", "The right went to the host that ranks first, or that follows a leaving one.", "None."},
-	{reducer.EventDrainStarted, log.InfoLevel, "drain started", "The host leaves: it is no longer named to callers.", "None."},
-	{reducer.EventDrainDone, log.InfoLevel, "drain done", "No request is left.", "None."},
-	{reducer.EventBackendKnown, log.InfoLevel, "backend server known", "The owner has read the state of the backend server and may order it.", "None."},
-	{reducer.EventBackendFailed, log.WarnLevel, "backend server failed", "An exchange with the backend server failed; it is left alone for a while.", "Check the server if it lasts."},
-	{reducer.EventBackendCold, log.WarnLevel, "backend server cold", "The backend server restarted or slowed down; its limit starts again from cold_running.", "None; the limit rises as it answers well."},
-	{reducer.EventLoadFailed, log.WarnLevel, "adapter load failed", "A load failed and is tried again while requests wait.", "Check the weight store and the adapter."},
+	{EventStarted, log.InfoLevel, false, "host started", "The daemon has read its settings and listens.", "None."},
+	{EventStopped, log.InfoLevel, false, "host stopped", "The daemon has ended; cut_requests counts the requests it could not finish.", "If cut_requests is above 0, look for requests longer than the grace."},
+	{EventSettingsBad, log.ErrorLevel, false, "settings refused", "The settings file is wrong at the named line and field; at a reload the former settings stay.", "Correct the field; try `redwingpick check`."},
+	{EventListenFailed, log.ErrorLevel, false, "cannot listen", "An address of the settings cannot be used.", "Free the address or change it."},
+	{EventReloaded, log.InfoLevel, false, "settings read again", "The settings file changed; changed says whether anything that is in force did.", "None."},
+	{EventInvariantBroken, log.ErrorLevel, false, "invariant broken", "A check inside the program has failed; rule names it.", "Report it with the log; the host goes on."},
+	{EventLibrary, log.InfoLevel, false, "library message", "A message of the HTTP library.", "None."},
+	{EventMailboxFull, log.WarnLevel, false, "mailbox full", "The control goroutine is behind; requests are refused as not run.", "Add hosts."},
+	{EventLinesLeftOut, log.WarnLevel, false, "lines left out", "The budget of the log was spent; lines counts what is missing.", "Raise log_bytes_per_second if the lines are needed."},
+	{EventPlatformCall, log.WarnLevel, false, "platform call failed", "A call to the configuration service failed; error says how.", "Check the service if it lasts."},
+	{reducer.EventCatalogueInForce, log.InfoLevel, false, "catalogue in force", "A newer version of the operators' configuration is in force on this host.", "None."},
+	{reducer.EventDocumentRefused, log.WarnLevel, false, "document refused", "A published item cannot be read; what it replaces stays in force.", "Find the writer of the key."},
+	{reducer.EventPlatformLost, log.WarnLevel, false, "configuration service lost", "A read failed; what is in force stays, and peers are asked.", "Check the service if it lasts."},
+	{reducer.EventPlatformBack, log.InfoLevel, false, "configuration service back", "Reads succeed again.", "None."},
+	{reducer.EventReadiness, log.InfoLevel, false, "readiness changed", "The host has become ready or stopped being so.", "None."},
+	{reducer.EventDomainWithdrawn, log.InfoLevel, false, "failure domain withdrawn", "Backend servers of the domain get nothing new until withdrawn is false.", "None."},
+	{reducer.EventHostJoined, log.InfoLevel, false, "host joined", "Another host was heard of for the first time.", "None."},
+	{reducer.EventHostBack, log.InfoLevel, false, "host back", "A silent host was heard of again.", "None."},
+	{reducer.EventHostGone, log.InfoLevel, false, "host forgotten", "A host has been silent for long.", "None."},
+	{reducer.EventDrainStarted, log.InfoLevel, false, "drain started", "The host leaves: it is no longer named to callers.", "None."},
+	{reducer.EventDrainDone, log.InfoLevel, false, "drain done", "The host may end; requests counts those that are left.", "None."},
+	{reducer.EventLeaseTaken, log.InfoLevel, false, "lease taken", "This host now orders the backend server.", "None."},
+	{reducer.EventLeaseLost, log.WarnLevel, false, "lease lost", "A quorum of voters did not answer in time; this host no longer orders the backend server.", "Look for a partition or a paused host."},
+	{reducer.EventBackendJoined, log.InfoLevel, false, "backend server joined", "An incarnation of a backend server was published.", "None."},
+	{reducer.EventBackendLeaving, log.InfoLevel, false, "backend server leaving", "The backend server gets nothing new.", "None."},
+	{reducer.EventBackendGone, log.InfoLevel, false, "backend server gone", "Its entry was removed; platform_well_ms is how long the configuration service had been answering.", "None."},
+	{reducer.EventBackendEjected, log.WarnLevel, false, "backend server left alone", "Exchanges failed in a row; this host sends it nothing for pause_ms.", "Check the server if it lasts."},
+	{reducer.EventBackendBack, log.InfoLevel, false, "backend server back", "Its entry is published again.", "None."},
+	{reducer.EventOrdered, log.InfoLevel, true, "order sent", "This host, which holds the lease, ordered an adapter to be loaded or unloaded.", "None."},
+	{reducer.EventOrderFailed, log.WarnLevel, false, "order failed", "The backend server did not take an order; result says how.", "Check the server if it lasts."},
+	{reducer.EventAdapterPlaced, log.InfoLevel, true, "adapter placed", "The expected time of a load is over.", "None."},
+	{reducer.EventRequestSent, log.InfoLevel, true, "request sent", "The request was sent to a backend server; the fields are what decided.", "None."},
+	{reducer.EventRequestEnded, log.InfoLevel, true, "request ended", "The backend server's answer was delivered.", "None."},
+	{reducer.EventRequestRefused, log.WarnLevel, false, "request refused", "This host answered itself; reason says why and last_failure what came before.", "See docs/OPERATIONS.md."},
+	{reducer.EventRequestRetried, log.WarnLevel, false, "attempt failed", "An attempt at a backend server failed; what follows is in the next line of the request.", "See docs/OPERATIONS.md."},
+	{reducer.EventRequestWaits, log.InfoLevel, true, "request waits", "The request waits for its adapter or for room; why says which.", "None."},
+	{reducer.EventRequestLeft, log.InfoLevel, false, "caller left", "The caller closed its connection before the answer was complete.", "None."},
 }
 
 // Entries returns the catalogue by number.
--- a/internal/reducer/doc.go
+++ b/internal/reducer/doc.go
@@ -1,5 +1,4 @@
-// Package reducer decides for one host: Reduce takes each event into the State and returns effects as plain data.
+// Package reducer makes every decision of a host: Reduce takes one event into the State and returns effects as data.
 //
-// It does no input or output, reads no clock, starts no goroutine and draws random numbers only from its State, so
-// the same events give the same effects.
+// It does no input or output and reads no clock, so the same events at the same times give the same effects.
 package reducer
--- /dev/null
+++ b/internal/reducer/documents.go
@@ -0,0 +1,118 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+)
+
+// applyDocuments takes published items that are newer than those known; whole tells that missing ones are gone.
+func applyDocuments(s *State, now time.Time, documents []cataloguer.Document, whole bool, revision int64) {
+	listed := map[string]bool{}
+	for i := range documents {
+		listed[documents[i].Key] = true
+		applyDocument(s, now, documents[i])
+	}
+	if whole {
+		for _, key := range sortedKeys(s.Documents.Items) {
+			item := s.Documents.Items[key]
+			if !listed[key] && !item.Document.Gone && item.Document.Revision <= revision {
+				gone := item.Document
+				gone.Gone, gone.Raw, gone.Revision = true, nil, revision
+				applyDocument(s, now, gone)
+			}
+		}
+	}
+	s.Documents.Revision = max(s.Documents.Revision, revision)
+}
+
+func applyDocument(s *State, now time.Time, d cataloguer.Document) {
+	item, known := s.Documents.Items[d.Key]
+	if known && d.Revision <= item.Document.Revision {
+		return
+	}
+	if d.Fault != "" {
+		s.Counters.DocumentsRefused++
+		s.note(EventDocumentRefused, Field{"key", d.Key}, Field{"fault", d.Fault})
+		return
+	}
+	if d.Kind == cataloguer.KindOther || d.Gone && !known {
+		return
+	}
+	if known && insignificant(item.Document, d) {
+		item.Document.Backend = d.Backend
+		takeBackend(s, now, *d.Backend)
+		return
+	}
+	s.Documents.Items[d.Key] = &Item{Document: d, LearntAt: now}
+	s.Documents.Relayed = max(s.Documents.Relayed, d.Revision)
+	putInForce(s, now, d)
+}
+
+// insignificant reports whether a backend server's entry changed only in what other hosts need not know.
+func insignificant(a, b cataloguer.Document) bool {
+	if a.Backend == nil || b.Backend == nil || a.Gone || b.Gone {
+		return false
+	}
+	x, y := *a.Backend, *b.Backend
+	return x.Service == y.Service && x.Address == y.Address && x.FailureDomain == y.FailureDomain && x.Born == y.Born &&
+		x.Slots == y.Slots && x.Leaving == y.Leaving && y.ColdFor <= x.ColdFor
+}
+
+func putInForce(s *State, now time.Time, d cataloguer.Document) {
+	switch d.Kind {
+	case cataloguer.KindCatalogue:
+		if !d.Gone && (s.Documents.Catalogue == nil || d.Catalogue.Version > s.Documents.Catalogue.Version) {
+			takeCatalogue(s, now, d)
+		}
+	case cataloguer.KindBackend:
+		if d.Gone {
+			loseBackend(s, now, d.Name)
+			return
+		}
+		takeBackend(s, now, *d.Backend)
+	case cataloguer.KindWithdrawn:
+		s.Documents.Withdrawn[d.Name] = !d.Gone
+		s.note(EventDomainWithdrawn, Field{"failure_domain", d.Name}, boolField("withdrawn", !d.Gone))
+	case cataloguer.KindVersion:
+		if !d.Gone {
+			takeVersion(s, now, *d.Version)
+		}
+	}
+}
+
+func takeCatalogue(s *State, _ time.Time, d cataloguer.Document) {
+	c := d.Catalogue
+	docs := &s.Documents
+	docs.Catalogue = c
+	clear(docs.Keys)
+	clear(docs.Accounts)
+	clear(docs.Services)
+	for _, a := range c.Accounts {
+		docs.Accounts[a.Name] = a
+		for _, key := range a.Keys {
+			docs.Keys[key] = a.Name
+		}
+	}
+	for _, v := range c.Services {
+		docs.Services[v.Name] = v
+	}
+	s.emit(CallerLimits{Limits: c.Callers})
+	s.note(EventCatalogueInForce, intField("version", int(c.Version)), intField("revision", int(d.Revision)),
+		intField("routes", len(c.Routes)), intField("accounts", len(c.Accounts)))
+}
+
+// takeVersion notes a new version of an adapter; places with an older one serve no new requests.
+func takeVersion(s *State, now time.Time, v cataloguer.AdapterVersion) {
+	key := AdapterKey{Model: v.Model, Adapter: v.Adapter}
+	if v.Version <= s.Documents.Versions[key] {
+		return
+	}
+	s.Documents.Versions[key] = v.Version
+	for _, id := range sortedKeys(s.Backends) {
+		b := s.Backends[id]
+		if p, ok := b.Adapters[key]; ok && p.Version < v.Version {
+			markAbsent(s, now, b, key)
+		}
+	}
+}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -1,130 +1,128 @@
 package reducer
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+)
 
 // Effect is something for the executor to carry out; each kind is a plain struct of this file.
 type Effect any
 
 // SendPeer sends one envelope of messages to a peer.
 type SendPeer struct {
-	To      string
-	Address string
-	// ToIncarnation is the incarnation of the peer that the messages are for, or 0 if it is unknown.
-	ToIncarnation uint64
-	Leaving       bool
-	Messages      []Message
-	NotAfter      time.Time
+	To       string
+	Address  string
+	Messages []Message
 }
 
-// Refuse ends a request with a typed refusal.
+// Refuse ends a request with an answer of this host.
 type Refuse struct {
-	ID         string
-	Outcome    Outcome
-	Reason     Reason
-	Holder     string
-	Replicas   int
+	ID     string
+	Reason Reason
+	// MayHaveRun is set when a backend server may have run the request.
+	MayHaveRun bool
 	RetryAfter time.Duration
 }
 
-// Forward sends a request on to the host that owns the backend server.
-type Forward struct {
-	ID         string
-	To         string
-	Address    string
-	Backend    string
-	Account    string
-	Version    uint32
-	Attempt    int
-	Repeatable bool
-	Deadline   time.Time
+// Deliver hands the caller the failure that a backend server answered with.
+type Deliver struct {
+	ID string
 }
 
 // Dispatch sends a request to a backend server.
 type Dispatch struct {
-	ID         string
-	Backend    string
-	Address    string
-	Adapter    AdapterKey
-	Service    string
-	Account    string
-	Priority   int
-	Repeatable bool
-	Fence      uint64
-	Replicas   int
-	Deadline   time.Time
-	NotAfter   time.Time
-}
-
-// Cancel stops a dispatched or forwarded request.
+	ID      string
+	Attempt int
+	Backend string
+	Address string
+	Account string
+	// Priority is the rank at the backend server from 0 to 9, 0 first; negative for none.
+	Priority int
+	// Version is the adapter version that must serve; 0 for any.
+	Version int64
+	// Stream is set where the answer is a stream of events.
+	Stream bool
+	// Resumable is set where a stream that breaks off may go on elsewhere.
+	Resumable bool
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// SilentAfter bounds the wait for the first sign of an answer; 0 for none.
+	SilentAfter time.Duration
+	// GapAfter bounds the pauses in a stream that may go on elsewhere; 0 for none.
+	GapAfter time.Duration
+	// Connections bounds this host's connections to the backend server.
+	Connections int
+}
+
+// Cancel stops a dispatched request.
 type Cancel struct {
 	ID     string
 	Reason Reason
 }
 
-// LoadAdapter orders a backend server to load an adapter, after unloading another if Evict names one.
-type LoadAdapter struct {
-	Backend        string
-	Address        string
-	Adapter        AdapterKey
-	Evict          AdapterKey
-	Fence          uint64
-	PermitFrom     string
-	PermitSequence uint64
-	NotAfter       time.Time
+// OrderAdapter orders a backend server to load or unload an adapter.
+type OrderAdapter struct {
+	Backend  string
+	Address  string
+	Born     int64
+	Adapter  AdapterKey
+	Version  int64
+	Unload   bool
+	Holder   string
+	Fence    int64
+	NotAfter time.Time
 }
 
-// PollBackend asks a backend server for its state.
-type PollBackend struct {
+// ReadReport asks a backend server for its state.
+type ReadReport struct {
 	Backend string
 	Address string
+	Born    int64
+}
+
+// ForgetBackend drops the connections to a backend server.
+type ForgetBackend struct {
+	Backend string
 }
 
 // LocateAnswer tells a caller which hosts to use.
 type LocateAnswer struct {
 	ReplyID   string
-	Hosts     []string
 	Addresses []string
 	ValidFor  time.Duration
-	Known     bool
-	Permit    string
 }
 
-// PermitIssued gives a caller the permit for one request that may not be repeated.
-type PermitIssued struct {
-	ReplyID string
-	Permit  string
-	Refused bool
-}
-
-// WatchPlatform asks the platform for revisions newer than Since and lets the call wait.
+// WatchPlatform asks the platform for changes after Since and lets the call wait.
 type WatchPlatform struct {
-	Since uint64
+	Since int64
 	Wait  time.Duration
 }
 
-// ReadShard reads one shard from the platform.
-type ReadShard struct {
-	Name     string
-	Revision uint64
-}
+// ListPlatform reads all items of the platform.
+type ListPlatform struct{}
 
-// ReadUpdates asks a peer for the shards that are newer than those this host has.
+// ReadUpdates asks a peer for the documents that changed after Since.
 type ReadUpdates struct {
 	From    string
 	Address string
-	Have    map[string]uint64
+	Since   int64
 }
 
-// UpdatesAnswer answers a peer's request for newer shards.
+// UpdatesAnswer answers a peer's question for changed documents.
 type UpdatesAnswer struct {
-	ReplyID  string
-	Revision uint64
-	Updates  []ShardUpdate
-	// More says that the asker should ask again for what is left.
-	More bool
+	ReplyID   string
+	Whole     bool
+	Revision  int64
+	Documents []cataloguer.Document
 }
 
-// StatusAnswer answers an operator's request for the state of this host.
+// CallerLimits puts the bounds on what callers may send into force.
+type CallerLimits struct {
+	Limits cataloguer.CallerLimits
+}
+
+// StatusAnswer answers an operator.
 type StatusAnswer struct {
 	ReplyID string
 	Status  Status
@@ -135,16 +133,24 @@
 	Ready bool
 }
 
-// Drained says that the last request has ended and the process may exit.
+// Leaving says that the host tells its callers to go elsewhere.
+type Leaving struct{}
+
+// Drained says that a leaving host may end.
 type Drained struct{}
 
-// Note records one numbered log event.
+// WakeAt asks for a Tick at a time that comes before the next regular one.
+type WakeAt struct {
+	At time.Time
+}
+
+// Note records a numbered event.
 type Note struct {
 	Number int
 	Fields []Field
 }
 
-// Field is one name and value of a log event.
+// Field is one named value of a Note.
 type Field struct {
 	Name  string
 	Value string
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -16,31 +16,41 @@
 type PeerReceived struct {
 	From        string
 	Incarnation uint64
-	// ToIncarnation is the incarnation of this host that the sender knew, or 0 if it knew none.
-	ToIncarnation uint64
-	Leaving       bool
-	Messages      []Message
+	Messages    []Message
 	// ReplyID names who waits for the envelope that answers this one, or is empty.
 	ReplyID string
 }
 
-// RequestArrived says that a caller, or another host for its caller, asks for work.
+// PeerFailed says that an envelope could not be delivered to an address.
+type PeerFailed struct {
+	To      string
+	Address string
+}
+
+// RequestArrived says that a caller asks for work.
 type RequestArrived struct {
-	ID           string
-	KeyDigest    string
-	Model        string
-	Service      string
+	// ID is unique on this host; CallerID is what the caller named the request.
+	ID       string
+	CallerID string
+	HostName string
+	Path     string
+	Key      string
+	Model    string
+	Adapter  string
+	// PromptTokens and OutputTokens are what the request states; both are 0 for plain services.
 	PromptTokens int
-	MaxTokens    int
-	Permit       string
-	Deadline     time.Time
-	// Forwarded is set when another host has already authenticated and charged the request.
-	Forwarded bool
-	From      string
-	Account   string
-	Version   uint32
-	Backend   string
-	Attempt   int
+	OutputTokens int
+	Parts        []Part
+	// TimeLeft is how long the caller will wait; 0 if it did not say.
+	TimeLeft time.Duration
+	// ResumeAfter is the last event of a stream that the caller has, or empty.
+	ResumeAfter string
+}
+
+// Part is one part of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
 }
 
 // RequestAbandoned says that the caller of a request is gone.
@@ -48,103 +58,90 @@
 	ID string
 }
 
-// ForwardEnded says how a request ended that was sent on to the owner of a backend server.
-type ForwardEnded struct {
-	ID       string
-	To       string
-	Outcome  Outcome
-	Reason   Reason
-	Holder   string
-	Replicas int
-	Tokens   int
+// AnswerBegan says that a backend server has sent the first piece of its answer.
+type AnswerBegan struct {
+	ID      string
+	Attempt int
+	After   time.Duration
 }
 
 // DispatchEnded says how a request ended that was sent to a backend server.
 type DispatchEnded struct {
-	ID                 string
-	Backend            string
-	BackendIncarnation uint64
-	Outcome            Outcome
-	Reason             Reason
-	Tokens             int
-	FirstTokenAfter    time.Duration
-	// Mismatched is the number of pieces of other answers that were discarded.
-	Mismatched int
-}
-
-// LoadEnded says how an order to load an adapter ended.
-type LoadEnded struct {
-	Backend            string
-	BackendIncarnation uint64
-	Adapter            AdapterKey
-	PermitFrom         string
-	PermitSequence     uint64
-	Failed             bool
-}
-
-// BackendReported carries the state that a backend server reports of itself.
-type BackendReported struct {
-	Backend     string
-	Failed      bool
-	Incarnation uint64
-	Running     int
-	Fence       uint64
-	Residents   []ReportedAdapter
+	ID      string
+	Backend string
+	Attempt int
+	Outcome Outcome
+	// Status is the backend server's status code where it answered.
+	Status int
+	// Load is what the backend server told of its load.
+	Load Load
+	// Foreign is the number of answers to other requests that were discarded.
+	Foreign int
+	// Delivered is set once a piece of the answer has gone to the caller.
+	Delivered bool
+	Took      time.Duration
+}
+
+// Load is what a backend server told of its load with an answer.
+type Load struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
 }
 
-// ReportedAdapter is one resident adapter of a backend server and the sequences that run on it.
-type ReportedAdapter struct {
+// OrderEnded says how an order to a backend server ended.
+type OrderEnded struct {
+	Backend string
+	Born    int64
 	Adapter AdapterKey
-	Running int
+	Unload  bool
+	Result  OrderResult
 }
 
-// LocateAsked says that a caller asks which hosts to use for a model or service.
-type LocateAsked struct {
-	ReplyID string
-	Model   string
-	Service string
+// BackendReported carries the state that a backend server reports of itself.
+type BackendReported struct {
+	Backend  string
+	Born     int64
+	AskedAt  time.Time
+	Failed   bool
+	Resident []AdapterKey
+	Coming   []AdapterKey
 }
 
-// PermitAsked says that a caller asks for a permit for one request that may not be repeated.
-type PermitAsked struct {
-	ReplyID string
+// LocateAsked says that a caller asks which hosts to use.
+type LocateAsked struct {
+	ReplyID       string
+	HostName      string
+	Region        string
+	FailureDomain string
 }
 
-// IndexRead is the platform's answer to a watch: the revision of each shard, or a failure.
-type IndexRead struct {
+// PlatformRead is the platform's answer to a list or a watch, or a failure.
+type PlatformRead struct {
 	AskedAt time.Time
 	Failed  bool
-	Shards  map[string]uint64
-}
-
-// ShardRead is one shard as read from the platform; Fault is set when the shard was refused.
-type ShardRead struct {
-	Name     string
-	Revision uint64
-	Failed   bool
-	Fault    string
-	Shard    cataloguer.Shard
+	// Whole is set for a list: what it lacks is gone.
+	Whole bool
+	// Expired is set when the platform no longer has the changes that were asked for.
+	Expired   bool
+	Revision  int64
+	Documents []cataloguer.Document
 }
 
-// UpdatesAsked says that a peer asks for the shards that are newer than those it has.
+// UpdatesAsked says that a peer asks for the documents that changed after a revision.
 type UpdatesAsked struct {
 	ReplyID string
-	Have    map[string]uint64
+	Since   int64
 }
 
-// UpdatesRead is a peer's answer with newer shards, or a failure.
+// UpdatesRead is a peer's answer with changed documents, or a failure.
 type UpdatesRead struct {
-	From     string
-	Failed   bool
-	Revision uint64
-	Updates  []ShardUpdate
-	More     bool
-}
-
-// ShardUpdate brings one shard from one revision to another.
-type ShardUpdate struct {
-	Name  string
-	Delta cataloguer.Delta
+	From      string
+	Failed    bool
+	Whole     bool
+	Revision  int64
+	Documents []cataloguer.Document
 }
 
 // StatusAsked says that an operator asks for the state of this host.
@@ -155,7 +152,9 @@
 // DrainRequested says that the host must leave without cutting a request.
 type DrainRequested struct{}
 
-// EffectExpired says that an effect was dropped because its NotAfter had passed.
+// EffectExpired says that an order was dropped because its NotAfter had passed.
 type EffectExpired struct {
-	Effect Effect
+	Backend string
+	Adapter AdapterKey
+	Unload  bool
 }
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -1,213 +1,237 @@
 package reducer
 
 import (
-	"sort"
+	"slices"
 	"time"
-)
 
-const (
-	// offerFor is how long the offer of a right without a holder stands.
-	offerFor = 3 * time.Second
-	// offerRanks is how far down the ranking a right is offered.
-	offerRanks = 12
-	// offersAtOnce is the number of hosts that a right is offered to at a time.
-	offersAtOnce = 2
-	// offerEvery is how often a voter repeats an offer.
-	offerEvery = time.Second
-	// claimEvery is how often a host that ranks first asks the holder to hand over.
-	claimEvery = time.Second
-	// claimAfter is how long a host must have run before it takes rights from live holders.
-	claimAfter = 4 * time.Second
-	// forgetPromise is how long a voter remembers a right that has no holder.
-	forgetPromise = time.Minute
+	"github.com/redwingpick/redwingpick/internal/hasher"
+	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
-// group is the list of rights that a holder named last under one digest.
-func newLeases() Leases {
-	return Leases{
-		Holdings: map[Right]*Holding{},
-		Promises: map[Right]*Promise{},
-		Groups:   map[groupKey]*group{},
-		Wanted:   map[Right]bool{},
-		Vacant:   map[Right]time.Time{},
-	}
-}
-
-// holds reports whether this host holds the right at now.
-func (s *State) holds(r Right, now time.Time) bool {
-	h, ok := s.Leases.Holdings[r]
-	return ok && !h.HeldSince.IsZero() && now.Before(h.ValidUntil)
+// promiseFor is how long a voter backs a holder after a request: the holder's lease, then the time in which no other host
+// may order.
+func (s *State) promiseFor() time.Duration {
+	return leaseFor + s.Limits.OrderLeaseFor + leaseMargin
 }
 
-// actUntil returns the time until which effects under the right may leave this host.
-func (s *State) actUntil(r Right) time.Time {
-	h, ok := s.Leases.Holdings[r]
-	if !ok {
-		return time.Time{}
+// votersOf returns the hosts that vote on a backend server, and how many of them make a quorum.
+//
+// Two quorums of hosts whose views differ by one member of a small fleet, or by two voters of a large one, have a host in
+// common.
+func (s *State) votersOf(now time.Time, backend string) (ids []string, quorum int) {
+	members := s.memberHosts(now)
+	if len(members) <= voters {
+		return members, len(members)/2 + 1
 	}
-	return h.ValidUntil.Add(-s.Limits.LeaseMargin)
-}
-
-// promiseTime is how long a voter backs a holder; it is longer than the holder counts on by the clock drift.
-func (s *State) promiseTime() time.Duration {
-	return drifted(s.Limits.LeaseTime, s.Limits.ClockDrift) + s.Limits.LeaseMargin
+	return rankHosts("voters/"+backend, members, voters), largeQuorum
 }
 
-func drifted(d time.Duration, drift float64) time.Duration {
-	return time.Duration(float64(d) * (1 + 2*drift))
+// holds reports whether this host may order a backend server at the time now.
+func (s *State) holds(now time.Time, backend string) bool {
+	r, ok := s.Rights[backend]
+	return ok && now.Before(r.ValidUntil)
 }
 
-// renewLeases asks the voters to back this host for all rights that it holds or seeks, one request an anchor.
-func renewLeases(s *State, now time.Time) {
-	dropLost(s, now)
-	if now.Sub(s.Leases.RenewedAt) < s.Limits.RenewEvery || s.Config.Revision == 0 {
-		return
+// holderOf returns the host that orders a backend server, or "" if none is known.
+func (s *State) holderOf(now time.Time, backend string) string {
+	if s.holds(now, backend) {
+		return s.Self.HostID
 	}
-	s.Leases.RenewedAt = now
-	for r, until := range s.Leases.Vacant {
-		if now.After(until) {
-			delete(s.Leases.Vacant, r)
+	for id, h := range s.Hosts {
+		if s.alive(now, id) && slices.Contains(h.Record.Holds, backend) {
+			return id
 		}
 	}
-	s.seekWanted(now)
-	s.requestVotes(now, s.rightsByAnchor())
+	return ""
 }
 
-func (s *State) seekWanted(now time.Time) {
-	for r := range s.Leases.Wanted {
-		s.seek(now, r)
+// tickRights seeks, renews and gives up leases.
+func tickRights[P selector.Policy](s *State, now time.Time) {
+	claims := map[string][]Claim{}
+	for _, id := range s.engineIDs() {
+		tickRight(s, now, id, claims)
+	}
+	for id := range s.Rights {
+		if b, ok := s.Backends[id]; !ok || !s.isEngine(b) {
+			delete(s.Rights, id)
+		}
+	}
+	sent := s.age(now)
+	for _, host := range sortedKeys(claims) {
+		s.send(host, LeaseRequest{SentAt: sent, Claims: claims[host]})
 	}
-	for r := range s.Leases.Vacant {
-		s.seek(now, r)
+	for _, id := range sortedKeys(s.Rights) {
+		if s.holds(now, id) {
+			tickLedger(s, now, id, s.Rights[id])
+		}
 	}
 }
 
-// seek starts to ask for a right.
-func (s *State) seek(now time.Time, r Right) {
-	if _, ok := s.Leases.Holdings[r]; ok {
+func tickRight(s *State, now time.Time, backend string, claims map[string][]Claim) {
+	r, ok := s.Rights[backend]
+	if ok && !r.HeldSince.IsZero() && !now.Before(r.ValidUntil) {
+		loseRight(s, now, backend, r)
 		return
 	}
-	anchor := s.anchor(r)
-	s.Leases.Holdings[r] = &Holding{
-		Anchor:    anchor,
-		Voters:    s.votersOf(anchor, r.Region),
-		OldVoters: s.previousVotersOf(r),
-		Backed:    map[string]time.Duration{},
-		SoughtAt:  s.age(now),
+	if !ok || r.HeldSince.IsZero() {
+		if !s.mayClaim(now, backend) {
+			yieldRight(s, now, backend, r)
+			return
+		}
+	}
+	if r == nil {
+		r = &Right{Backed: map[string]time.Duration{}, SoughtAt: s.age(now)}
+		s.Rights[backend] = r
+	}
+	if now.Sub(r.AskedAt) < leaseRenewEvery {
+		return
+	}
+	r.AskedAt = now
+	claimRight(s, now, backend, r, claims)
+}
+
+// mayClaim reports whether this host is the one that should seek a backend server that nobody orders.
+func (s *State) mayClaim(now time.Time, backend string) bool {
+	if s.Draining.Active || s.Documents.Catalogue == nil || s.holderOf(now, backend) != "" {
+		return false
 	}
+	ranked := rankHosts("order/"+backend, s.aliveHosts(now), 1)
+	return len(ranked) > 0 && ranked[0] == s.Self.HostID
 }
 
-func (s *State) rightsByAnchor() map[string][]Right {
-	groups := map[string][]Right{}
-	for r, h := range s.Leases.Holdings {
-		groups[h.Anchor] = append(groups[h.Anchor], r)
+func claimRight(s *State, now time.Time, backend string, r *Right, claims map[string][]Claim) {
+	if r.Term == 0 {
+		r.Term = s.Documents.Revision * termScale
 	}
-	for _, rights := range groups {
-		sortRights(rights)
+	sent := s.age(now)
+	claim := Claim{Backend: backend, Term: r.Term, Valid: s.holds(now, backend)}
+	ids, _ := s.votersOf(now, backend)
+	for _, id := range ids {
+		if id != s.Self.HostID {
+			claims[id] = append(claims[id], claim)
+			continue
+		}
+		vote := s.vote(now, s.Self.HostID, s.Self.Incarnation, claim)
+		takeVote(s, now, s.Self.HostID, sent, vote)
 	}
-	return groups
 }
 
-func sortRights(rights []Right) {
-	sort.Slice(rights, func(i, j int) bool { return rights[i].less(rights[j]) })
+// voteOn answers a host's claims.
+func voteOn(s *State, now time.Time, e PeerReceived, m LeaseRequest) {
+	reply := LeaseReply{SentAt: m.SentAt}
+	for _, c := range m.Claims {
+		reply.Votes = append(reply.Votes, s.vote(now, e.From, e.Incarnation, c))
+	}
+	s.send(e.From, reply)
 }
 
-func (r Right) less(o Right) bool {
-	if r.Kind != o.Kind {
-		return r.Kind < o.Kind
+// vote backs a claim unless another host was promised the backend server, or this host may have forgotten such a promise.
+func (s *State) vote(now time.Time, from string, incarnation uint64, c Claim) Vote {
+	p, ok := s.Promises[c.Backend]
+	if !ok {
+		p = &Promise{}
+		s.Promises[c.Backend] = p
 	}
-	if r.Name != o.Name {
-		return r.Name < o.Name
+	free := p.Holder == "" || p.Holder == from || !now.Before(p.Until)
+	forgetful := s.age(now) < s.promiseFor() && p.Holder == ""
+	stale := c.Term < p.Term || c.Term == p.Term && p.Holder != "" && p.Holder != from
+	if !free || stale || forgetful && !c.Valid {
+		return Vote{Backend: c.Backend, Term: p.Term}
 	}
-	return r.Region < o.Region
+	*p = Promise{Holder: from, Incarnation: incarnation, Until: now.Add(s.promiseFor()), Term: c.Term}
+	return Vote{Backend: c.Backend, Backed: true, Term: c.Term}
 }
 
-// requestVote names the rights only to a voter that has not yet acknowledged the same list.
-// voteOn answers a holder's request as one of its voters.
-// promise backs one holder of a right at a time; a voter that has just started backs nobody.
-// countVotes takes a voter's reply.
-// repeatRequest names the rights to a voter that did not know the list behind the digest.
-// countQuorum extends a lease to the time that a majority of voters of each roster has backed.
-// quorumTime returns the latest time at which a majority of the voters had backed the holder.
-// refused remembers the holder that a voter named and asks it to hand over if this host ranks first.
-// yields reports whether this host, which was offered the right, leaves it to another that ranks before it.
-// stopSeeking takes back the votes for a right, so that two candidates cannot keep each other from a majority.
-// acquired prepares what this host needs to act under a right.
-func (s *State) acquired(now time.Time, r Right, h *Holding) {
-	s.note(EventLeaseTaken, Field{"right", r.String()})
-	switch r.Kind {
-	case KindAccount:
-		acquireAccount(s, now, r, h)
-	case KindBackend:
-		acquireBackend(s, now, r, h)
-	case KindStore:
-		acquireStore(s, now, r)
+func countVotes(s *State, now time.Time, from string, m LeaseReply) {
+	for _, v := range m.Votes {
+		takeVote(s, now, from, m.SentAt, v)
 	}
-	h.Handover = nil
 }
 
-// dropLost forgets the rights whose lease is over and those that this host no longer seeks.
-func dropLost(s *State, now time.Time) {
-	for _, r := range s.soughtRights() {
-		h := s.Leases.Holdings[r]
-		if h.HeldSince.IsZero() {
-			_, offered := s.Leases.Vacant[r]
-			if !s.Leases.Wanted[r] && !offered {
-				delete(s.Leases.Holdings, r)
-			}
-			continue
+// takeVote counts one vote; a refusal with a higher term raises the term of the next request.
+func takeVote(s *State, now time.Time, from string, sent time.Duration, v Vote) {
+	r, ok := s.Rights[v.Backend]
+	if !ok || sent < r.SoughtAt {
+		return
+	}
+	if !v.Backed {
+		if v.Term >= r.Term && r.HeldSince.IsZero() {
+			r.Term = v.Term + 1
+			r.SoughtAt = s.age(now)
+			clear(r.Backed)
 		}
-		if now.Before(h.ValidUntil) {
-			continue
+		return
+	}
+	r.Backed[from] = max(r.Backed[from], sent)
+	extendRight(s, now, v.Backend, r)
+}
+
+// extendRight sets the end of the lease from the time at which the quorum's requests were sent.
+func extendRight(s *State, now time.Time, backend string, r *Right) {
+	ids, quorum := s.votersOf(now, backend)
+	var sent []time.Duration
+	for _, id := range ids {
+		if at, ok := r.Backed[id]; ok {
+			sent = append(sent, at)
 		}
-		s.Counters.LeasesLost++
-		s.note(EventLeaseLost, Field{"right", r.String()})
-		delete(s.Leases.Holdings, r)
-		s.stopped(r)
+	}
+	if len(sent) < quorum {
+		return
+	}
+	slices.Sort(sent)
+	until := s.Self.StartedAt.Add(sent[len(sent)-quorum] + leaseFor)
+	if until.After(r.ValidUntil) {
+		r.ValidUntil = until
+	}
+	if r.HeldSince.IsZero() && now.Before(r.ValidUntil) {
+		takeRight(s, now, backend, r)
 	}
 }
 
-func (s *State) soughtRights() []Right {
-	rights := make([]Right, 0, len(s.Leases.Holdings))
-	for r := range s.Leases.Holdings {
-		rights = append(rights, r)
+func takeRight(s *State, now time.Time, backend string, r *Right) {
+	r.HeldSince = now
+	r.Fence = r.Term<<fenceBits | int64(hasher.Key(s.Self.HostID)&(1<<fenceBits-1))
+	r.Ledger = newLedger()
+	s.Counters.LeasesTaken++
+	s.note(EventLeaseTaken, Field{"backend_server", backend}, intField("term", int(r.Term)))
+}
+
+func loseRight(s *State, _ time.Time, backend string, r *Right) {
+	s.Counters.LeasesLost++
+	s.note(EventLeaseLost, Field{"backend_server", backend}, intField("term", int(r.Term)))
+	delete(s.Rights, backend)
+}
+
+// yieldRight gives up a claim that was never held, so that the votes for it are free for another host.
+func yieldRight(s *State, now time.Time, backend string, r *Right) {
+	if r == nil {
+		return
 	}
-	sortRights(rights)
-	return rights
+	delete(s.Rights, backend)
+	s.releaseVotes(now, []string{backend})
 }
 
-// followRoster gives up rights that no longer exist and takes the voters of the present roster for the others.
-func followRoster(s *State, now time.Time) {
-	for _, r := range s.soughtRights() {
-		h := s.Leases.Holdings[r]
-		if r.Kind != KindHost && !s.rightExists(r) || r.Region != s.Self.Region {
-			delete(s.Leases.Holdings, r)
-			delete(s.Leases.Vacant, r)
-			s.stopped(r)
-			s.release(now, r, h)
-			continue
-		}
-		h.Anchor = s.anchor(r)
-		h.Voters = s.votersOf(h.Anchor, r.Region)
-		h.OldVoters = s.previousVotersOf(r)
+// releaseRights gives up everything that this host holds.
+func releaseRights(s *State, now time.Time) {
+	ids := sortedKeys(s.Rights)
+	if len(ids) == 0 {
+		return
 	}
+	clear(s.Rights)
+	s.releaseVotes(now, ids)
 }
 
-// stopped drops what was kept under a right that this host no longer holds.
-func (s *State) stopped(r Right) {
-	switch r.Kind {
-	case KindBackend:
-		if b, ok := s.Backends[r.Name]; ok {
-			b.Lost = true
-		}
-	case KindStore:
-		delete(s.Stores, r.Region)
+func (s *State) releaseVotes(now time.Time, backends []string) {
+	for _, id := range s.memberHosts(now) {
+		s.send(id, LeaseRelease{Backends: backends})
 	}
+	releasePromises(s, now, s.Self.HostID, LeaseRelease{Backends: backends})
 }
 
-// releasePromises ends the backing of a holder that gives up rights by itself.
-// checkPromises offers rights whose holder has gone silent to the next host in rank.
-// nextOffers returns the hosts to offer a right to: each time the next in rank, since those before may be gone too.
-// seekVacant starts to ask for rights that have no holder.
-// orphanRanks is how far down the ranking hosts take up a right that seems to have no holder.
-// seekOrphan asks the voters for a right that another host believes to be held here; they refuse if it has a holder.
+func releasePromises(s *State, now time.Time, from string, m LeaseRelease) {
+	for _, id := range m.Backends {
+		if p, ok := s.Promises[id]; ok && p.Holder == from {
+			p.Until = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/reducer/ledger.go
@@ -0,0 +1,448 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/selector"
+)
+
+func newLedger() Ledger {
+	return Ledger{Entries: map[AdapterKey]*Entry{}, Recent: map[AdapterKey]time.Time{}, Uses: map[string]*HostUse{}}
+}
+
+// tickLedger reads the backend server's report when that is due and gives the next order.
+func tickLedger(s *State, now time.Time, backend string, r *Right) {
+	b := s.Backends[backend]
+	settleEntries(s, now, backend, r)
+	if r.reportDue(now) {
+		r.Ledger.AskedAt = now
+		s.emit(ReadReport{Backend: backend, Address: b.Info.Address, Born: b.Info.Born})
+	}
+	nextOrder(s, now, backend, r)
+}
+
+// reportDue reports whether the ledger lacks something that only the backend server can tell.
+func (r *Right) reportDue(now time.Time) bool {
+	l := &r.Ledger
+	if now.Sub(l.AskedAt) < reportEvery {
+		return false
+	}
+	if l.ReadAt.IsZero() || l.Doubtful {
+		return true
+	}
+	for _, e := range l.Entries {
+		if e.Stage == StageUnloading && now.Sub(e.OrderedAt) > reportEvery {
+			return true
+		}
+	}
+	return false
+}
+
+// settleEntries turns loads whose expected time is over into adapters that are ready.
+func settleEntries(s *State, now time.Time, backend string, r *Right) {
+	for _, key := range sortedAdapters(r.Ledger.Entries) {
+		e := r.Ledger.Entries[key]
+		if e.Stage == StageLoading && !now.Before(e.ReadyAt) {
+			e.Stage = StageReady
+			s.note(EventAdapterPlaced, Field{"backend_server", backend}, Field{"adapter", key.Adapter}, msField("took_ms", now.Sub(e.OrderedAt)))
+		}
+	}
+	for host, u := range r.Ledger.Uses {
+		if now.Sub(u.At) > askersKept {
+			delete(r.Ledger.Uses, host)
+		}
+	}
+}
+
+func sortedAdapters[V any](m map[AdapterKey]V) []AdapterKey {
+	keys := make([]AdapterKey, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b AdapterKey) int {
+		if a.Model != b.Model {
+			return compare(a.Model, b.Model)
+		}
+		return compare(a.Adapter, b.Adapter)
+	})
+	return keys
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// wantAdapter sends a want to the host that orders the backend server and reports whether one is known.
+func wantAdapter[P selector.Policy](s *State, now time.Time, backend string, key AdapterKey, version int64) bool {
+	holder := s.holderOf(now, backend)
+	if holder == "" {
+		return false
+	}
+	want := AdapterWant{Backend: backend, Adapter: key, Version: version}
+	if holder == s.Self.HostID {
+		receiveWant[P](s, now, holder, want)
+		return true
+	}
+	s.send(holder, want)
+	return true
+}
+
+// receiveWant answers with the adapter's place, or queues the want until a load can be ordered.
+func receiveWant[P selector.Policy](s *State, now time.Time, from string, m AdapterWant) {
+	r, ok := s.Rights[m.Backend]
+	if !ok || !s.holds(now, m.Backend) {
+		return
+	}
+	settleEntries(s, now, m.Backend, r)
+	if e, ok := r.Ledger.Entries[m.Adapter]; ok && e.serves(m.Version) {
+		e.Use.Add(now, 1, usesDecay)
+		e.Askers[from] = now
+		tellPlace[P](s, now, from, m.Backend, m.Adapter, e)
+		return
+	}
+	queueWant(r, now, from, m)
+	nextOrder(s, now, m.Backend, r)
+}
+
+// serves reports whether the entry will serve requests that need at least the given version.
+func (e *Entry) serves(version int64) bool {
+	return (e.Stage == StageReady || e.Stage == StageLoading) && (version == 0 || e.Version == 0 || e.Version >= version)
+}
+
+func queueWant(r *Right, now time.Time, from string, m AdapterWant) {
+	for i := range r.Ledger.Wants {
+		w := &r.Ledger.Wants[i]
+		if w.Adapter == m.Adapter {
+			w.Askers[from] = now
+			w.Version = max(w.Version, m.Version)
+			return
+		}
+	}
+	r.Ledger.Wants = append(r.Ledger.Wants, Want{
+		Adapter: m.Adapter, Version: m.Version, Since: now, Askers: map[string]time.Time{from: now},
+	})
+}
+
+// tellPlace tells one host how far an adapter is resident.
+func tellPlace[P selector.Policy](s *State, now time.Time, to, backend string, key AdapterKey, e *Entry) {
+	place := e.place(now, backend, key)
+	if to == s.Self.HostID {
+		receivePlace[P](s, now, place)
+		return
+	}
+	s.send(to, place)
+}
+
+func (e *Entry) place(now time.Time, backend string, key AdapterKey) AdapterPlace {
+	return AdapterPlace{
+		Backend: backend, Adapter: key, Version: e.Version, Stage: e.Stage, ReadyIn: max(e.ReadyAt.Sub(now), 0),
+	}
+}
+
+// nextOrder gives the next order that the ledger allows: one at a time, and never more adapters than there are places.
+func nextOrder(s *State, now time.Time, backend string, r *Right) {
+	l := &r.Ledger
+	b, ok := s.Backends[backend]
+	if !ok || l.ReadAt.IsZero() || l.Ordering || now.Before(l.RetryAt) || b.Info.Leaving || !s.usable(now, b) {
+		return
+	}
+	l.dropStaleWants(now)
+	if len(l.Wants) == 0 || l.inTransit() >= transitLimit {
+		return
+	}
+	engine := s.engineOf(b)
+	want := l.Wants[0]
+	if e, ok := l.Entries[want.Adapter]; ok {
+		reload(s, now, backend, r, want, e)
+		return
+	}
+	if len(l.Entries) < engine.AdapterSlots {
+		orderLoad(s, now, b, r, want)
+		return
+	}
+	if victim, ok := l.victim(now); ok {
+		orderUnload(s, now, b, r, victim)
+	}
+}
+
+// dropStaleWants forgets wants that nobody has repeated.
+func (l *Ledger) dropStaleWants(now time.Time) {
+	l.Wants = slices.DeleteFunc(l.Wants, func(w Want) bool {
+		for host, at := range w.Askers {
+			if now.Sub(at) > wantsTried*wantRepeat {
+				delete(w.Askers, host)
+			}
+		}
+		return len(w.Askers) == 0
+	})
+}
+
+func (l *Ledger) inTransit() int {
+	n := 0
+	for _, e := range l.Entries {
+		if e.Stage == StageLoading {
+			n++
+		}
+	}
+	return n
+}
+
+// reload orders a newer version of an adapter that is resident, or waits until one that leaves is gone.
+func reload(s *State, now time.Time, backend string, r *Right, want Want, e *Entry) {
+	if e.Stage != StageReady {
+		return
+	}
+	orderLoad(s, now, s.Backends[backend], r, want)
+}
+
+// victim returns the adapter to drop: the least used of those that no host has requests for.
+func (l *Ledger) victim(now time.Time) (AdapterKey, bool) {
+	var best AdapterKey
+	found := false
+	least := 0.0
+	for _, key := range sortedAdapters(l.Entries) {
+		e := l.Entries[key]
+		if e.Stage != StageReady || l.busy(now, key, e) {
+			continue
+		}
+		if use := e.Use.Value(now, usesDecay); !found || use < least {
+			best, least, found = key, use, true
+		}
+	}
+	return best, found
+}
+
+// busy reports whether requests for an adapter may be running or on their way.
+func (l *Ledger) busy(now time.Time, key AdapterKey, e *Entry) bool {
+	if now.Sub(e.Use.At) < quietFor || now.Sub(e.ReadyAt) < quietFor {
+		return true
+	}
+	for _, u := range l.Uses {
+		for _, a := range u.Usage.Adapters {
+			if a.Adapter == key && a.Running > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func orderLoad(s *State, now time.Time, b *Backend, r *Right, want Want) {
+	l := &r.Ledger
+	_, recent := l.Recent[want.Adapter]
+	took := s.loadTime(b, recent)
+	former := l.Entries[want.Adapter]
+	entry := &Entry{
+		Stage: StageLoading, Version: want.Version, OrderedAt: now, ReadyAt: now.Add(took), Askers: want.Askers,
+	}
+	if former != nil {
+		entry.Use = former.Use
+	}
+	entry.Use.Add(now, float64(len(want.Askers)), usesDecay)
+	l.Entries[want.Adapter] = entry
+	l.Ordering = true
+	s.Counters.Loads++
+	s.emitOrder(now, b, r, want.Adapter, want.Version, false)
+}
+
+// loadTime is the expected time until an adapter can be used; one that was dropped lately is still at hand.
+func (s *State) loadTime(b *Backend, recent bool) time.Duration {
+	took := s.service(b.Info.Service).LoadTime
+	if recent {
+		took = time.Duration(float64(took) * recentLoadShare)
+	}
+	return took + loadMargin
+}
+
+func orderUnload(s *State, now time.Time, b *Backend, r *Right, key AdapterKey) {
+	e := r.Ledger.Entries[key]
+	e.Stage = StageUnloading
+	e.OrderedAt = now
+	r.Ledger.Ordering = true
+	s.Counters.Unloads++
+	for _, host := range sortedKeys(e.Askers) {
+		if host != s.Self.HostID {
+			s.send(host, e.place(now, b.Info.ID, key))
+		}
+	}
+	markAbsent(s, now, b, key)
+	s.emitOrder(now, b, r, key, 0, true)
+}
+
+func (s *State) emitOrder(now time.Time, b *Backend, r *Right, key AdapterKey, version int64, unload bool) {
+	s.emit(OrderAdapter{
+		Backend: b.Info.ID, Address: b.Info.Address, Born: b.Info.Born, Adapter: key, Version: version, Unload: unload,
+		Holder: s.Self.HostID, Fence: r.Fence, NotAfter: r.ValidUntil,
+	})
+	s.note(EventOrdered, Field{"backend_server", b.Info.ID}, Field{"adapter", key.Adapter}, boolField("unload", unload),
+		intField("places", len(r.Ledger.Entries)), intField("wants", len(r.Ledger.Wants)), intField("term", int(r.Term)),
+		msField("held_ms", now.Sub(r.HeldSince)))
+}
+
+// orderEnded takes the backend server's answer to an order into the ledger.
+func orderEnded[P selector.Policy](s *State, now time.Time, e OrderEnded) {
+	r, ok := s.Rights[e.Backend]
+	b, known := s.Backends[e.Backend]
+	if !ok || !known || b.Info.Born != e.Born {
+		return
+	}
+	l := &r.Ledger
+	l.Ordering = false
+	entry, ok := l.Entries[e.Adapter]
+	if !ok {
+		return
+	}
+	if e.Result != OrderAccepted && e.Result != OrderHolds {
+		s.note(EventOrderFailed, Field{"backend_server", e.Backend}, Field{"adapter", e.Adapter.Adapter},
+			boolField("unload", e.Unload), Field{"result", e.Result.String()})
+	}
+	if e.Unload {
+		unloadEnded(l, now, e, entry)
+	} else {
+		loadEnded[P](s, now, e, r, entry)
+	}
+	nextOrder(s, now, e.Backend, r)
+}
+
+func unloadEnded(l *Ledger, now time.Time, e OrderEnded, entry *Entry) {
+	switch e.Result {
+	case OrderHolds:
+		delete(l.Entries, e.Adapter)
+		l.Recent[e.Adapter] = now
+	case OrderAccepted:
+		l.Recent[e.Adapter] = now
+	case OrderBusy, OrderRefused:
+		entry.Stage = StageReady
+		l.RetryAt = now.Add(retryPause)
+		l.Doubtful = true
+	case OrderUnknown:
+		l.Doubtful = true
+	}
+}
+
+func loadEnded[P selector.Policy](s *State, now time.Time, e OrderEnded, r *Right, entry *Entry) {
+	l := &r.Ledger
+	switch e.Result {
+	case OrderHolds:
+		entry.ReadyAt = now
+		entry.Stage = StageReady
+	case OrderAccepted:
+	case OrderBusy, OrderRefused:
+		delete(l.Entries, e.Adapter)
+		l.RetryAt = now.Add(retryPause)
+		l.Doubtful = true
+		return
+	case OrderUnknown:
+		l.Doubtful = true
+		return
+	}
+	l.Wants = slices.DeleteFunc(l.Wants, func(w Want) bool { return w.Adapter == e.Adapter })
+	for _, host := range sortedKeys(entry.Askers) {
+		tellPlace[P](s, now, host, e.Backend, e.Adapter, entry)
+	}
+}
+
+func effectExpired(s *State, now time.Time, e EffectExpired) {
+	s.Counters.EffectsExpired++
+	r, ok := s.Rights[e.Backend]
+	if !ok {
+		return
+	}
+	r.Ledger.Ordering = false
+	r.Ledger.Doubtful = true
+	r.Ledger.RetryAt = now.Add(retryPause)
+}
+
+// backendReported takes the backend server's own list of adapters into the ledger.
+//
+// The report may be older than the last orders, so it neither removes a load nor revives an unload that was ordered since.
+func backendReported[P selector.Policy](s *State, now time.Time, e BackendReported) {
+	r, ok := s.Rights[e.Backend]
+	b, known := s.Backends[e.Backend]
+	if !ok || !known || e.Failed || b.Info.Born != e.Born {
+		return
+	}
+	l := &r.Ledger
+	named := map[AdapterKey]Stage{}
+	for _, k := range e.Resident {
+		named[k] = StageReady
+	}
+	for _, k := range e.Coming {
+		named[k] = StageLoading
+	}
+	asOf := e.AskedAt.Add(-reportLag)
+	for _, key := range sortedAdapters(l.Entries) {
+		if _, ok := named[key]; !ok && l.Entries[key].OrderedAt.Before(asOf) {
+			delete(l.Entries, key)
+			l.Recent[key] = now
+		}
+	}
+	for _, key := range sortedAdapters(named) {
+		l.adopt(s, now, b, key, named[key])
+	}
+	l.ReadAt = now
+	l.Doubtful = false
+	nextOrder(s, now, e.Backend, r)
+}
+
+// reportLag is the age that a backend server's report may have.
+const reportLag = 600 * time.Millisecond
+
+// adopt adds an adapter that the report names and the ledger lacks.
+func (l *Ledger) adopt(s *State, now time.Time, b *Backend, key AdapterKey, stage Stage) {
+	if _, ok := l.Entries[key]; ok {
+		return
+	}
+	if dropped, ok := l.Recent[key]; ok && now.Sub(dropped) < reportLag {
+		return
+	}
+	entry := &Entry{Stage: stage, OrderedAt: now, ReadyAt: now, Askers: map[string]time.Time{}}
+	if stage == StageLoading {
+		entry.ReadyAt = now.Add(s.loadTime(b, false))
+	}
+	entry.Use.Add(now, 0, usesDecay)
+	l.Entries[key] = entry
+}
+
+// receiveUsage notes what a host has running on a backend server and tells it what the others have.
+func receiveUsage(s *State, now time.Time, from string, m Usage) {
+	r, ok := s.Rights[m.Backend]
+	if !ok {
+		return
+	}
+	l := &r.Ledger
+	l.Uses[from] = &HostUse{Usage: m, At: now}
+	for _, a := range m.Adapters {
+		if e, ok := l.Entries[a.Adapter]; ok {
+			e.Use.Add(now, float64(a.Count), usesDecay)
+			e.Askers[from] = now
+		}
+	}
+	load := BackendLoad{Backend: m.Backend}
+	for host, u := range l.Uses {
+		if host != from && now.Sub(u.At) < 3*usageEvery {
+			load.Running += u.Usage.Running
+			load.Tokens += u.Usage.Tokens
+			load.Prefill += u.Usage.Prefill
+		}
+	}
+	if from == s.Self.HostID {
+		receiveLoad(s, now, load)
+		return
+	}
+	s.send(from, load)
+}
+
+func receiveLoad(s *State, now time.Time, m BackendLoad) {
+	if b, ok := s.Backends[m.Backend]; ok {
+		b.Others = m
+		b.OthersAt = now
+	}
+}
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -2,133 +2,97 @@
 
 import "time"
 
-// Limits holds the durations and bounds of the decisions; every host of a fleet uses the same.
+// Limits are the times and bounds that the decisions keep to; those of the settings come from there.
 type Limits struct {
-	LeaseTime      time.Duration
-	LeaseMargin    time.Duration
-	RenewEvery     time.Duration
-	GrantTime      time.Duration
-	SummaryEvery   time.Duration
-	WatchWait      time.Duration
-	IsolatedAfter  time.Duration
-	PollEvery      time.Duration
-	RampEvery      time.Duration
-	BackoffFirst   time.Duration
-	BackoffMax     time.Duration
-	SuspectFor     time.Duration
-	LocateFor      time.Duration
-	PermitFor      time.Duration
-	LoadFor        time.Duration
-	RequestTimeout time.Duration
-	DrainFor       time.Duration
-	WantsEvery     time.Duration
-	// ReportLag is how far behind a backend server's report of its state may be.
-	ReportLag      time.Duration
-	MaxAttempts    int
-	MaxQueue       int
-	MaxWaiting     int
-	Voters         int
-	SlowFirstToken float64
-	// ClockDrift is the largest relative error between the rates of two hosts' clocks.
-	ClockDrift float64
+	// ConfigFor is the time within which a published change is in force.
+	ConfigFor time.Duration
+	// DrainFor is the time after which a leaving backend server gets nothing new.
+	DrainFor time.Duration
+	// ContactFor is the time after which a host that nobody hears counts as gone.
+	ContactFor time.Duration
+	// GraceFor is the time between the signal to stop and the end of the process.
+	GraceFor time.Duration
+	// OrderLeaseFor is the time in which no two hosts order one backend server by turns.
+	OrderLeaseFor time.Duration
+	RetryRatio    float64
+	RetrySlack    float64
+	// DirectoryFor is the longest time that callers keep an answer of the directory.
+	DirectoryFor time.Duration
 }
 
-// DefaultLimits returns the limits that the daemons run with.
-func DefaultLimits() Limits {
-	return Limits{
-		LeaseTime:      2500 * time.Millisecond,
-		LeaseMargin:    100 * time.Millisecond,
-		RenewEvery:     800 * time.Millisecond,
-		GrantTime:      1500 * time.Millisecond,
-		SummaryEvery:   time.Second,
-		WatchWait:      time.Second,
-		IsolatedAfter:  3 * time.Second,
-		PollEvery:      time.Second,
-		RampEvery:      time.Second,
-		BackoffFirst:   25 * time.Millisecond,
-		BackoffMax:     800 * time.Millisecond,
-		SuspectFor:     2 * time.Second,
-		LocateFor:      5 * time.Second,
-		PermitFor:      10 * time.Minute,
-		LoadFor:        20 * time.Second,
-		RequestTimeout: 2 * time.Minute,
-		DrainFor:       5 * time.Minute,
-		WantsEvery:     500 * time.Millisecond,
-		ReportLag:      time.Second,
-		MaxAttempts:    24,
-		MaxQueue:       256,
-		MaxWaiting:     1024,
-		Voters:         5,
-		SlowFirstToken: 4,
-		ClockDrift:     0.01,
-	}
-}
-
-// Outcome tells how a request ended.
-type Outcome uint8
+// Times of the protocol between hosts.
+const (
+	gossipEvery = 300 * time.Millisecond
+	// gossipPeers is the number of hosts that are told at each round in a fleet with more hosts than smallFleet.
+	gossipPeers = 3
+	smallFleet  = 8
+	// gossipRecords bounds the host records of one envelope.
+	gossipRecords = 30
+	// forgetAfter is how long a host that is gone is still counted among the voters.
+	forgetAfter = 10 * time.Second
+	// tombstoneFor is how long the record of a host that is gone is kept, so that old news does not bring it back.
+	tombstoneFor = time.Minute
+	// suspectShare is the part of ContactFor after which a silent host is not used.
+	suspectShare = 0.6
+)
 
-// Outcomes of a request.
+// Times and bounds of the leases to order backend servers.
 const (
-	OutcomeDone Outcome = iota + 1
-	// OutcomeNotRun means that no backend server can have received the request.
-	OutcomeNotRun
-	// OutcomeUnknown means that a backend server may have run the request.
-	OutcomeUnknown
+	voters          = 7
+	largeQuorum     = 5
+	leaseFor        = 1600 * time.Millisecond
+	leaseRenewEvery = 400 * time.Millisecond
+	leaseMargin     = 200 * time.Millisecond
+	// termScale leaves room for several terms within one revision of the platform.
+	termScale = 16
+	// fenceBits is the part of a fence that tells hosts apart.
+	fenceBits = 20
 )
 
-// String returns the outcome in the form that callers see.
-func (o Outcome) String() string {
-	return [...]string{"", "done", "not_run", "unknown"}[o]
-}
+// Times and bounds of reading the platform.
+const (
+	watchers   = 2
+	watchWait  = 600 * time.Millisecond
+	watchEvery = 400 * time.Millisecond
+	// confirmShare is the part of ConfigFor after which a host no longer relies on the watchers.
+	confirmShare = 0.7
 
-// Reason tells why a request was refused or ended early.
-type Reason uint8
+	// lapseFor is how long an entry that vanished while the platform was unwell may still come back.
+	lapseFor = 2200 * time.Millisecond
+	// wellAfter is how long the platform must have answered for a removed entry to count at once.
+	wellAfter = 3 * time.Second
+)
 
-// Reasons of a refusal.
+// Times and bounds of placing adapters.
 const (
-	ReasonNone Reason = iota
-	ReasonUnauthorized
-	ReasonForbidden
-	ReasonUnknownModel
-	ReasonOverRate
-	ReasonTooLarge
-	ReasonOverloaded
-	ReasonNotOwner
-	ReasonNoBackend
-	ReasonDeadline
-	ReasonNotReady
-	ReasonIsolated
-	ReasonKeyWithdrawn
-	ReasonPermitSpent
-	ReasonPermitUnknown
-	ReasonBackendFailed
-	ReasonConnection
-	ReasonCancelled
-	ReasonStopped
-	ReasonSpill
-	ReasonVersion
-	ReasonNotLoaded
-	// ReasonOwnerLost means that the host that owns the backend server broke off.
-	ReasonOwnerLost
-	// ReasonCount is the number of reasons.
-	ReasonCount
+	initialLoadTime = 250 * time.Millisecond
+	recentLoadShare = 0.12
+	loadMargin      = 5 * time.Millisecond
+	// transitLimit is the number of adapters that may be on their way to one backend server.
+	transitLimit = 4
+	wantRepeat   = 250 * time.Millisecond
+	wantsTried   = 3
+	usageEvery   = 400 * time.Millisecond
+	// quietFor is how long an adapter must not have been used to be dropped without waiting for its requests.
+	quietFor     = 1500 * time.Millisecond
+	askersKept   = 15 * time.Second
+	reportEvery  = 700 * time.Millisecond
+	orderTimeout = time.Second
+	usesDecay    = 20 * time.Second
 )
 
-var reasonTexts = [ReasonCount]string{
-	"", "unauthorized", "forbidden", "unknown_model", "over_rate", "too_large", "overloaded", "not_owner", "no_backend_server",
-	"deadline", "not_ready", "isolated", "key_withdrawn", "permit_spent", "permit_unknown", "backend_server_failed",
-	"connection", "cancelled", "stopped", "spill", "version", "not_loaded", "owner_lost",
-}
-
-// String returns the reason in the form that callers see.
-func (r Reason) String() string { return reasonTexts[r] }
-
-// ReasonOf returns the reason behind the form that callers see, or ReasonConnection if there is none.
-func ReasonOf(text string) Reason {
-	for i, t := range reasonTexts {
-		if t == text {
-			return Reason(i)
-		}
-	}
-	return ReasonConnection
-}
+// Bounds on requests.
+const (
+	initialPrefillRate = 25000
+	retryPause         = 40 * time.Millisecond
+	ejectFirst         = 500 * time.Millisecond
+	ejectMost          = 8 * time.Second
+	lossDecay          = 0.8
+	// quotaHeadroom is the part of the allowed overshoot that the shares of an account use.
+	quotaHeadroom    = 1.12
+	demandEvery      = 400 * time.Millisecond
+	shareValid       = 3 * time.Second
+	coldHosts        = 5
+	retrySlackShare  = 0.8
+	refusedRetryWait = 300 * time.Millisecond
+)
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -2,164 +2,115 @@
 
 import "time"
 
-// Message is one part of an envelope between hosts; each kind is a plain struct of this file.
+// Message is what hosts tell each other; each kind is a plain struct of this file.
 type Message any
 
-// LeaseRequest asks a voter to back the sender as holder of rights that share an anchor.
-type LeaseRequest struct {
-	Anchor string
-	// SentAt is the sender's time since it started; the reply returns it.
-	SentAt time.Duration
-	Digest uint64
-	// Rights is empty when the voter has answered a request with the same digest.
-	Rights []Right
+// HostRecord is what the fleet knows of one host; higher incarnations and beats are newer.
+type HostRecord struct {
+	ID            string
+	Incarnation   uint64
+	Beat          uint64
+	Address       string
+	PeerAddress   string
+	FailureDomain string
+	Ready         bool
+	Leaving       bool
+	// Holds names the backend servers that the host may order.
+	Holds []string
+}
+
+// Summary tells how new the sender's documents are.
+type Summary struct {
+	Revision int64
+	// ConfirmedAge is the time since the platform is known to have had nothing newer; negative if never.
+	ConfirmedAge time.Duration
 }
 
-// LeaseReply tells which of the rights asked for the voter does not back.
-type LeaseReply struct {
-	Anchor string
+// LeaseRequest asks a voter to back the sender as the one host that orders the backend servers.
+type LeaseRequest struct {
+	// SentAt is the sender's time since its start; the reply repeats it.
 	SentAt time.Duration
-	Digest uint64
-	// Unknown says that the voter needs the list of rights.
-	Unknown bool
-	Refused []Refusal
-	// HighestTerm is the highest term that the voter has seen for any of the rights.
-	HighestTerm uint64
+	Claims []Claim
 }
 
-// Refusal is one right that a voter backs another holder for, or none while it is silent.
-type Refusal struct {
-	Right  Right
-	Holder string
+// Claim is one backend server of a LeaseRequest.
+type Claim struct {
+	Backend string
+	Term    int64
+	// Valid is set while the sender holds the lease, so that a voter that has forgotten may back it at once.
+	Valid bool
 }
 
-// LeaseRelease tells voters that the sender no longer holds the rights.
-type LeaseRelease struct {
+// LeaseReply tells which claims the voter backs.
+type LeaseReply struct {
 	SentAt time.Duration
-	Rights []Right
-}
-
-// LeaseVacant tells a host that a right has no holder.
-type LeaseVacant struct {
-	Rights []Right
-}
-
-// LeaseClaim asks the present holder to hand over rights to the sender, which ranks before it.
-type LeaseClaim struct {
-	Rights []Right
-}
-
-// LeaseHandover passes what the former holder knows about a right that it has given up.
-type LeaseHandover struct {
-	Right   Right
-	Account *AccountHandover
-	Backend *BackendHandover
-}
-
-// AccountHandover is the bucket of a client account at the moment of its handover.
-type AccountHandover struct {
-	Level       float64
-	Outstanding float64
-}
-
-// BackendHandover is what the former owner knew about a backend server.
-type BackendHandover struct {
-	Incarnation uint64
-	Limit       int
-	Running     int
-	Pins        []ReportedAdapter
-	// ColdLeft is how long the limit is still not to be raised.
-	ColdLeft time.Duration
+	Votes  []Vote
 }
 
-// BackendNotes tells the next host in rank what it must know to take over backend servers without a handover.
-type BackendNotes struct {
-	Notes []BackendNote
-}
-
-// BackendNote is how much a backend server bears in one incarnation.
-type BackendNote struct {
-	Backend     string
-	Incarnation uint64
-	Limit       int
-}
-
-// GrantRequest asks the keeper of a client account for tokens and reports those that are held.
-type GrantRequest struct {
-	Account string
-	// Sequence grows with each request of one host incarnation.
-	Sequence uint64
-	// Acknowledged is the sequence of the last grant received.
-	Acknowledged uint64
-	Held         float64
-	Wanted       float64
-	// Minimum is the least number of tokens that the first waiting request can use.
-	Minimum float64
-	Refunds []Refund
-	SentAt  time.Duration
-}
-
-// Refund is tokens that were charged Age ago and not used.
-type Refund struct {
-	Tokens float64
-	Age    time.Duration
+// Vote is a voter's answer to one claim.
+type Vote struct {
+	Backend string
+	Backed  bool
+	// Term is the highest term that the voter has seen.
+	Term int64
 }
 
-// GrantReply gives tokens that may be charged until the validity, counted from the request, is over.
-type GrantReply struct {
-	Account  string
-	Sequence uint64
-	Tokens   float64
-	SentAt   time.Duration
-	// Wait is how long the keeper expects to need for the rest.
-	Wait      time.Duration
-	NotKeeper bool
-	// Settling says that the keeper is new and must wait until the grants of the former one are over.
-	Settling bool
+// LeaseRelease gives up claims.
+type LeaseRelease struct {
+	Backends []string
 }
 
-// LoadWants lists the loads for which a host waits; it replaces the list sent before.
-type LoadWants struct {
-	Wants []LoadWant
+// AdapterWant asks the host that orders a backend server to load an adapter.
+type AdapterWant struct {
+	Backend string
+	Adapter AdapterKey
+	Version int64
 }
 
-// LoadWant is one adapter that a backend server should load.
-type LoadWant struct {
+// AdapterPlace tells how far an adapter is resident on a backend server.
+type AdapterPlace struct {
 	Backend string
 	Adapter AdapterKey
-	Urgency float64
+	Version int64
+	Stage   Stage
+	// ReadyIn is the time until requests for the adapter are likely to be taken.
+	ReadyIn time.Duration
 }
 
-// LoadPermit allows one load from the weight store.
-type LoadPermit struct {
-	Sequence uint64
-	Backend  string
-	Adapter  AdapterKey
+// Usage tells the host that orders a backend server what the sender has running there.
+type Usage struct {
+	Backend string
+	Running int
+	Tokens  int
+	// Prefill is the prompt tokens of requests that have no answer yet.
+	Prefill  int
+	Adapters []AdapterUse
 }
 
-// LoadReturn says that the load under a permit has ended or was not made.
-type LoadReturn struct {
-	Sequence uint64
-	Unused   bool
+// AdapterUse is one adapter of a Usage.
+type AdapterUse struct {
+	Adapter AdapterKey
+	Count   int
+	Running int
 }
 
-// Summary tells which configuration the sender has in force and how old the platform's confirmation of it is.
-type Summary struct {
-	Revision     uint64
-	ConfirmedAge time.Duration
-	Confirmed    bool
+// BackendLoad tells what all other hosts have running on a backend server.
+type BackendLoad struct {
+	Backend string
+	Running int
+	Tokens  int
+	Prefill int
 }
 
-// PermitConsume asks the host that issued a permit to consume it.
-type PermitConsume struct {
-	Permit    string
-	RequestID string
+// DemandReport tells the keeper of a client account what it asks of the sender.
+type DemandReport struct {
+	Account string
+	// PerSecond is the demand in the account's unit.
+	PerSecond float64
 }
 
-// PermitAnswer tells whether a permit was consumed by this very request.
-type PermitAnswer struct {
-	Permit    string
-	RequestID string
-	Consumed  bool
-	Known     bool
+// AccountShare tells a host its part of a client account's rate.
+type AccountShare struct {
+	Account  string
+	Fraction float64
 }
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -1,19 +1,45 @@
 package reducer
 
-// Numbers of the log events that the reducer records; package recorder holds their texts.
+import (
+	"strconv"
+	"time"
+)
+
+// Numbers of the events that the reducer notes.
 const (
-	EventConfigAdopted       = 101
-	EventShardRefused        = 102
-	EventPlatformUnreachable = 103
-	EventPlatformStale       = 104
-	EventReadiness           = 105
-	EventLeaseTaken          = 201
-	EventLeaseLost           = 202
-	EventLeaseHandedOver     = 203
-	EventDrainStarted        = 204
-	EventDrainDone           = 205
-	EventBackendKnown        = 301
-	EventBackendFailed       = 302
-	EventBackendCold         = 303
-	EventLoadFailed          = 304
+	EventCatalogueInForce = 101
+	EventDocumentRefused  = 102
+	EventPlatformLost     = 103
+	EventPlatformBack     = 104
+	EventReadiness        = 105
+	EventDomainWithdrawn  = 106
+	EventHostJoined       = 111
+	EventHostBack         = 112
+	EventHostGone         = 113
+	EventDrainStarted     = 121
+	EventDrainDone        = 122
+	EventLeaseTaken       = 131
+	EventLeaseLost        = 132
+	EventBackendJoined    = 141
+	EventBackendLeaving   = 142
+	EventBackendGone      = 143
+	EventBackendEjected   = 144
+	EventBackendBack      = 145
+	EventOrdered          = 151
+	EventOrderFailed      = 152
+	EventAdapterPlaced    = 153
+	EventRequestSent      = 202
+	EventRequestEnded     = 203
+	EventRequestRefused   = 204
+	EventRequestRetried   = 205
+	EventRequestWaits     = 206
+	EventRequestLeft      = 207
 )
+
+func boolField(name string, value bool) Field { return Field{name, strconv.FormatBool(value)} }
+
+func intField(name string, value int) Field { return Field{name, strconv.Itoa(value)} }
+
+func msField(name string, value time.Duration) Field {
+	return Field{name, strconv.FormatInt(value.Milliseconds(), 10)}
+}
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -1,189 +1,372 @@
 package reducer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/selector"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
-const (
-	// candidateCount is the number of backend servers that are considered for one request.
-	candidateCount = 4
-	// hintFor is how long a host keeps the number of replicas that an owner told it.
-	hintFor = 10 * time.Second
-	// replicaLoad is the share of a backend server's limit that one replica of an adapter may fill.
-	replicaLoad = 0.5
-)
-
-// HolderHint is the host that another host named as holder of a right.
-type HolderHint struct {
-	Holder string
-	Until  time.Time
-}
-
-// place chooses a backend server and queues the request here or sends it to the host that owns the server.
+// place sends a request to a backend server, lets it wait for its adapter, or refuses it when nothing can take it soon.
 func place[P selector.Policy](s *State, now time.Time, r *Request) {
-	ranked := s.rankBackends(r)
-	if len(ranked) == 0 {
-		refuse(s, r, OutcomeNotRun, ReasonNoBackend, time.Second)
-		return
-	}
-	var policy P
-	ordered := policy.Order(ranked, s.hintedReplicas(r.Adapter.Name, now), s.random())
-	r.Backend = s.untried(r, ordered)
-	right := s.backendRight(s.Config.BackendServers[r.Backend])
-	if s.holds(right, now) {
-		enqueue[P](s, now, r, s.Backends[r.Backend])
+	service, ok := s.Documents.Services[r.Service]
+	if !ok {
+		refuse(s, now, r, ReasonNoBackend, refusedRetryWait)
 		return
 	}
-	holder := s.holderHint(right, now)
-	if holder == "" || holder == s.Self.HostID {
-		r.Attempt++
-		if r.Attempt >= s.Limits.MaxAttempts {
-			refuse(s, r, OutcomeNotRun, ReasonNotOwner, time.Second)
+	candidates := s.candidates(now, r, service)
+	for len(candidates) > 0 {
+		var policy P
+		i := policy.Choose(candidates)
+		b := s.Backends[candidates[i].Backend]
+		if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
+			if s.awaitAdapter(now, r, b) {
+				requestAdapter[P](s, now, r, b)
+				return
+			}
+		}
+		if s.mayBearCold(now, b) {
+			s.dispatch(now, r, b, service)
 			return
 		}
-		s.delay(now, r)
-		return
+		candidates = slices.Delete(candidates, i, i+1)
 	}
-	forward(s, r, holder)
-}
-
-func forward(s *State, r *Request, holder string) {
-	r.Phase = PhaseForwarded
-	s.Counters.Forwards++
-	s.emit(Forward{
-		ID:         r.ID,
-		To:         holder,
-		Address:    s.Config.Hosts[holder].PeerAddress,
-		Backend:    r.Backend,
-		Account:    r.Account,
-		Version:    r.Adapter.Version,
-		Attempt:    len(r.Tried),
-		Repeatable: r.Repeatable,
-		Deadline:   r.Deadline,
-	})
+	s.waitForRoom(now, r)
 }
 
-// rankBackends returns the backend servers of a request by rendezvous, those of the own region if it has any.
-func (s *State) rankBackends(r *Request) []string {
-	table, name, key := s.Config.Tables.Engines, "", hasher.Key(r.Adapter.Name)
-	if r.Service != "" {
-		table, name, key = s.Config.Tables.Services, r.Service, hasher.Key(r.ID)
-	} else if adapter, ok := s.Config.Adapter(r.Adapter.Name); ok {
-		name = adapter.BaseModel
+// waitForRoom keeps a request for a part of its target, then refuses it with the word that it has not run.
+func (s *State) waitForRoom(now time.Time, r *Request) {
+	if r.Phase == PhaseLoading {
+		s.stopWaiting(r)
+		r.WaitSince = now
+	}
+	r.Phase = PhaseQueued
+	r.Backend = ""
+	if now.Sub(r.WaitSince) < r.Route.Target/queueShare {
+		return
+	}
+	if r.Ran > 0 {
+		refuse(s, now, r, ReasonBroken, 0)
+		return
 	}
-	if own := table[backendGroup{Region: s.Self.Region, Name: name}]; len(own) > 0 {
-		return hasher.Top(key, own, candidateCount)
+	refuse(s, now, r, ReasonNoBackend, refusedRetryWait)
+}
+
+// queueShare is the part of a request's target for which it may wait for room: one in queueShare.
+const queueShare = 8
+
+// homes is the number of backend servers, in rendezvous order, that an adapter is placed on.
+const homes = 2
+
+// candidates returns the backend servers that may take a request.
+func (s *State) candidates(now time.Time, r *Request, service cataloguer.Service) []selector.Candidate {
+	usable := s.usableBackends(now, r)
+	if service.Engine != nil && r.Adapter.Adapter != "" {
+		usable = s.rankBackends(r.Adapter, usable, homes)
 	}
-	for _, region := range s.Config.Tables.Regions {
-		if names := table[backendGroup{Region: region, Name: name}]; len(names) > 0 {
-			return hasher.Top(key, names, candidateCount)
+	candidates := make([]selector.Candidate, 0, len(usable))
+	for rank, b := range usable {
+		c := selector.Candidate{Backend: b.Info.ID, Near: b.Info.FailureDomain == s.Self.FailureDomain, Tie: s.random()}
+		if service.Engine != nil {
+			c.Delay = s.engineDelay(now, r, b, service.Engine)
+			if r.Adapter.Adapter != "" {
+				c.Rank = rank
+			}
+		} else {
+			c.Delay = b.plainDelay(now)
 		}
+		candidates = append(candidates, c)
 	}
-	return nil
+	return candidates
 }
 
-// untried returns the first backend server that has not sent the request back; when all have, it starts again.
-func (s *State) untried(r *Request, ordered []string) string {
-	for _, id := range ordered {
-		if !slices.Contains(r.Tried, id) {
-			return id
+// usableBackends returns the backend servers of the request's service that may get it, those that failed it only when there
+// is no other.
+func (s *State) usableBackends(now time.Time, r *Request) []*Backend {
+	var fresh, tried []*Backend
+	for _, id := range sortedKeys(s.Backends) {
+		b := s.Backends[id]
+		if b.Info.Service != r.Service || !s.usable(now, b) {
+			continue
+		}
+		if slices.Contains(r.Tried, id) {
+			tried = append(tried, b)
+			continue
 		}
+		fresh = append(fresh, b)
 	}
-	r.Tried = append(r.Tried[:0], ordered...)
-	return ordered[0]
+	if len(fresh) == 0 && r.Ran == 0 {
+		return tried
+	}
+	return fresh
+}
+
+// rankBackends returns the first count of the backend servers in the rendezvous order of an adapter.
+func (s *State) rankBackends(key AdapterKey, backends []*Backend, count int) []*Backend {
+	hash := hasher.Key(key.Model + "/" + key.Adapter)
+	type scored struct {
+		backend *Backend
+		score   uint64
+	}
+	all := make([]scored, len(backends))
+	for i, b := range backends {
+		all[i] = scored{b, hasher.Score(hash, hasher.NewName(b.Info.ID))}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	ranked := make([]*Backend, 0, count)
+	for i := 0; i < min(count, len(all)); i++ {
+		ranked = append(ranked, all[i].backend)
+	}
+	return ranked
 }
 
-// holderHint returns the host that this host believes to hold a right.
-func (s *State) holderHint(r Right, now time.Time) string {
-	if s.holds(r, now) {
-		return s.Self.HostID
+// Costs of a full batch and of full memory at an engine, and of a failed exchange, in expected time.
+const (
+	slotDelay   = 100 * time.Millisecond
+	memoryDelay = time.Second
+	lossDelay   = time.Second
+	// othersFresh is the age up to which the load that a holder told counts.
+	othersFresh = time.Second
+)
+
+// engineDelay is the expected time to the first piece of an answer from an engine.
+func (s *State) engineDelay(now time.Time, r *Request, b *Backend, engine *cataloguer.Engine) time.Duration {
+	running, tokens, prefill := b.Running, b.Tokens, b.Prefill+s.unkept(now, r, b)
+	if now.Sub(b.OthersAt) < othersFresh {
+		running += b.Others.Running
+		tokens += b.Others.Tokens
+		prefill += b.Others.Prefill
+	}
+	delay := time.Duration(float64(prefill) / s.service(b.Info.Service).PrefillRate * float64(time.Second))
+	if over := running - engine.Slots + 1; over > 0 {
+		delay += time.Duration(over) * slotDelay
 	}
-	if hint, ok := s.HolderHints[r]; ok && now.Before(hint.Until) && !s.unfit(hint.Holder, now) {
-		return hint.Holder
+	if engine.CacheTokens > 0 && tokens+r.Tokens > engine.CacheTokens {
+		delay += memoryDelay
 	}
-	if h, ok := s.Leases.Holdings[r]; ok && h.Holder != "" && !s.unfit(h.Holder, now) {
-		return h.Holder
+	delay += time.Duration(b.Loss * float64(lossDelay))
+	if r.Adapter.Adapter != "" && engine.AdapterSlots > 0 {
+		delay += s.adapterDelay(now, r, b)
+	}
+	return delay
+}
+
+// adapterDelay is the expected time until the adapter can be used.
+func (s *State) adapterDelay(now time.Time, r *Request, b *Backend) time.Duration {
+	p, ok := b.Adapters[r.Adapter]
+	if ok && p.Stage != StageAbsent && p.fresh(now, r.Version) {
+		return max(p.ReadyAt.Sub(now), 0)
+	}
+	return s.loadTime(b, false)
+}
+
+// placeKept is how long this host counts on an adapter's place without a sign of it.
+const placeKept = 10 * time.Second
+
+func (p *Place) fresh(now time.Time, version int64) bool {
+	return now.Sub(p.KnownAt) < placeKept && p.Version >= version
+}
+
+// unkept is the prompt tokens that the backend server has yet to read: all behind the first part that it did not have.
+func (s *State) unkept(now time.Time, r *Request, b *Backend) int {
+	left := r.PromptTokens
+	for _, part := range r.Parts {
+		at, ok := b.Parts[partKey(r, part)]
+		if !ok || now.Sub(at) > partsKept {
+			break
+		}
+		left -= part.Tokens
 	}
-	return s.candidate(r, now)
+	return max(left, 0)
 }
 
-func (s *State) forgetHint(r Right, holder string) {
-	if s.HolderHints[r].Holder == holder {
-		delete(s.HolderHints, r)
+// partKey names a part as a backend server keeps it, for one model and adapter.
+func partKey(r *Request, part Part) string {
+	return r.Adapter.Model + "/" + r.Adapter.Adapter + "/" + part.ID
+}
+
+// plainDelay is the expected time to the answer of a plain service.
+func (b *Backend) plainDelay(now time.Time) time.Duration {
+	busy := b.Running
+	if b.Told.Known && now.Sub(b.ToldAt) < othersFresh {
+		busy = max(busy, b.Told.Running+b.Told.Waiting)
 	}
-	if h, ok := s.Leases.Holdings[r]; ok && h.Holder == holder {
-		h.Holder = ""
+	latency := max(b.Latency, time.Millisecond)
+	delay := latency
+	if slots := max(b.Info.Slots, 1); busy >= slots {
+		delay += latency * time.Duration(busy-slots+1) / time.Duration(slots)
 	}
+	delay += time.Duration(busy) * busyDelay
+	return delay + time.Duration(b.Loss*float64(lossDelay))
+}
+
+// busyDelay spreads requests over backend servers that have free slots alike.
+const busyDelay = 2 * time.Millisecond
+
+// awaitAdapter reports whether the adapter must first be brought to the backend server, as far as this host knows.
+func (s *State) awaitAdapter(now time.Time, r *Request, b *Backend) bool {
+	p, ok := b.Adapters[r.Adapter]
+	return !ok || p.Stage == StageAbsent || !p.fresh(now, r.Version) || now.Before(p.ReadyAt)
 }
 
-func (s *State) setHint(adapter string, replicas int, now time.Time) {
-	if replicas < 2 {
-		delete(s.Hints, adapter)
+// requestAdapter lets a request wait at a backend server for its adapter and asks for it.
+func requestAdapter[P selector.Policy](s *State, now time.Time, r *Request, b *Backend) {
+	p := b.place(r.Adapter)
+	if r.Phase != PhaseLoading || r.Backend != b.Info.ID {
+		s.stopWaiting(r)
+		r.Phase = PhaseLoading
+		r.Backend = b.Info.ID
+		r.WaitSince = now
+		p.Waiting = append(p.Waiting, r.ID)
+		s.Counters.LoadStalls++
+	}
+	if p.Stage != StageAbsent && p.fresh(now, r.Version) && now.Before(p.ReadyAt) {
+		s.wakeAt(p.ReadyAt)
+		return
+	}
+	if now.Sub(p.AskedAt) < wantRepeat {
+		s.wakeAt(p.AskedAt.Add(wantRepeat))
 		return
 	}
-	s.Hints[adapter] = Hint{Replicas: replicas, Until: now.Add(hintFor)}
+	p.AskedAt = now
+	wantAdapter[P](s, now, b.Info.ID, r.Adapter, r.Version)
 }
 
-func (s *State) hintedReplicas(adapter string, now time.Time) int {
-	hint, ok := s.Hints[adapter]
+// receivePlace takes the holder's word on an adapter's place and sends what waits for it.
+func receivePlace[P selector.Policy](s *State, now time.Time, m AdapterPlace) {
+	b, ok := s.Backends[m.Backend]
 	if !ok {
-		return 1
+		return
+	}
+	if m.Stage == StageAbsent || m.Stage == StageUnloading {
+		markAbsent(s, now, b, m.Adapter)
+		return
 	}
-	if now.After(hint.Until) {
-		delete(s.Hints, adapter)
-		return 1
+	p := b.place(m.Adapter)
+	p.Stage = m.Stage
+	p.Version = m.Version
+	p.KnownAt = now
+	p.ReadyAt = now.Add(m.ReadyIn)
+	if m.ReadyIn > 0 {
+		s.wakeAt(p.ReadyAt)
+		return
 	}
-	return hint.Replicas
+	releaseWaiting[P](s, now, p)
 }
 
-// replicasOf returns on how many backend servers the owner wants the request's adapter to be.
-func (s *State) replicasOf(r *Request) int {
-	b, ok := s.Backends[r.Backend]
-	if !ok || r.Adapter.Name == "" {
-		return 0
+// releaseWaiting places the requests that wait for an adapter.
+func releaseWaiting[P selector.Policy](s *State, now time.Time, p *Place) {
+	waiting := slices.Clone(p.Waiting)
+	for _, id := range waiting {
+		if r, ok := s.Requests[id]; ok && r.Phase == PhaseLoading {
+			place[P](s, now, r)
+		}
 	}
-	resident, ok := b.Residents[r.Adapter]
-	if !ok {
-		return 1
+}
+
+// wakeLoaded sends the requests whose adapters have come.
+func wakeLoaded[P selector.Policy](s *State, now time.Time) {
+	for _, id := range sortedKeys(s.Backends) {
+		b, ok := s.Backends[id]
+		if !ok {
+			continue
+		}
+		for _, key := range sortedAdapters(b.Adapters) {
+			p := b.Adapters[key]
+			if p != nil && len(p.Waiting) > 0 && (p.Stage != StageAbsent && !now.Before(p.ReadyAt) || now.Sub(p.AskedAt) >= wantRepeat) {
+				releaseWaiting[P](s, now, p)
+			}
+		}
+	}
+}
+
+// placeWaiting tries to place the requests that wait for room, the most urgent first.
+func placeWaiting[P selector.Policy](s *State, now time.Time) {
+	var queued []*Request
+	for _, id := range sortedKeys(s.Requests) {
+		if r := s.Requests[id]; r.Phase == PhaseQueued && !now.Before(r.RetryAt) {
+			queued = append(queued, r)
+		}
+	}
+	slices.SortStableFunc(queued, func(a, b *Request) int {
+		if a.Priority != b.Priority {
+			return cmp.Compare(a.Priority, b.Priority)
+		}
+		return a.ArrivedAt.Compare(b.ArrivedAt)
+	})
+	for _, r := range queued {
+		if _, ok := s.Requests[r.ID]; ok && r.Phase == PhaseQueued {
+			place[P](s, now, r)
+		}
 	}
-	limit := s.Config.BackendServers[b.ID].MaxRunning
-	return 1 + int(float64(resident.Pins+len(resident.Waiting))/(replicaLoad*float64(limit)))
 }
 
-// locate names the hosts that a caller should use: the owners of the likely backend servers, then others.
-func locate(s *State, now time.Time, e LocateAsked) {
-	answer := LocateAnswer{ReplyID: e.ReplyID, ValidFor: s.Limits.LocateFor, Known: s.Ready}
-	r := &Request{ID: e.ReplyID, Adapter: AdapterKey{Name: e.Model}, Service: e.Service}
-	for _, id := range s.rankBackends(r) {
-		holder := s.holderHint(s.backendRight(s.Config.BackendServers[id]), now)
-		s.addLocated(&answer, holder, now)
+// dispatch sends a request to a backend server.
+func (s *State) dispatch(now time.Time, r *Request, b *Backend, service cataloguer.Service) {
+	if r.Phase == PhaseLoading {
+		s.Counters.LoadStallMillis += uint64(now.Sub(r.WaitSince).Milliseconds())
+		s.stopWaiting(r)
+	}
+	r.Phase = PhaseRunning
+	r.Backend = b.Info.ID
+	r.Attempt++
+	r.SentAt = now
+	r.Prefill = s.unkept(now, r, b)
+	r.Offered = true
+	b.UsedAt = now
+	b.Running++
+	b.Tokens += r.Tokens
+	b.Prefill += r.Prefill
+	for _, part := range r.Parts {
+		b.Parts[partKey(r, part)] = now
 	}
-	names := s.Config.Tables.Candidates[s.Self.Region]
-	for _, id := range hasher.Top(hasher.Mix(s.random()), names, locateCount) {
-		s.addLocated(&answer, id, now)
+	if r.Adapter.Adapter != "" && service.Engine != nil {
+		p := b.place(r.Adapter)
+		p.Running++
+		p.Count++
 	}
-	if service, ok := s.Config.Services[e.Service]; ok && !service.Repeatable && s.Ready {
-		answer.Permit = s.newPermit(now)
+	s.Counters.Dispatches++
+	s.note(EventRequestSent, s.requestFields(now, r, intField("running", b.Running), intField("others_running", b.Others.Running),
+		intField("prefill_tokens", r.Prefill), msField("confirmed_age_ms", now.Sub(s.Watch.ConfirmedAt)))...)
+	s.emit(Dispatch{
+		ID: r.ID, Attempt: r.Attempt, Backend: b.Info.ID, Address: b.Info.Address, Account: r.Account, Priority: -1,
+		Version: r.Version, Stream: r.Route.Repeat == cataloguer.RepeatStream, Resumable: r.Route.Resumable,
+		Deadline: r.Deadline, SilentAfter: s.silentAfter(r, b), GapAfter: s.gapAfter(r), Connections: s.connections(now, service),
+	})
+}
+
+// connections is this host's part of the connections that a backend server accepts.
+func (s *State) connections(now time.Time, service cataloguer.Service) int {
+	if service.MaxConnections <= 0 {
+		return 0
 	}
-	s.emit(answer)
+	return max(service.MaxConnections*connectionPercent/100/max(len(s.memberHosts(now)), 1), 2)
 }
 
-// locateCount is the number of hosts in an answer.
-const locateCount = 3
+// connectionPercent leaves room for the connections of hosts that this host does not know yet.
+const connectionPercent = 80
 
-func (s *State) addLocated(answer *LocateAnswer, id string, now time.Time) {
-	h, ok := s.Config.Hosts[id]
-	full := len(answer.Hosts) >= locateCount
-	if !ok || full || s.unfit(id, now) || s.Config.withdrawn(h.FailureDomain) || slices.Contains(answer.Hosts, id) {
-		return
+// silentAfter bounds the wait for the first sign of an answer to a request that may run again.
+func (s *State) silentAfter(r *Request, b *Backend) time.Duration {
+	if !s.mayRepeat(r) || r.Ran+1 >= r.Route.MaxAttempts {
+		return 0
 	}
-	if s.Config.LiveKnown && !s.Config.Live[id] {
-		return
+	return max(r.Route.Target/2, silentLatencies*b.Latency)
+}
+
+// gapAfter bounds the pauses in a stream that another backend server may continue.
+func (s *State) gapAfter(r *Request) time.Duration {
+	if r.Route.Repeat != cataloguer.RepeatStream || !r.Route.Resumable || r.Ran+1 >= r.Route.MaxAttempts {
+		return 0
 	}
-	answer.Hosts = append(answer.Hosts, id)
-	answer.Addresses = append(answer.Addresses, h.Address)
+	return max(2*r.Route.GapTarget, leastGap)
 }
+
+// leastGap is the least pause after which a stream is taken as broken off.
+const leastGap = time.Second
+
+// silentLatencies is the number of usual latencies after which a request that may run again is tried elsewhere.
+const silentLatencies = 6
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -1,419 +1,365 @@
 package reducer
 
 import (
-	"sort"
+	"slices"
 	"time"
 
-	"github.com/redwingpick/redwingpick/internal/limiter"
 	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
-const (
-	// overdueAfter is how long past its deadline a forwarded request may stay without a word from its owner.
-	overdueAfter = 2 * time.Second
-	// stopAfter is how long a host whose failure domain was withdrawn still takes requests from callers.
-	stopAfter = 5 * time.Second
-	// retryShare is the number of retries that each request adds to the retry budgets.
-	retryShare = 0.2
-	// retryBurst is the most retries that a budget saves up; it covers what runs on one failing backend server.
-	retryBurst = 100
-	// quickTries is the number of tries that a redirected request makes without a delay.
-	quickTries = 3
-	// ownerTries is the number of tries after which another backend server is tried in place of one without an owner.
-	ownerTries = 5
-)
-
-// arrive admits a request: it authenticates and charges what comes from a caller and queues what a host sent on.
+// arrive admits a request or refuses it.
 func arrive[P selector.Policy](s *State, now time.Time, e RequestArrived) {
-	if _, doubled := s.Requests[e.ID]; doubled {
-		return
-	}
 	s.Counters.RequestsArrived++
-	r := newRequest(s, now, e)
-	s.Requests[e.ID] = r
-	if e.Forwarded {
-		admitForwarded[P](s, now, r, e)
+	r := &Request{
+		ID: e.ID, CallerID: e.CallerID, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: now,
+		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts, Resumed: e.ResumeAfter != "",
+		Phase: PhaseQueued, WaitSince: now,
+	}
+	if s.Documents.Catalogue == nil {
+		refuse(s, now, r, ReasonNoCatalogue, refusedRetryWait)
 		return
 	}
-	if reason := s.admission(now); reason != ReasonNone {
-		refuse(s, r, OutcomeNotRun, reason, time.Second)
+	route, ok := s.Documents.Catalogue.Find(e.HostName, e.Path)
+	if !ok {
+		refuse(s, now, r, ReasonNoRoute, 0)
 		return
 	}
-	if reason := s.authenticate(r, e); reason != ReasonNone {
-		refuse(s, r, OutcomeNotRun, reason, 0)
+	r.Route = route
+	name, known := s.Documents.Keys[e.Key]
+	if !known && !route.Open && len(s.Documents.Accounts) > 0 {
+		refuse(s, now, r, ReasonNoKey, 0)
 		return
 	}
-	s.addRetryBudget("account/"+r.Account, now)
-	takeTokens[P](s, now, r)
-}
-
-func newRequest(s *State, now time.Time, e RequestArrived) *Request {
-	deadline := now.Add(s.Limits.RequestTimeout)
-	if !e.Deadline.IsZero() && e.Deadline.Before(deadline) {
-		deadline = e.Deadline
-	}
-	return &Request{
-		ID:           e.ID,
-		KeyDigest:    e.KeyDigest,
-		Service:      e.Service,
-		Permit:       e.Permit,
-		Forwarded:    e.Forwarded,
-		From:         e.From,
-		ArrivedAt:    now,
-		Deadline:     deadline,
-		Attempt:      e.Attempt,
-		PromptTokens: e.PromptTokens,
+	r.Account = name
+	r.Priority = route.Priority
+	if known {
+		account := s.Documents.Accounts[name]
+		if account.Priority >= 0 {
+			r.Priority = account.Priority
+		}
+		if taken, wait := charge(s, now, account, r.Tokens); !taken {
+			refuse(s, now, r, ReasonOverRate, max(wait, refusedRetryWait))
+			return
+		}
 	}
+	r.Deadline = now.Add(timeLeft(e, route))
+	r.Service = s.pickService(route)
+	r.Version = s.Documents.Versions[r.Adapter]
+	s.earnRetry(now, r.Service)
+	s.Requests[r.ID] = r
+	place[P](s, now, r)
 }
 
-// admission returns why this host takes no request from callers now, or ReasonNone.
-func (s *State) admission(now time.Time) Reason {
-	switch {
-	case s.Draining.Active && now.Sub(s.Draining.Since) >= s.Limits.LocateFor:
-		return ReasonStopped
-	case !s.Ready && !s.Draining.Active:
-		return ReasonNotReady
-	case s.isolated(now):
-		return ReasonIsolated
-	case s.Config.withdrawn(s.Self.FailureDomain) && now.Sub(s.WithdrawnAt) >= stopAfter:
-		return ReasonStopped
-	}
-	return ReasonNone
+// timeLeft is how long the caller may be kept waiting.
+func timeLeft(e RequestArrived, route cataloguer.Route) time.Duration {
+	if e.TimeLeft <= 0 || route.Timeout > 0 && route.Timeout < e.TimeLeft {
+		return route.Timeout
+	}
+	return e.TimeLeft
 }
 
-// authenticate finds the client account behind the key and checks that it may use the adapter or service.
-func (s *State) authenticate(r *Request, e RequestArrived) Reason {
-	account, known := s.Config.Keys[e.KeyDigest]
-	if e.KeyDigest != "" && !known {
-		return ReasonUnauthorized
-	}
-	r.Account = account
-	if e.Service != "" {
-		return s.authenticateService(r, e)
-	}
-	adapter, ok := s.Config.Adapter(e.Model)
-	if !ok {
-		return ReasonUnknownModel
-	}
-	if reason := mayUse(account, adapter.Owner, adapter.Open); reason != ReasonNone {
-		return reason
+// pickService draws one of the route's services by weight.
+func (s *State) pickService(route cataloguer.Route) string {
+	total := 0.0
+	for _, share := range route.Split {
+		total += share.Weight
+	}
+	drawn := float64(s.random()>>11) / (1 << 53) * total
+	for _, share := range route.Split {
+		drawn -= share.Weight
+		if drawn < 0 {
+			return share.Service
+		}
 	}
-	if e.MaxTokens > adapter.MaxTokens {
-		return ReasonTooLarge
+	if len(route.Split) == 0 {
+		return ""
 	}
-	r.Open = adapter.Open
-	r.Adapter = AdapterKey{Name: adapter.Name, Version: adapter.Version}
-	r.Class = int(classNumber(adapter.Class))
-	r.Tokens = float64(e.PromptTokens + e.MaxTokens)
-	r.Repeatable = true
-	return ReasonNone
+	return route.Split[len(route.Split)-1].Service
 }
 
-func (s *State) authenticateService(r *Request, e RequestArrived) Reason {
-	service, ok := s.Config.Services[e.Service]
-	if !ok {
-		return ReasonUnknownModel
-	}
-	if reason := mayUse(r.Account, service.Owner, service.Open); reason != ReasonNone {
-		return reason
-	}
-	r.Open = service.Open
-	r.Repeatable = service.Repeatable
-	r.Tokens = float64(service.CallTokens)
-	return ReasonNone
+// refuse ends a request with an answer of this host.
+func refuse(s *State, now time.Time, r *Request, reason Reason, retryAfter time.Duration) {
+	s.Counters.RefusedByReason[reason]++
+	s.note(EventRequestRefused, s.requestFields(now, r, Field{"reason", reason.String()}, boolField("may_have_run", r.Ran > 0),
+		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastWhy.String()})...)
+	s.emit(Refuse{ID: r.ID, Reason: reason, MayHaveRun: r.Ran > 0, RetryAfter: retryAfter})
+	s.endRequest(now, r)
 }
 
-// mayUse checks the account against the owner; a service without an owner is for every account.
-func mayUse(account, owner string, open bool) Reason {
-	switch {
-	case open:
-		return ReasonNone
-	case account == "":
-		return ReasonUnauthorized
-	case owner != "" && owner != account:
-		return ReasonForbidden
-	}
-	return ReasonNone
+// requestFields are the fields that each line of a request bears.
+func (s *State) requestFields(now time.Time, r *Request, more ...Field) []Field {
+	fields := []Field{{"request", r.CallerID}, {"route", r.Route.Name}, msField("age_ms", now.Sub(r.ArrivedAt)), {"backend_server", r.Backend},
+		{"adapter", r.Adapter.Adapter}, {"account", r.Account}, intField("attempt", r.Attempt)}
+	return append(fields, more...)
 }
 
-// charged goes on with a request whose tokens are paid.
-func charged[P selector.Policy](s *State, now time.Time, r *Request) {
-	if r.Repeatable || r.Permit == "" {
-		place[P](s, now, r)
-		return
-	}
-	askPermit[P](s, now, r)
+// endRequest forgets a request and takes it out of everything that counts it.
+func (s *State) endRequest(now time.Time, r *Request) {
+	s.leaveBackend(now, r)
+	s.stopWaiting(r)
+	delete(s.Requests, r.ID)
 }
 
-// admitForwarded queues a request that another host has authenticated and charged.
-func admitForwarded[P selector.Policy](s *State, now time.Time, r *Request, e RequestArrived) {
-	r.Account = e.Account
-	r.Adapter = AdapterKey{Name: e.Model, Version: e.Version}
-	r.Backend = e.Backend
-	r.Tokens = float64(e.PromptTokens + e.MaxTokens)
-	r.Repeatable = e.Service == "" || s.Config.Services[e.Service].Repeatable
-	if adapter, ok := s.Config.Adapter(e.Model); ok {
-		r.Class = int(classNumber(adapter.Class))
-	}
-	b, ok := s.Config.BackendServers[e.Backend]
-	if !ok || !s.holds(s.backendRight(b), now) {
-		s.giveBack(r, ReasonNotOwner, s.notOwnerHint(b, now))
+// stopWaiting takes a request out of those that wait for an adapter.
+func (s *State) stopWaiting(r *Request) {
+	b, ok := s.Backends[r.Backend]
+	if !ok || r.Phase != PhaseLoading {
 		return
 	}
-	enqueue[P](s, now, r, s.Backends[e.Backend])
-}
-
-func (s *State) notOwnerHint(b cataloguer.BackendServer, now time.Time) string {
-	seekOrphan(s, now, s.backendRight(b))
-	holder := s.holderHint(s.backendRight(b), now)
-	if holder == s.Self.HostID {
-		return ""
+	if p, ok := b.Adapters[r.Adapter]; ok {
+		p.Waiting = slices.DeleteFunc(p.Waiting, func(id string) bool { return id == r.ID })
 	}
-	return holder
 }
 
-// giveBack returns a forwarded request, which has not run, to the host that sent it.
-func (s *State) giveBack(r *Request, reason Reason, holder string) {
-	s.emit(Refuse{ID: r.ID, Outcome: OutcomeNotRun, Reason: reason, Holder: holder, Replicas: s.replicasOf(r)})
-	delete(s.Requests, r.ID)
+// abandon ends a request whose caller is gone.
+func abandon(s *State, now time.Time, e RequestAbandoned) {
+	r, ok := s.Requests[e.ID]
+	if !ok {
+		return
+	}
+	s.Counters.RequestsAbandoned++
+	s.note(EventRequestLeft, s.requestFields(now, r)...)
+	s.endRequest(now, r)
 }
 
-// forwardEnded follows the answer of the host that a request was sent on to.
-func forwardEnded[P selector.Policy](s *State, now time.Time, e ForwardEnded) {
+// answerBegan notes the first piece of an answer.
+func answerBegan(s *State, now time.Time, e AnswerBegan) {
 	r, ok := s.Requests[e.ID]
-	if !ok || r.Phase != PhaseForwarded {
+	if !ok || r.Phase != PhaseRunning || r.Attempt != e.Attempt {
 		return
 	}
-	if e.Replicas > 0 && r.Adapter.Name != "" {
-		s.setHint(r.Adapter.Name, e.Replicas, now)
+	r.Phase = PhaseAnswering
+	b, ok := s.Backends[r.Backend]
+	if !ok {
+		return
 	}
-	switch {
-	case e.Outcome == OutcomeDone:
-		finish(s, r, e.Tokens)
-	case e.Outcome == OutcomeNotRun:
-		s.learnFromRefusal(now, r, e)
-		if e.Reason == ReasonConnection {
-			e.Reason = ReasonOwnerLost
-		}
-		retry[P](s, now, r, OutcomeNotRun, e.Reason)
-	default:
-		if e.Reason == ReasonConnection {
-			s.suspect(e.To, now)
-			e.Reason = ReasonOwnerLost
-		}
-		retryUnknown[P](s, now, r, e.Reason, e.Tokens)
+	if p, ok := b.Adapters[r.Adapter]; ok && p.Stage != StageAbsent {
+		p.Stage = StageReady
+		p.KnownAt = now
 	}
+	b.learnLatency(e.After)
+	s.learnPrefill(b, r, e.After)
+	b.Prefill -= r.Prefill
+	r.Prefill = 0
 }
 
-func (s *State) learnFromRefusal(now time.Time, r *Request, e ForwardEnded) {
-	right := s.backendRight(s.Config.BackendServers[r.Backend])
-	switch e.Reason {
-	case ReasonNotOwner:
-		s.forgetHint(right, e.To)
-		if e.Holder != "" && e.Holder != e.To {
-			s.HolderHints[right] = HolderHint{Holder: e.Holder, Until: now.Add(s.Limits.SuspectFor)}
-		}
-		if r.Attempt >= ownerTries {
-			r.Tried = append(r.Tried, r.Backend)
-		}
-	case ReasonConnection:
-		s.suspect(e.To, now)
-		s.forgetHint(right, e.To)
-	default:
-		r.Tried = append(r.Tried, r.Backend)
-	}
-}
+// latencyWeight is the weight of a new sample in a running mean.
+const latencyWeight = 0.1
 
-// retry places a request again that has certainly not run, or refuses it when its tries are used up.
-func retry[P selector.Policy](s *State, now time.Time, r *Request, outcome Outcome, reason Reason) {
-	r.Attempt++
-	spent := costsBudget(reason) && !s.takeRetryBudget(r, now)
-	if !retriable(reason) || spent || r.Attempt >= s.Limits.MaxAttempts {
-		refuse(s, r, outcome, reason, time.Second)
+func (b *Backend) learnLatency(took time.Duration) {
+	if b.Latency == 0 {
+		b.Latency = took
 		return
 	}
-	s.Counters.Retries++
-	if r.Attempt < quickTries && (reason == ReasonSpill || reason == ReasonNotOwner) {
-		place[P](s, now, r)
-		return
-	}
-	s.delay(now, r)
+	b.Latency += time.Duration(latencyWeight * float64(took-b.Latency))
 }
 
-func (s *State) delay(now time.Time, r *Request) {
-	r.Phase = PhaseBackoff
-	r.RetryAt = now.Add(s.backoff(min(r.Attempt, 5)))
-}
+// smallPrefill is the least prompt tokens from which the reading rate of a backend server can be told.
+const smallPrefill = 1500
 
-// retryUnknown repeats an idempotent request; the answer of an engine goes on where the caller's part of it ends.
-func retryUnknown[P selector.Policy](s *State, now time.Time, r *Request, reason Reason, delivered int) {
-	r.MayHaveRun = true
-	cut := r.Service != "" && delivered > 0
-	if !r.Repeatable || cut || reason == ReasonCancelled || reason == ReasonKeyWithdrawn {
-		refuse(s, r, OutcomeUnknown, reason, 0)
+// learnPrefill takes the reading rate from a request that had to itself what there was to read.
+func (s *State) learnPrefill(b *Backend, r *Request, took time.Duration) {
+	if r.Prefill < smallPrefill || b.Prefill > r.Prefill || b.Others.Prefill > 0 || took <= 0 {
 		return
 	}
-	retry[P](s, now, r, OutcomeUnknown, reason)
+	v := s.service(b.Info.Service)
+	v.PrefillRate += latencyWeight * (float64(r.Prefill)/took.Seconds() - v.PrefillRate)
 }
 
-func retriable(reason Reason) bool {
-	switch reason {
-	case ReasonNotOwner, ReasonOverloaded, ReasonSpill, ReasonBackendFailed, ReasonConnection, ReasonStopped, ReasonNoBackend, ReasonNotLoaded, ReasonOwnerLost:
-		return true
+// dispatchEnded ends the request or decides how it goes on.
+func dispatchEnded[P selector.Policy](s *State, now time.Time, e DispatchEnded) {
+	s.Counters.ForeignAnswers += uint64(e.Foreign)
+	r, ok := s.Requests[e.ID]
+	if !ok || r.Attempt != e.Attempt {
+		return
 	}
-	return false
-}
-
-func costsBudget(reason Reason) bool {
-	return reason == ReasonBackendFailed || reason == ReasonConnection
+	b, known := s.Backends[e.Backend]
+	if known {
+		s.learnOutcome(now, b, r, e)
+	}
+	s.leaveBackend(now, r)
+	if !e.Outcome.NotRun() {
+		r.Ran++
+	}
+	if e.Outcome == OutcomeDone {
+		s.Counters.RequestsDone++
+		s.note(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
+		s.endRequest(now, r)
+		return
+	}
+	s.note(EventRequestRetried, s.requestFields(now, r, Field{"outcome", e.Outcome.String()}, intField("status", e.Status),
+		msField("took_ms", e.Took), boolField("delivered", e.Delivered))...)
+	goOn[P](s, now, r, e)
 }
 
-func (s *State) addRetryBudget(key string, now time.Time) {
-	s.retryBudget(key, now).Level = min(s.retryBudget(key, now).Level+retryShare, retryBurst)
+// leaveBackend takes a request off the counts of its backend server.
+func (s *State) leaveBackend(now time.Time, r *Request) {
+	if r.Phase != PhaseRunning && r.Phase != PhaseAnswering {
+		return
+	}
+	r.Phase = PhaseQueued
+	r.WaitSince = now
+	b, ok := s.Backends[r.Backend]
+	if !ok || b.SeenAt.After(r.SentAt) {
+		return
+	}
+	b.Running--
+	b.Tokens -= r.Tokens
+	b.Prefill -= r.Prefill
+	r.Prefill = 0
+	if p, ok := b.Adapters[r.Adapter]; ok {
+		p.Running--
+	}
 }
 
-func (s *State) retryBudget(key string, now time.Time) *limiter.Bucket {
-	b, ok := s.RetryBudgets[key]
-	if !ok {
-		b = &limiter.Bucket{Level: retryBurst, Burst: retryBurst, UpdatedAt: now}
-		s.RetryBudgets[key] = b
+// learnOutcome takes what an exchange tells of the backend server.
+func (s *State) learnOutcome(now time.Time, b *Backend, r *Request, e DispatchEnded) {
+	if e.Load.Known {
+		b.Told = e.Load
+		b.ToldAt = now
+	}
+	switch e.Outcome {
+	case OutcomeDone, OutcomeFailed:
+		s.works(b)
+	case OutcomeNotSent, OutcomeBroken, OutcomeSilent:
+		s.fails(now, b, 1)
+	case OutcomeFull:
+		s.fails(now, b, fullWeight)
+	case OutcomeMisdirected:
+		b.EjectedUntil = later(b.EjectedUntil, now.Add(misdirectedPause))
+	case OutcomeAbsent:
+		s.adapterMissing(now, b, r)
 	}
-	return b
 }
 
-// takeRetryBudget takes one retry from the budgets of the client account and of the backend server.
-func (s *State) takeRetryBudget(r *Request, now time.Time) bool {
-	account := s.retryBudget("account/"+r.Account, now)
-	server := s.retryBudget("backend/"+r.Backend, now)
-	if account.Level < 1 || server.Level < 1 {
-		return false
+// fullWeight is what a refusal for lack of room counts as a failure, and misdirectedPause how long a backend server is left
+// alone whose address another one has.
+const (
+	fullWeight       = 0.5
+	misdirectedPause = time.Second
+)
+
+// adapterMissing notes that an adapter is not there; shortly after its load was expected to end, it is still on its way.
+func (s *State) adapterMissing(now time.Time, b *Backend, r *Request) {
+	p := b.place(r.Adapter)
+	if p.Stage != StageAbsent && !p.ReadyAt.IsZero() && now.Sub(p.ReadyAt) < loadOverrun {
+		p.Stage = StageLoading
+		p.ReadyAt = now.Add(retryPause)
+		v := s.service(b.Info.Service)
+		v.LoadTime = min(v.LoadTime+loadTimeStep, loadTimeMost)
+		return
 	}
-	account.Level--
-	server.Level--
-	return true
+	markAbsent(s, now, b, r.Adapter)
+	b.place(r.Adapter).KnownAt = now
 }
 
-// finish ends a request that has its whole answer.
-func finish(s *State, r *Request, tokens int) {
-	s.Counters.RequestsDone++
-	s.addRetryBudget("backend/"+r.Backend, r.ArrivedAt)
-	used := r.PromptTokens + tokens
-	if r.Service != "" {
-		used = int(r.Charged)
-	}
-	refund(s, r, used)
-	delete(s.Requests, r.ID)
-}
+// Bounds of learning how long a load takes.
+const (
+	loadOverrun  = 1500 * time.Millisecond
+	loadTimeStep = 10 * time.Millisecond
+	loadTimeMost = 3 * time.Second
+)
 
-// refuse ends a request with a typed refusal; what has not run is refunded.
-func refuse(s *State, r *Request, outcome Outcome, reason Reason, after time.Duration) {
-	if r.MayHaveRun {
-		outcome = OutcomeUnknown
+// goOn decides what becomes of a request whose last attempt failed.
+func goOn[P selector.Policy](s *State, now time.Time, r *Request, e DispatchEnded) {
+	if e.Delivered && !r.Route.Resumable {
+		s.Counters.RequestsFailed++
+		refuse(s, now, r, ReasonBroken, 0)
+		return
 	}
-	s.Counters.RefusedByReason[reason]++
-	if reason == ReasonOverRate {
-		s.wallet(r.Account).Refused++
+	if !e.Outcome.NotRun() && !s.mayRepeat(r) {
+		s.giveUp(now, r, e)
+		return
 	}
-	if outcome == OutcomeNotRun {
-		s.Counters.RequestsNotRun++
-		refund(s, r, 0)
-	} else {
-		s.Counters.RequestsUnknown++
+	if e.Outcome != OutcomeNotSent && !s.spendRetry(now, r.Service) {
+		r.LastWhy = ReasonRetriesSpent
+		s.giveUp(now, r, e)
+		return
 	}
-	s.emit(Refuse{ID: r.ID, Outcome: outcome, Reason: reason, RetryAfter: after, Replicas: s.replicasOf(r)})
-	delete(s.Requests, r.ID)
+	if e.Outcome != OutcomeAbsent && !slices.Contains(r.Tried, e.Backend) {
+		r.Tried = append(r.Tried, e.Backend)
+	}
+	s.Counters.Retries++
+	if e.Outcome == OutcomeFull {
+		r.RetryAt = now.Add(s.jitter(retryPause))
+		s.wakeAt(r.RetryAt)
+		return
+	}
+	place[P](s, now, r)
 }
 
-// detach takes a request out of the list or queue in which it waits.
-func (s *State) detach(r *Request) {
-	switch r.Phase {
-	case PhaseTokens:
-		w := s.wallet(r.Account)
-		w.Waiting = without(w.Waiting, r.ID)
-	case PhaseWaiting, PhaseQueued:
-		if b, ok := s.Backends[r.Backend]; ok {
-			b.remove(r)
-		}
+// mayRepeat reports whether a request that may have run may run again.
+func (s *State) mayRepeat(r *Request) bool {
+	if r.Ran >= r.Route.MaxAttempts {
+		return false
 	}
+	return r.Route.Repeat == cataloguer.RepeatSafe || r.Route.Repeat == cataloguer.RepeatStream && r.Route.Resumable
 }
 
-func without(list []string, id string) []string {
-	kept := make([]string, 0, len(list))
-	for _, l := range list {
-		if l != id {
-			kept = append(kept, l)
-		}
+// giveUp ends a request with the best true answer: the backend server's own failure, or this host's.
+func (s *State) giveUp(now time.Time, r *Request, e DispatchEnded) {
+	s.Counters.RequestsFailed++
+	if e.Outcome == OutcomeFailed {
+		s.note(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
+		s.emit(Deliver{ID: r.ID})
+		s.endRequest(now, r)
+		return
+	}
+	if e.Outcome.NotRun() {
+		refuse(s, now, r, reasonOf(e.Outcome), refusedRetryWait)
+		return
 	}
-	return kept
+	refuse(s, now, r, ReasonBroken, 0)
 }
 
-// abandon ends a request whose caller is gone.
-func abandon[P selector.Policy](s *State, now time.Time, e RequestAbandoned) {
-	r, ok := s.Requests[e.ID]
-	if !ok {
-		return
+func reasonOf(outcome Outcome) Reason {
+	switch outcome {
+	case OutcomeFull:
+		return ReasonFull
+	case OutcomeAbsent:
+		return ReasonNotLoaded
 	}
-	end[P](s, now, r, ReasonCancelled)
+	return ReasonNoBackend
 }
 
-// end stops a request in whatever phase it is; one that may have run ends with an unknown outcome.
-func end[P selector.Policy](s *State, now time.Time, r *Request, reason Reason) {
-	switch r.Phase {
-	case PhaseRunning:
-		s.emit(Cancel{ID: r.ID, Reason: reason})
-	case PhaseForwarded:
-		s.emit(Cancel{ID: r.ID, Reason: reason})
-	default:
-		s.endStall(now, r)
-		s.detach(r)
-		refuse(s, r, OutcomeNotRun, reason, 0)
-		pumpAll[P](s, now)
+// earnRetry counts a request towards the repeats that its service bears.
+func (s *State) earnRetry(now time.Time, service string) {
+	b := &s.service(service).Retries
+	burst := max(s.Limits.RetrySlack*retrySlackShare/float64(len(s.memberHosts(now))), 1)
+	if b.Burst == 0 {
+		b.Level = burst
 	}
+	b.Burst = burst
+	b.Level = min(b.Level+s.Limits.RetryRatio, burst)
 }
 
-// withdrawKeys ends the requests whose key is no longer in the catalogue; calls that may not be repeated run on.
-func withdrawKeys[P selector.Policy](s *State, now time.Time) {
-	for _, id := range sortedKeys(s.Requests) {
-		r := s.Requests[id]
-		if r == nil || r.Forwarded || r.KeyDigest == "" || s.Config.Keys[r.KeyDigest] == r.Account {
-			continue
-		}
-		if !r.Repeatable && (r.Phase == PhaseRunning || r.Phase == PhaseForwarded) {
-			continue
-		}
-		s.Counters.RequestsEndedKeys++
-		end[P](s, now, r, ReasonKeyWithdrawn)
+func (s *State) spendRetry(_ time.Time, service string) bool {
+	b := &s.service(service).Retries
+	if b.Level < 1 {
+		return false
 	}
+	b.Level--
+	return true
 }
 
-// expireRequests refuses what is past its deadline and places again what has waited out its delay.
-func expireRequests[P selector.Policy](s *State, now time.Time) {
-	for _, id := range s.requestIDs() {
-		r, ok := s.Requests[id]
-		if !ok {
-			continue
-		}
-		switch {
-		case r.Phase == PhaseRunning:
-		case r.Phase == PhaseForwarded && now.After(r.Deadline.Add(overdueAfter)):
-			s.emit(Cancel{ID: r.ID, Reason: ReasonDeadline})
-		case r.Phase == PhaseForwarded:
-		case now.After(r.Deadline):
-			end[P](s, now, r, ReasonDeadline)
-		case r.Phase == PhaseBackoff && !now.Before(r.RetryAt):
-			place[P](s, now, r)
-		case r.Phase == PhasePermit && !now.Before(r.RetryAt):
-			repeatPermit(s, now, r)
+// tickRequests ends requests whose time is over and places those that wait.
+func tickRequests[P selector.Policy](s *State, now time.Time) {
+	for _, id := range sortedKeys(s.Requests) {
+		if r, ok := s.Requests[id]; ok && !now.Before(r.Deadline) {
+			expire(s, now, r)
 		}
 	}
+	wakeLoaded[P](s, now)
+	placeWaiting[P](s, now)
 }
 
-func (s *State) requestIDs() []string {
-	ids := make([]string, 0, len(s.Requests))
-	for id := range s.Requests {
-		ids = append(ids, id)
+// expire gives the final answer at the end of the time that the caller may be kept waiting.
+func expire(s *State, now time.Time, r *Request) {
+	if r.Phase == PhaseRunning || r.Phase == PhaseAnswering {
+		r.Ran++
+		s.emit(Cancel{ID: r.ID, Reason: ReasonTimeout})
 	}
-	sort.Strings(ids)
-	return ids
+	s.Counters.RequestsFailed++
+	refuse(s, now, r, ReasonTimeout, refusedRetryWait)
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -5,268 +5,257 @@
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/limiter"
-	"github.com/redwingpick/redwingpick/internal/queuer"
 	"github.com/redwingpick/redwingpick/internal/selector"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // State is all that one host knows; only Reduce changes it.
 type State struct {
-	Self         Self
-	Limits       Limits
-	Random       uint64
-	Config       Config
-	Peers        map[string]*Peer
-	Leases       Leases
-	Wallets      map[string]*Wallet
-	Backends     map[string]*Backend
-	Notes        map[string]KeptNote
-	Stores       map[string]*Store
-	Wants        Wants
-	Requests     map[string]*Request
-	Permits      Permits
-	Hints        map[string]Hint
-	HolderHints  map[Right]HolderHint
-	RetryBudgets map[string]*limiter.Bucket
-	// WithdrawnAt is when this host learned that its failure domain was withdrawn.
-	WithdrawnAt time.Time
-	Watch       Watch
-	Ready       bool
-	Draining    Draining
-	Counters    Counters
+	Self      Self
+	Limits    Limits
+	Random    uint64
+	Hosts     map[string]*Host
+	Documents Documents
+	Accounts  map[string]*Account
+	Keepers   map[string]*Keeper
+	Services  map[string]*Service
+	Backends  map[string]*Backend
+	Rights    map[string]*Right
+	Promises  map[string]*Promise
+	Requests  map[string]*Request
+	Watch     Watch
+	Gossip    Gossip
+	Ready     bool
+	Draining  Draining
+	Counters  Counters
 
 	effects []Effect
 	outbox  map[string][]Message
 	order   []string
+	wake    time.Time
 }
 
 // Self is the identity of this host, from its settings.
 type Self struct {
 	HostID        string
 	Incarnation   uint64
+	Address       string
+	PeerAddress   string
 	FailureDomain string
 	Region        string
 	StartedAt     time.Time
 	Seeds         []string
 }
 
-// Peer is what this host knows about another host at first hand.
-type Peer struct {
-	Incarnation  uint64
-	SuspectUntil time.Time
-	Leaving      bool
-	// AckedDigests holds, for each anchor, the digest of the list of rights that the peer has acknowledged.
-	AckedDigests map[string]uint64
+// Host is what this host knows of another one.
+type Host struct {
+	Record HostRecord
+	// HeardAt is when the host's beat last grew.
+	HeardAt time.Time
+	// FailedAt is when an envelope to the host last could not be delivered.
+	FailedAt time.Time
+	// Revision is the newest revision that the host has told of.
+	Revision int64
+	// LeaseReplyAt is when the host last answered a request for votes.
+	LeaseReplyAt time.Time
+}
+
+// Gossip is the state of telling other hosts about hosts.
+type Gossip struct {
+	Beat   uint64
+	NextAt time.Time
+	SeedAt time.Time
+}
+
+// Documents is what has been published, as far as this host has read it.
+type Documents struct {
+	// Revision is the platform's revision up to which this host has read, itself or through peers.
+	Revision int64
+	// Relayed is the highest revision of a change that other hosts need to know.
+	Relayed int64
+	// PrunedAt is the highest revision of a removed item that has been forgotten.
+	PrunedAt  int64
+	Items     map[string]*Item
+	Catalogue *cataloguer.Catalogue
+	Keys      map[string]string
+	Accounts  map[string]cataloguer.Account
+	Services  map[string]cataloguer.Service
+	Withdrawn map[string]bool
+	Versions  map[AdapterKey]int64
+}
+
+// Item is one document with the time at which this host learned of it.
+type Item struct {
+	Document cataloguer.Document
+	LearntAt time.Time
+}
+
+// AdapterKey names an adapter of a model; Adapter is empty for the model itself.
+type AdapterKey struct {
+	Model   string
+	Adapter string
 }
 
-// Kind tells what a right is about.
-type Kind uint8
+// Stage tells how far an adapter is resident on a backend server.
+type Stage uint8
 
-// Kinds of right.
+// Stages of residency.
 const (
-	KindHost Kind = iota + 1
-	KindBackend
-	KindAccount
-	KindStore
+	// StageAbsent is an adapter that the backend server does not hold.
+	StageAbsent Stage = iota
+	// StageLoading is an adapter on its way to the backend server.
+	StageLoading
+	// StageReady is an adapter that requests can use.
+	StageReady
+	// StageUnloading is an adapter that leaves once its requests have ended.
+	StageUnloading
 )
 
-// Right is something that at most one host may hold at a time.
-type Right struct {
-	Kind   Kind
-	Name   string
-	Region string
-}
-
-// Leases is the rights that this host holds or seeks, and the promises that it has made as a voter.
-type Leases struct {
-	Holdings map[Right]*Holding
-	Promises map[Right]*Promise
-	Groups   map[groupKey]*group
-	Wanted   map[Right]bool
-	// Vacant holds the rights that a voter has offered, with the time until which the offer stands.
-	Vacant    map[Right]time.Time
-	RenewedAt time.Time
-}
-
-// Holding is a right that this host holds or seeks.
-type Holding struct {
-	Anchor    string
-	Voters    []string
-	OldVoters []string
-	Backed    map[string]time.Duration
-	// SoughtAt is the time since the start at which this host began to ask; older replies do not count.
-	SoughtAt   time.Duration
-	ValidUntil time.Time
-	HeldSince  time.Time
-	Term       uint64
-	// Holder is the host that voters named when they refused.
-	Holder    string
-	ClaimedAt time.Time
-	Handover  *LeaseHandover
-	// HandoverAt is when the handover came.
-	HandoverAt time.Time
-	// SilentUntil is the time before which the rights of a former holder may still be in use.
-	SilentUntil time.Time
-	Account     *Keeper
-}
-
-// Promise is the backing that this host, as a voter, has given a holder.
-type Promise struct {
-	Holder      string
-	Incarnation uint64
-	Until       time.Time
-	Term        uint64
-	// SentAt is the holder's time at its last request that was backed.
-	SentAt  time.Duration
-	Offered time.Time
-	// Offers counts the offers since the holder went silent.
-	Offers int
+var stageNames = [...]string{"absent", "loading", "ready", "unloading"}
+
+// String returns the stage's name in logs.
+func (s Stage) String() string { return stageNames[s] }
+
+// Account is the use of one client account on this host.
+type Account struct {
+	Bucket limiter.Bucket
+	// Demand is the asked units a second, decayed.
+	Demand   limiter.Decay
+	Fraction float64
+	// SharedAt is when a keeper last told the fraction.
+	SharedAt   time.Time
+	ReportedAt time.Time
+	Refused    uint64
 }
 
-// Keeper is the bucket of one client account and the grants made from it.
+// Keeper is the view of one client account over all hosts, at the host that divides its rate.
 type Keeper struct {
-	Bucket limiter.Bucket
-	Grants map[string]*Grantee
+	Demands map[string]KeptDemand
 }
 
-// Grantee is one host's part of the outstanding grants.
-type Grantee struct {
-	Incarnation uint64
-	Sequence    uint64
-	Grants      []Grant
-}
-
-// Grant is tokens given to a host and not yet reported spent.
-type Grant struct {
-	Sequence uint64
-	Tokens   float64
-	Until    time.Time
-}
-
-// Wallet is the tokens of one client account that this host may charge.
-type Wallet struct {
-	Lots         []Lot
-	Sequence     uint64
-	Acknowledged uint64
-	Keeper       string
-	Timeouts     int
-	AskedAt      time.Time
-	RetryAt      time.Time
-	Waiting      []string
-	Refunds      []PendingRefund
-	Static       limiter.Bucket
-	// Spent is the tokens charged here, less those refunded.
-	Spent float64
-	// Refused is the number of requests refused because the account was over its rate.
-	Refused    uint64
-	RefundedAt time.Time
-	// ShortSince is when the keeper first said that it is short of tokens.
-	ShortSince time.Time
+// KeptDemand is one host's demand as it last told.
+type KeptDemand struct {
+	PerSecond float64
+	At        time.Time
 }
 
-// Lot is tokens of one grant.
-type Lot struct {
-	Tokens   float64
-	NotAfter time.Time
+// Service is the state of one service on this host.
+type Service struct {
+	Retries limiter.Bucket
+	// LoadTime is the expected time of loading an adapter from the weight store.
+	LoadTime time.Duration
+	// PrefillRate is the prompt tokens that a backend server reads in a second.
+	PrefillRate float64
 }
 
-// PendingRefund is tokens not used by a request that was charged at ChargedAt.
-type PendingRefund struct {
-	Tokens    float64
-	ChargedAt time.Time
+// Backend is what this host knows of one backend server.
+type Backend struct {
+	Info cataloguer.Backend
+	// SeenAt is when this incarnation was first seen.
+	SeenAt    time.Time
+	ColdUntil time.Time
+	Cold      limiter.Bucket
+	// GoneAt is set while the entry is missing but may come back.
+	GoneAt time.Time
+	// EjectedUntil is the time until which this host sends it nothing, from its own experience.
+	EjectedUntil time.Time
+	Failures     int
+	// Loss is the decayed share of requests that failed here.
+	Loss float64
+	// Running, Tokens and Prefill count this host's requests there.
+	Running int
+	Tokens  int
+	Prefill int
+	// Others is what the other hosts have running there, as last told.
+	Others   BackendLoad
+	OthersAt time.Time
+	// Told is the load that the backend server told with its last answer.
+	Told     Load
+	ToldAt   time.Time
+	Adapters map[AdapterKey]*Place
+	// Parts remembers the prompt parts that were sent here.
+	Parts map[string]time.Time
+	// UsedAt is when a request was last sent here, and TouchedAt when the use was last told.
+	UsedAt    time.Time
+	TouchedAt time.Time
+	Latency   time.Duration
+}
+
+// Place is what this host knows of an adapter on a backend server, and who waits for it.
+type Place struct {
+	Stage   Stage
+	Version int64
+	ReadyAt time.Time
+	// KnownAt is when the stage was last confirmed.
+	KnownAt time.Time
+	AskedAt time.Time
+	Asks    int
+	Count   int
+	Running int
+	Waiting []string
+}
+
+// Right is this host's lease to order one backend server, and what it knows as its holder.
+type Right struct {
+	Term  int64
+	Fence int64
+	// SoughtAt is the time since the start at which this host began to ask; older replies do not count.
+	SoughtAt   time.Duration
+	Backed     map[string]time.Duration
+	ValidUntil time.Time
+	HeldSince  time.Time
+	AskedAt    time.Time
+	Ledger     Ledger
 }
 
-// AdapterKey names one version of one adapter.
-type AdapterKey struct {
-	Name    string
-	Version uint32
+// Ledger is the holder's account of the adapters on one backend server.
+type Ledger struct {
+	// ReadAt is when the backend server's report was read; nothing is ordered before.
+	ReadAt  time.Time
+	AskedAt time.Time
+	// Ordering is set while an order has no answer yet.
+	Ordering bool
+	RetryAt  time.Time
+	Entries  map[AdapterKey]*Entry
+	// Recent holds when adapters were last dropped; these load fast.
+	Recent map[AdapterKey]time.Time
+	Wants  []Want
+	Uses   map[string]*HostUse
+	// Doubtful is set when an order may or may not have been taken.
+	Doubtful bool
 }
 
-// Residency tells how far an adapter is resident on a backend server.
-type Residency uint8
+// Entry is one adapter that takes a place on the backend server.
+type Entry struct {
+	Stage     Stage
+	Version   int64
+	OrderedAt time.Time
+	ReadyAt   time.Time
+	Use       selector.Use
+	// Askers are the hosts that are told when the adapter comes or goes.
+	Askers map[string]time.Time
+}
 
-// Stages of residency.
-const (
-	ResidencyWanted Residency = iota + 1
-	ResidencyLoading
-	ResidencyReady
-	// ResidencyEvicting is an adapter that leaves when the load that takes its slot succeeds.
-	ResidencyEvicting
-)
+// Want is an adapter that somebody waits for.
+type Want struct {
+	Adapter AdapterKey
+	Version int64
+	Since   time.Time
+	Askers  map[string]time.Time
+}
 
-// KeptNote is a BackendNote with the time at which it came.
-type KeptNote struct {
-	Note BackendNote
-	At   time.Time
-}
-
-// Resident is one adapter on one backend server, or on its way there.
-type Resident struct {
-	Stage    Residency
-	Pins     int
-	Foreign  int
-	Use      selector.Use
-	Waiting  []string
-	WantedAt time.Time
-	ReadyAt  time.Time
-	RetryAt  time.Time
-	// Victim is the adapter whose slot the load takes.
-	Victim AdapterKey
+// HostUse is what one host has told of its requests on a backend server.
+type HostUse struct {
+	Usage Usage
+	At    time.Time
 }
 
-// Backend is a backend server that this host owns.
-type Backend struct {
-	ID            string
-	Known         bool
-	Incarnation   uint64
-	Fence         uint64
-	Limit         int
-	LimitRaisedAt time.Time
-	Healthy       int
-	Running       int
-	Foreign       int
-	FirstToken    float64
-	ReadFrom      time.Time
-	FadedAt       time.Time
-	// Strangers holds when reports first named an adapter that this host did not order.
-	Strangers map[AdapterKey]time.Time
-	PolledAt  time.Time
-	// ColdUntil is the time before which the limit is not raised.
-	ColdUntil time.Time
-	// Noted is the note that was last sent to the next host in rank.
-	Noted       BackendNote
-	NotedAt     time.Time
-	FailedUntil time.Time
-	Failures    int
-	Residents   map[AdapterKey]*Resident
-	Queue       queuer.Fair[string, string]
-	Slots       int
-	// Lost is set when the lease is over and running requests still end here.
-	Lost        bool
-	History     map[AdapterKey]selector.Use
-	SilentUntil time.Time
-	AcquiredAt  time.Time
-	waiting     int
-}
-
-// Store is the keeper's view of one region's part of the weight store.
-type Store struct {
-	Bucket   limiter.Bucket
-	Wants    map[string][]LoadWant
-	InFlight map[uint64]InFlight
-	Sequence uint64
-}
-
-// InFlight is one load that the keeper has permitted.
-type InFlight struct {
-	Host  string
-	Until time.Time
-}
-
-// Wants remembers when this host last sent its list of loads.
-type Wants struct {
-	SentAt time.Time
-	Count  int
-	Dirty  bool
+// Promise is the backing that this host, as a voter, has given a host.
+type Promise struct {
+	Holder      string
+	Incarnation uint64
+	Until       time.Time
+	Term        int64
 }
 
 // Phase tells how far a request has come.
@@ -274,80 +263,65 @@
 
 // Phases of a request.
 const (
-	PhasePermit Phase = iota + 1
-	PhaseTokens
-	PhaseBackoff
-	PhaseForwarded
-	PhaseWaiting
-	PhaseQueued
+	// PhaseQueued waits for room on a backend server.
+	PhaseQueued Phase = iota + 1
+	// PhaseLoading waits for its adapter.
+	PhaseLoading
+	// PhaseRunning is at a backend server.
 	PhaseRunning
+	// PhaseAnswering is at a backend server that has begun to answer.
+	PhaseAnswering
 )
 
 // Request is one request that this host handles.
 type Request struct {
-	ID         string
-	Account    string
-	KeyDigest  string
-	Open       bool
-	Adapter    AdapterKey
-	Service    string
-	Class      int
-	Tokens     float64
-	Charged    float64
-	ChargedAt  time.Time
-	ArrivedAt  time.Time
-	Deadline   time.Time
-	RetryAt    time.Time
-	Repeatable bool
-	Permit     string
-	Forwarded  bool
-	From       string
-	Phase      Phase
-	Backend    string
-	Attempt    int
-	Tried      []string
-	// MayHaveRun is set once a backend server may have received the request.
-	MayHaveRun    bool
-	PromptTokens  int
-	PermitAskedAt time.Time
-	Stalled       bool
-	QueuedAt      time.Time
-}
-
-// Permits holds the permits that this host incarnation has issued for requests that may not be repeated.
-type Permits struct {
-	Next   uint64
-	Issued map[string]*Permit
-}
-
-// Permit is one permit; it is consumed at most once.
-type Permit struct {
-	ExpiresAt  time.Time
-	ConsumedBy string
-}
-
-// Hint is the number of replicas of an adapter, as its owner last told.
-type Hint struct {
-	Replicas int
-	Until    time.Time
-}
-
-// Watch is the state of reading the platform and the peers' configuration.
+	ID       string
+	CallerID string
+	Account  string
+	Route    cataloguer.Route
+	Service  string
+	Adapter  AdapterKey
+	Version  int64
+	// Tokens and PromptTokens are the stated size.
+	Tokens       int
+	PromptTokens int
+	Parts        []Part
+	Priority     int
+	ArrivedAt    time.Time
+	Deadline     time.Time
+	Phase        Phase
+	Backend      string
+	Attempt      int
+	// Ran counts the backend servers that may have run the request.
+	Ran int
+	// Tried holds the backend servers that failed it.
+	Tried     []string
+	SentAt    time.Time
+	RetryAt   time.Time
+	WaitSince time.Time
+	LastWhy   Reason
+	// Prefill is the part of the prompt that counts at the backend server until the answer begins.
+	Prefill int
+	Resumed bool
+	// Offered is set once the request has been sent to a backend server.
+	Offered bool
+}
+
+// Watch is the state of reading the platform and the peers' documents.
 type Watch struct {
-	Waiting     bool
+	Reading bool
+	// NextAt is the earliest time of the next call.
+	NextAt   time.Time
+	Failures int
+	// ListNext is set when the next call must list everything.
+	ListNext bool
+	// ConfirmedAt is when the platform is known to have had nothing newer.
+	ConfirmedAt time.Time
+	// GoodSince is since when the platform has answered without a failure.
+	GoodSince   time.Time
 	ReadingPeer bool
-	// PeerAddress is where the last question for updates went.
-	PeerAddress string
-	RetryAt     time.Time
-	Failures    int
-	SummaryAt   time.Time
-	SummaryStep int
-	// StartAfter is the age from which a host that has just started reads the platform itself.
-	StartAfter time.Duration
-	AskPeerAt  time.Time
-	// PlatformAnswered is set once the platform has answered this incarnation.
-	PlatformAnswered bool
-	PeersAnswered    map[string]bool
+	AskPeerAt   time.Time
+	ToldAt      time.Time
 }
 
 // Draining is the state of leaving.
@@ -362,57 +336,53 @@
 	Ticks             uint64              `json:"ticks_total"`
 	RequestsArrived   uint64              `json:"requests_arrived_total"`
 	RequestsDone      uint64              `json:"requests_done_total"`
-	RequestsNotRun    uint64              `json:"requests_not_run_total"`
-	RequestsUnknown   uint64              `json:"requests_unknown_total"`
-	Forwards          uint64              `json:"forwards_total"`
+	RequestsFailed    uint64              `json:"requests_failed_total"`
+	RequestsAbandoned uint64              `json:"requests_abandoned_total"`
 	Dispatches        uint64              `json:"dispatches_total"`
+	Retries           uint64              `json:"retries_total"`
+	Resumes           uint64              `json:"resumes_total"`
 	LoadStalls        uint64              `json:"load_stalls_total"`
 	LoadStallMillis   uint64              `json:"load_stall_ms_total"`
 	Loads             uint64              `json:"loads_total"`
-	LoadsFailed       uint64              `json:"loads_failed_total"`
-	Evictions         uint64              `json:"evictions_total"`
-	Prefetches        uint64              `json:"prefetches_total"`
-	TokensCharged     float64             `json:"tokens_charged_total"`
-	TokensRefunded    float64             `json:"tokens_refunded_total"`
-	TokensUsed        float64             `json:"tokens_used_total"`
-	GrantsAsked       uint64              `json:"grants_asked_total"`
-	VotesRefused      uint64              `json:"votes_refused_total"`
+	Unloads           uint64              `json:"unloads_total"`
 	LeasesTaken       uint64              `json:"leases_taken_total"`
 	LeasesLost        uint64              `json:"leases_lost_total"`
-	Handovers         uint64              `json:"handovers_total"`
 	EffectsExpired    uint64              `json:"effects_expired_total"`
-	ConfigAdopted     uint64              `json:"config_adopted_total"`
-	ShardsRefused     uint64              `json:"shards_refused_total"`
-	PermitsIssued     uint64              `json:"permits_issued_total"`
-	PermitsConsumed   uint64              `json:"permits_consumed_total"`
-	ColdDetected      uint64              `json:"cold_detected_total"`
-	Retries           uint64              `json:"retries_total"`
-	MismatchedAnswers uint64              `json:"mismatched_answers_total"`
-	RefusedByReason   [ReasonCount]uint64 `json:"refused_by_reason"`
+	DocumentsRefused  uint64              `json:"documents_refused_total"`
 	PlatformReads     uint64              `json:"platform_reads_total"`
-	RequestsEndedKeys uint64              `json:"requests_ended_keys_total"`
+	Ejections         uint64              `json:"ejections_total"`
+	ForeignAnswers    uint64              `json:"foreign_answers_total"`
+	RefusedByReason   [ReasonCount]uint64 `json:"refused_by_reason"`
 }
 
 // NewState returns the state of a host that has just started.
 func NewState(self Self, limits Limits, seed uint64) *State {
 	return &State{
-		Self:         self,
-		Limits:       limits,
-		Random:       seed,
-		Config:       newConfig(),
-		Peers:        map[string]*Peer{},
-		Leases:       newLeases(),
-		Wallets:      map[string]*Wallet{},
-		Backends:     map[string]*Backend{},
-		Notes:        map[string]KeptNote{},
-		Stores:       map[string]*Store{},
-		Requests:     map[string]*Request{},
-		Permits:      Permits{Issued: map[string]*Permit{}},
-		Hints:        map[string]Hint{},
-		HolderHints:  map[Right]HolderHint{},
-		RetryBudgets: map[string]*limiter.Bucket{},
-		Watch:        Watch{PeersAnswered: map[string]bool{}},
-		outbox:       map[string][]Message{},
+		Self:      self,
+		Limits:    limits,
+		Random:    seed,
+		Hosts:     map[string]*Host{},
+		Documents: newDocuments(),
+		Accounts:  map[string]*Account{},
+		Keepers:   map[string]*Keeper{},
+		Services:  map[string]*Service{},
+		Backends:  map[string]*Backend{},
+		Rights:    map[string]*Right{},
+		Promises:  map[string]*Promise{},
+		Requests:  map[string]*Request{},
+		Watch:     Watch{ListNext: true},
+		outbox:    map[string][]Message{},
+	}
+}
+
+func newDocuments() Documents {
+	return Documents{
+		Items:     map[string]*Item{},
+		Keys:      map[string]string{},
+		Accounts:  map[string]cataloguer.Account{},
+		Services:  map[string]cataloguer.Service{},
+		Withdrawn: map[string]bool{},
+		Versions:  map[AdapterKey]int64{},
 	}
 }
 
@@ -424,6 +394,13 @@
 	s.emit(Note{Number: number, Fields: fields})
 }
 
+// wakeAt makes the executor tick at the given time, if that is before the next regular tick.
+func (s *State) wakeAt(at time.Time) {
+	if s.wake.IsZero() || at.Before(s.wake) {
+		s.wake = at
+	}
+}
+
 // send queues a message for a peer; all messages of one Reduce to one peer leave in one envelope.
 func (s *State) send(to string, message Message) {
 	if to == s.Self.HostID {
@@ -435,46 +412,23 @@
 	s.outbox[to] = append(s.outbox[to], message)
 }
 
-// touch sends a peer an envelope even if there is nothing to say but the summary.
-func (s *State) touch(to string) {
-	if _, ok := s.outbox[to]; ok || to == s.Self.HostID {
-		return
-	}
-	s.order = append(s.order, to)
-	s.outbox[to] = []Message{}
-}
-
 func (s *State) flush(now time.Time) []Effect {
 	for _, to := range s.order {
-		s.effects = append(s.effects, s.envelope(now, to))
+		if h, ok := s.Hosts[to]; ok {
+			s.emit(SendPeer{To: to, Address: h.Record.PeerAddress, Messages: append([]Message{s.summary(now)}, s.outbox[to]...)})
+		}
 		delete(s.outbox, to)
 	}
+	s.order = s.order[:0]
+	if !s.wake.IsZero() {
+		s.emit(WakeAt{At: s.wake})
+		s.wake = time.Time{}
+	}
 	effects := s.effects
 	s.effects = nil
-	s.order = s.order[:0]
 	return effects
 }
 
-// envelope adds the summary of this host's configuration to the messages for a peer.
-func (s *State) envelope(now time.Time, to string) SendPeer {
-	return SendPeer{
-		To:            to,
-		Address:       s.Config.Hosts[to].PeerAddress,
-		ToIncarnation: s.peer(to).Incarnation,
-		Leaving:       s.Draining.Active,
-		Messages:      append([]Message{s.summary(now)}, s.outbox[to]...),
-	}
-}
-
-func (s *State) peer(id string) *Peer {
-	p, ok := s.Peers[id]
-	if !ok {
-		p = &Peer{}
-		s.Peers[id] = p
-	}
-	return p
-}
-
 func (s *State) random() uint64 {
 	s.Random += 0x9e3779b97f4a7c15
 	return hasher.Mix(s.Random)
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -1,114 +1,87 @@
 package reducer
 
-import (
-	"time"
-)
+import "time"
 
-// Status is the state of one host as operators see it.
+// Status is the state of a host as operators see it; times are in milliseconds.
 type Status struct {
-	Host           string          `json:"host"`
-	FailureDomain  string          `json:"failure_domain"`
-	Region         string          `json:"region"`
-	Ready          bool            `json:"ready"`
-	Draining       bool            `json:"draining"`
-	Isolated       bool            `json:"isolated"`
-	Revision       uint64          `json:"revision"`
-	SeenRevision   uint64          `json:"seen_revision"`
-	ConfirmedMs    int64           `json:"confirmed_ms"`
-	Hosts          []string        `json:"hosts"`
-	Rights         []string        `json:"rights"`
-	BackendServers []BackendStatus `json:"backend_servers"`
-	Accounts       []AccountStatus `json:"client_accounts"`
-	Requests       int             `json:"requests"`
-	Adapters       int             `json:"adapters"`
-	Counters       Counters        `json:"counters"`
+	Host               string          `json:"host"`
+	Incarnation        uint64          `json:"incarnation"`
+	Ready              bool            `json:"ready"`
+	Leaving            bool            `json:"leaving"`
+	CatalogueVersion   int64           `json:"catalogue_version"`
+	Revision           int64           `json:"revision"`
+	ConfirmedAgeMs     int64           `json:"confirmed_age_ms"`
+	WithdrawnDomains   []string        `json:"withdrawn_domains"`
+	Documents          map[string]int  `json:"documents"`
+	Hosts              []HostStatus    `json:"hosts"`
+	Backends           []BackendStatus `json:"backend_servers"`
+	Accounts           []AccountStatus `json:"accounts"`
+	RequestsInProgress int             `json:"requests_in_progress"`
 }
 
-// BackendStatus is the state of one owned backend server.
+// HostStatus is another host as this one sees it.
+type HostStatus struct {
+	ID      string `json:"id"`
+	Alive   bool   `json:"alive"`
+	Ready   bool   `json:"ready"`
+	AgeMs   int64  `json:"age_ms"`
+	Holding int    `json:"holding"`
+}
+
+// BackendStatus is a backend server as this host sees it.
 type BackendStatus struct {
-	ID          string `json:"id"`
-	Known       bool   `json:"known"`
-	Limit       int    `json:"limit"`
-	Running     int    `json:"running"`
-	Queued      int    `json:"queued"`
-	Waiting     int    `json:"waiting"`
-	Residents   int    `json:"residents"`
-	Incarnation uint64 `json:"incarnation"`
-	Fence       uint64 `json:"fence"`
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Usable   bool    `json:"usable"`
+	Holder   string  `json:"holder"`
+	Running  int     `json:"running"`
+	Loss     float64 `json:"loss"`
+	Adapters int     `json:"adapters"`
 }
 
-// AccountStatus is the state of one client account on this host.
+// AccountStatus is a client account's use of this host.
 type AccountStatus struct {
-	ID          string  `json:"id"`
-	Rate        float64 `json:"rate_tokens_per_second"`
-	Burst       float64 `json:"burst_tokens"`
-	Held        float64 `json:"held_tokens"`
-	Waiting     int     `json:"waiting"`
-	Spent       float64 `json:"spent_tokens"`
-	Refused     uint64  `json:"refused"`
-	Keeper      bool    `json:"keeper"`
-	Level       float64 `json:"level_tokens"`
-	Outstanding float64 `json:"outstanding_tokens"`
+	Name     string  `json:"name"`
+	Fraction float64 `json:"fraction"`
+	Level    float64 `json:"level"`
+	Refused  uint64  `json:"refused"`
 }
 
-// status answers an operator.
 func status(s *State, now time.Time, e StatusAsked) {
-	answer := Status{
-		Host:          s.Self.HostID,
-		FailureDomain: s.Self.FailureDomain,
-		Region:        s.Self.Region,
-		Ready:         s.Ready,
-		Draining:      s.Draining.Active,
-		Isolated:      s.isolated(now),
-		Revision:      s.Config.Revision,
-		SeenRevision:  s.Config.Seen,
-		ConfirmedMs:   now.Sub(s.Config.ConfirmedAt).Milliseconds(),
-		Hosts:         sortedKeys(s.Config.Live),
-		Requests:      len(s.Requests),
-		Adapters:      len(s.Config.Adapters),
-		Counters:      s.Counters,
+	v := Status{
+		Host: s.Self.HostID, Incarnation: s.Self.Incarnation, Ready: s.Ready, Leaving: s.Draining.Active,
+		Revision: s.Documents.Revision, ConfirmedAgeMs: now.Sub(s.Watch.ConfirmedAt).Milliseconds(),
+		Documents: map[string]int{}, RequestsInProgress: len(s.Requests),
 	}
-	for _, r := range s.heldRights(now) {
-		answer.Rights = append(answer.Rights, r.String())
+	if s.Documents.Catalogue != nil {
+		v.CatalogueVersion = s.Documents.Catalogue.Version
 	}
-	for _, id := range sortedKeys(s.Backends) {
-		answer.BackendServers = append(answer.BackendServers, backendStatus(s.Backends[id]))
-	}
-	for _, id := range sortedKeys(s.Config.Accounts) {
-		answer.Accounts = append(answer.Accounts, accountStatus(s, now, id))
+	for _, item := range s.Documents.Items {
+		if !item.Document.Gone {
+			v.Documents[kindNames[item.Document.Kind]]++
+		}
 	}
-	s.emit(StatusAnswer{ReplyID: e.ReplyID, Status: answer})
-}
-
-func backendStatus(b *Backend) BackendStatus {
-	ready := 0
-	for _, r := range b.Residents {
-		if r.Stage == ResidencyReady {
-			ready++
+	for _, domain := range sortedKeys(s.Documents.Withdrawn) {
+		if s.Documents.Withdrawn[domain] {
+			v.WithdrawnDomains = append(v.WithdrawnDomains, domain)
 		}
 	}
-	return BackendStatus{
-		ID: b.ID, Known: b.Known, Limit: b.Limit, Running: b.Running, Queued: b.Queue.Size, Waiting: b.waiting,
-		Residents: ready, Incarnation: b.Incarnation, Fence: b.Fence,
+	for _, id := range sortedKeys(s.Hosts) {
+		h := s.Hosts[id]
+		v.Hosts = append(v.Hosts, HostStatus{
+			ID: id, Alive: s.alive(now, id), Ready: h.Record.Ready, AgeMs: now.Sub(h.HeardAt).Milliseconds(), Holding: len(h.Record.Holds),
+		})
 	}
-}
-
-func accountStatus(s *State, now time.Time, id string) AccountStatus {
-	a := s.Config.Accounts[id]
-	answer := AccountStatus{ID: id, Rate: a.Rate, Burst: a.Burst}
-	if w, ok := s.Wallets[id]; ok {
-		answer.Held = w.held()
-		answer.Waiting = len(w.Waiting)
-		answer.Spent = w.Spent
-		answer.Refused = w.Refused
+	for _, id := range sortedKeys(s.Backends) {
+		b := s.Backends[id]
+		v.Backends = append(v.Backends, BackendStatus{
+			ID: id, Service: b.Info.Service, Usable: s.usable(now, b), Holder: s.holderOf(now, id), Running: b.Running,
+			Loss: b.Loss, Adapters: len(b.Adapters),
+		})
 	}
-	right := accountRight(id, s.Self.Region)
-	if h, ok := s.Leases.Holdings[right]; ok && h.Account != nil && s.holds(right, now) {
-		answer.Keeper = true
-		bucket := h.Account.Bucket
-		bucket.Refill(now)
-		answer.Level = bucket.Level
-		answer.Outstanding = bucket.Outstanding
+	for _, name := range sortedKeys(s.Accounts) {
+		a := s.Accounts[name]
+		v.Accounts = append(v.Accounts, AccountStatus{Name: name, Fraction: a.Fraction, Level: a.Bucket.Level, Refused: a.Refused})
 	}
-	return answer
+	s.emit(StatusAnswer{ReplyID: e.ReplyID, Status: v})
 }
--- a/internal/selector/doc.go
+++ b/internal/selector/doc.go
@@ -1,2 +1,2 @@
-// Package selector holds the policies that vary: placement, queue order, eviction, load order and token shares.
+// Package selector holds the policies that choose among backend servers and adapters.
 package selector
--- a/internal/translator/doc.go
+++ b/internal/translator/doc.go
@@ -1,2 +1,2 @@
-// Package translator turns the reducer's messages into the wire types between hosts and back.
+// Package translator turns the reducer's messages into their wire form and back.
 package translator
--- a/internal/translator/parts.go
+++ b/internal/translator/parts.go
@@ -1,148 +1,100 @@
 package translator
 
 import (
-	"time"
-
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
-func rightToWire(r reducer.Right) *peerv1.Right {
-	return &peerv1.Right{Kind: uint32(r.Kind), Name: r.Name, Region: r.Region}
-}
-
-func rightFromWire(r *peerv1.Right) reducer.Right {
-	return reducer.Right{Kind: reducer.Kind(r.GetKind()), Name: r.GetName(), Region: r.GetRegion()}
-}
-
-func rightsToWire(rights []reducer.Right) []*peerv1.Right {
-	wire := make([]*peerv1.Right, 0, len(rights))
-	for _, r := range rights {
-		wire = append(wire, rightToWire(r))
+func hostWire(r reducer.HostRecord) *peerv1.HostRecord {
+	return &peerv1.HostRecord{
+		Id: r.ID, Incarnation: r.Incarnation, Beat: r.Beat, Address: r.Address, PeerAddress: r.PeerAddress,
+		FailureDomain: r.FailureDomain, Ready: r.Ready, Leaving: r.Leaving, Holds: r.Holds,
 	}
-	return wire
 }
 
-func rightsFromWire(wire []*peerv1.Right) []reducer.Right {
-	rights := make([]reducer.Right, 0, len(wire))
-	for _, r := range wire {
-		rights = append(rights, rightFromWire(r))
+func hostRecord(w *peerv1.HostRecord) reducer.HostRecord {
+	return reducer.HostRecord{
+		ID: w.GetId(), Incarnation: w.GetIncarnation(), Beat: w.GetBeat(), Address: w.GetAddress(), PeerAddress: w.GetPeerAddress(),
+		FailureDomain: w.GetFailureDomain(), Ready: w.GetReady(), Leaving: w.GetLeaving(), Holds: w.GetHolds(),
 	}
-	return rights
 }
 
-func replyToWire(m reducer.LeaseReply) *peerv1.LeaseReply {
-	reply := &peerv1.LeaseReply{
-		Anchor: m.Anchor, SentAtNs: uint64(m.SentAt), Digest: m.Digest, Unknown: m.Unknown, HighestTerm: m.HighestTerm,
+func leaseRequestWire(m reducer.LeaseRequest) *peerv1.LeaseRequest {
+	w := &peerv1.LeaseRequest{SentAtUs: m.SentAt.Microseconds()}
+	for _, c := range m.Claims {
+		w.Claims = append(w.Claims, &peerv1.Claim{Backend: c.Backend, Term: c.Term, Valid: c.Valid})
 	}
-	for _, f := range m.Refused {
-		reply.Refused = append(reply.Refused, &peerv1.Refusal{Right: rightToWire(f.Right), Holder: f.Holder})
-	}
-	return reply
+	return w
 }
 
-func replyFromWire(m *peerv1.LeaseReply) reducer.LeaseReply {
-	reply := reducer.LeaseReply{
-		Anchor: m.GetAnchor(), SentAt: time.Duration(m.GetSentAtNs()), Digest: m.GetDigest(), Unknown: m.GetUnknown(), HighestTerm: m.GetHighestTerm(),
-	}
-	for _, f := range m.GetRefused() {
-		reply.Refused = append(reply.Refused, reducer.Refusal{Right: rightFromWire(f.GetRight()), Holder: f.GetHolder()})
+func leaseRequest(w *peerv1.LeaseRequest) reducer.LeaseRequest {
+	m := reducer.LeaseRequest{SentAt: micros(w.GetSentAtUs())}
+	for _, c := range w.GetClaims() {
+		m.Claims = append(m.Claims, reducer.Claim{Backend: c.GetBackend(), Term: c.GetTerm(), Valid: c.GetValid()})
 	}
-	return reply
+	return m
 }
 
-func handoverToWire(m reducer.LeaseHandover) *peerv1.LeaseHandover {
-	wire := &peerv1.LeaseHandover{Right: rightToWire(m.Right)}
-	if m.Account != nil {
-		wire.Account = &peerv1.AccountHandover{Level: m.Account.Level, Outstanding: m.Account.Outstanding}
+func leaseReplyWire(m reducer.LeaseReply) *peerv1.LeaseReply {
+	w := &peerv1.LeaseReply{SentAtUs: m.SentAt.Microseconds()}
+	for _, v := range m.Votes {
+		w.Votes = append(w.Votes, &peerv1.Vote{Backend: v.Backend, Backed: v.Backed, Term: v.Term})
 	}
-	if m.Backend != nil {
-		wire.Backend = &peerv1.BackendHandover{
-			Incarnation: m.Backend.Incarnation, Limit: uint32(m.Backend.Limit), Running: uint32(m.Backend.Running),
-			ColdLeftMs: milliseconds(m.Backend.ColdLeft),
-		}
-		for _, p := range m.Backend.Pins {
-			wire.Backend.Pins = append(wire.Backend.Pins, &peerv1.Resident{Adapter: adapterToWire(p.Adapter), Running: uint32(p.Running)})
-		}
-	}
-	return wire
+	return w
 }
 
-func handoverFromWire(m *peerv1.LeaseHandover) reducer.LeaseHandover {
-	handover := reducer.LeaseHandover{Right: rightFromWire(m.GetRight())}
-	if a := m.GetAccount(); a != nil {
-		handover.Account = &reducer.AccountHandover{Level: a.GetLevel(), Outstanding: a.GetOutstanding()}
-	}
-	if b := m.GetBackend(); b != nil {
-		handover.Backend = &reducer.BackendHandover{Incarnation: b.GetIncarnation(), Limit: int(b.GetLimit()), Running: int(b.GetRunning()), ColdLeft: duration(b.GetColdLeftMs())}
-		for _, p := range b.GetPins() {
-			pin := reducer.ReportedAdapter{Adapter: adapterFromWire(p.GetAdapter()), Running: int(p.GetRunning())}
-			handover.Backend.Pins = append(handover.Backend.Pins, pin)
-		}
+func leaseReply(w *peerv1.LeaseReply) reducer.LeaseReply {
+	m := reducer.LeaseReply{SentAt: micros(w.GetSentAtUs())}
+	for _, v := range w.GetVotes() {
+		m.Votes = append(m.Votes, reducer.Vote{Backend: v.GetBackend(), Backed: v.GetBacked(), Term: v.GetTerm()})
 	}
-	return handover
+	return m
 }
 
-func notesToWire(m reducer.BackendNotes) *peerv1.BackendNotes {
-	wire := &peerv1.BackendNotes{}
-	for _, n := range m.Notes {
-		wire.Notes = append(wire.Notes, &peerv1.BackendNote{BackendServer: n.Backend, Incarnation: n.Incarnation, Limit: uint32(n.Limit)})
-	}
-	return wire
-}
-
-func notesFromWire(m *peerv1.BackendNotes) reducer.BackendNotes {
-	notes := reducer.BackendNotes{}
-	for _, n := range m.GetNotes() {
-		note := reducer.BackendNote{Backend: n.GetBackendServer(), Incarnation: n.GetIncarnation(), Limit: int(n.GetLimit())}
-		notes.Notes = append(notes.Notes, note)
-	}
-	return notes
+func adapterWire(k reducer.AdapterKey) *peerv1.Adapter {
+	return &peerv1.Adapter{Model: k.Model, Adapter: k.Adapter}
 }
 
-func grantRequestToWire(m reducer.GrantRequest) *peerv1.GrantRequest {
-	wire := &peerv1.GrantRequest{
-		Account: m.Account, Sequence: m.Sequence, Acknowledged: m.Acknowledged,
-		Held: m.Held, Wanted: m.Wanted, Minimum: m.Minimum, SentAtNs: uint64(m.SentAt),
-	}
-	for _, r := range m.Refunds {
-		wire.Refunds = append(wire.Refunds, &peerv1.Refund{Tokens: r.Tokens, AgeMs: milliseconds(r.Age + time.Millisecond)})
-	}
-	return wire
+func adapter(w *peerv1.Adapter) reducer.AdapterKey {
+	return reducer.AdapterKey{Model: w.GetModel(), Adapter: w.GetAdapter()}
 }
 
-func grantRequestFromWire(m *peerv1.GrantRequest) reducer.GrantRequest {
-	request := reducer.GrantRequest{
-		Account: m.GetAccount(), Sequence: m.GetSequence(), Acknowledged: m.GetAcknowledged(),
-		Held: m.GetHeld(), Wanted: m.GetWanted(), Minimum: m.GetMinimum(), SentAt: time.Duration(m.GetSentAtNs()),
+func usageWire(m reducer.Usage) *peerv1.Usage {
+	w := &peerv1.Usage{Backend: m.Backend, Running: int64(m.Running), Tokens: int64(m.Tokens), Prefill: int64(m.Prefill)}
+	for _, a := range m.Adapters {
+		w.Adapters = append(w.Adapters, &peerv1.AdapterUse{Adapter: adapterWire(a.Adapter), Count: int64(a.Count), Running: int64(a.Running)})
 	}
-	for _, r := range m.GetRefunds() {
-		request.Refunds = append(request.Refunds, reducer.Refund{Tokens: r.GetTokens(), Age: duration(r.GetAgeMs())})
-	}
-	return request
+	return w
 }
 
-func wantsToWire(m reducer.LoadWants) *peerv1.LoadWants {
-	wire := &peerv1.LoadWants{}
-	for _, w := range m.Wants {
-		wire.Wants = append(wire.Wants, &peerv1.LoadWant{BackendServer: w.Backend, Adapter: adapterToWire(w.Adapter), Urgency: w.Urgency})
+func usage(w *peerv1.Usage) reducer.Usage {
+	m := reducer.Usage{Backend: w.GetBackend(), Running: int(w.GetRunning()), Tokens: int(w.GetTokens()), Prefill: int(w.GetPrefill())}
+	for _, a := range w.GetAdapters() {
+		m.Adapters = append(m.Adapters, reducer.AdapterUse{Adapter: adapter(a.GetAdapter()), Count: int(a.GetCount()), Running: int(a.GetRunning())})
 	}
-	return wire
+	return m
 }
 
-func wantsFromWire(m *peerv1.LoadWants) reducer.LoadWants {
-	wants := reducer.LoadWants{}
-	for _, w := range m.GetWants() {
-		want := reducer.LoadWant{Backend: w.GetBackendServer(), Adapter: adapterFromWire(w.GetAdapter()), Urgency: w.GetUrgency()}
-		wants.Wants = append(wants.Wants, want)
+// Updates returns the wire form of changed documents.
+func Updates(answer reducer.UpdatesAnswer) *peerv1.UpdatesResponse {
+	w := &peerv1.UpdatesResponse{Revision: answer.Revision, Whole: answer.Whole}
+	for _, d := range answer.Documents {
+		w.Documents = append(w.Documents, &peerv1.Document{Key: d.Key, Revision: d.Revision, Gone: d.Gone, Raw: d.Raw})
 	}
-	return wants
+	return w
 }
 
-func adapterToWire(a reducer.AdapterKey) *peerv1.Adapter {
-	return &peerv1.Adapter{Name: a.Name, Version: a.Version}
+// DocumentCodec decodes published items.
+type DocumentCodec interface { // type constraint
+	Document(key string, revision int64, gone bool, raw []byte) cataloguer.Document
 }
 
-func adapterFromWire(a *peerv1.Adapter) reducer.AdapterKey {
-	return reducer.AdapterKey{Name: a.GetName(), Version: a.GetVersion()}
+// UpdatesEvent returns the event for a peer's answer.
+func UpdatesEvent[C DocumentCodec](codec C, from string, w *peerv1.UpdatesResponse) reducer.UpdatesRead {
+	event := reducer.UpdatesRead{From: from, Whole: w.GetWhole(), Revision: w.GetRevision()}
+	for _, d := range w.GetDocuments() {
+		event.Documents = append(event.Documents, codec.Document(d.GetKey(), d.GetRevision(), d.GetGone(), d.GetRaw()))
+	}
+	return event
 }
