--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -7,156 +7,104 @@
 	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
 )
 
-// Envelope returns the wire form of the messages for one peer.
-func Envelope(from string, incarnation uint64, e reducer.SendPeer) *peerv1.ExchangeRequest {
-	request := &peerv1.ExchangeRequest{
-		From:          from,
-		Incarnation:   incarnation,
-		ToIncarnation: e.ToIncarnation,
-		Leaving:       e.Leaving,
-		Messages:      make([]*peerv1.Message, 0, len(e.Messages)),
-	}
-	for _, m := range e.Messages {
-		request.Messages = append(request.Messages, toWire(m))
+// Envelope returns the wire form of messages from a host.
+func Envelope(host string, incarnation uint64, messages []reducer.Message) *peerv1.ExchangeRequest {
+	envelope := &peerv1.ExchangeRequest{From: host, Incarnation: incarnation}
+	for _, m := range messages {
+		if w := wire(m); w != nil {
+			envelope.Messages = append(envelope.Messages, w)
+		}
 	}
-	return request
+	return envelope
 }
 
-// Received returns the event for an envelope that came from a peer.
-func Received(request *peerv1.ExchangeRequest) reducer.PeerReceived {
-	event := reducer.PeerReceived{
-		From:          request.GetFrom(),
-		Incarnation:   request.GetIncarnation(),
-		ToIncarnation: request.GetToIncarnation(),
-		Leaving:       request.GetLeaving(),
-	}
-	for _, m := range request.GetMessages() {
-		if message := fromWire(m); message != nil {
-			event.Messages = append(event.Messages, message)
+// Received returns the event for an envelope.
+func Received(envelope *peerv1.ExchangeRequest) reducer.PeerReceived {
+	event := reducer.PeerReceived{From: envelope.GetFrom(), Incarnation: envelope.GetIncarnation()}
+	for _, w := range envelope.GetMessages() {
+		if m := message(w); m != nil {
+			event.Messages = append(event.Messages, m)
 		}
 	}
 	return event
 }
 
-func toWire(message reducer.Message) *peerv1.Message {
-	switch m := message.(type) {
+func wire(m reducer.Message) *peerv1.Message {
+	switch v := m.(type) {
+	case reducer.HostRecord:
+		return &peerv1.Message{Kind: &peerv1.Message_HostRecord{HostRecord: hostWire(v)}}
 	case reducer.Summary:
 		return &peerv1.Message{Kind: &peerv1.Message_Summary{Summary: &peerv1.Summary{
-			Revision: m.Revision, Confirmed: m.Confirmed, ConfirmedAgeMs: milliseconds(m.ConfirmedAge),
+			Revision: v.Revision, ConfirmedAgeUs: v.ConfirmedAge.Microseconds(),
 		}}}
 	case reducer.LeaseRequest:
-		return &peerv1.Message{Kind: &peerv1.Message_LeaseRequest{LeaseRequest: &peerv1.LeaseRequest{
-			Anchor: m.Anchor, SentAtNs: uint64(m.SentAt), Digest: m.Digest, Rights: rightsToWire(m.Rights),
-		}}}
+		return &peerv1.Message{Kind: &peerv1.Message_LeaseRequest{LeaseRequest: leaseRequestWire(v)}}
 	case reducer.LeaseReply:
-		return &peerv1.Message{Kind: &peerv1.Message_LeaseReply{LeaseReply: replyToWire(m)}}
+		return &peerv1.Message{Kind: &peerv1.Message_LeaseReply{LeaseReply: leaseReplyWire(v)}}
 	case reducer.LeaseRelease:
-		return &peerv1.Message{Kind: &peerv1.Message_LeaseRelease{LeaseRelease: &peerv1.LeaseRelease{
-			SentAtNs: uint64(m.SentAt), Rights: rightsToWire(m.Rights),
-		}}}
-	case reducer.LeaseVacant:
-		return &peerv1.Message{Kind: &peerv1.Message_LeaseVacant{LeaseVacant: &peerv1.LeaseVacant{Rights: rightsToWire(m.Rights)}}}
-	case reducer.LeaseClaim:
-		return &peerv1.Message{Kind: &peerv1.Message_LeaseClaim{LeaseClaim: &peerv1.LeaseClaim{Rights: rightsToWire(m.Rights)}}}
-	case reducer.LeaseHandover:
-		return &peerv1.Message{Kind: &peerv1.Message_LeaseHandover{LeaseHandover: handoverToWire(m)}}
-	case reducer.BackendNotes:
-		return &peerv1.Message{Kind: &peerv1.Message_BackendNotes{BackendNotes: notesToWire(m)}}
-	}
-	return grantToWire(message)
-}
-
-func grantToWire(message reducer.Message) *peerv1.Message {
-	switch m := message.(type) {
-	case reducer.GrantRequest:
-		return &peerv1.Message{Kind: &peerv1.Message_GrantRequest{GrantRequest: grantRequestToWire(m)}}
-	case reducer.GrantReply:
-		return &peerv1.Message{Kind: &peerv1.Message_GrantReply{GrantReply: &peerv1.GrantReply{
-			Account: m.Account, Sequence: m.Sequence, Tokens: m.Tokens, SentAtNs: uint64(m.SentAt),
-			WaitMs: milliseconds(m.Wait), NotKeeper: m.NotKeeper, Settling: m.Settling,
+		return &peerv1.Message{Kind: &peerv1.Message_LeaseRelease{LeaseRelease: &peerv1.LeaseRelease{Backends: v.Backends}}}
+	case reducer.AdapterWant:
+		return &peerv1.Message{Kind: &peerv1.Message_AdapterWant{AdapterWant: &peerv1.AdapterWant{
+			Backend: v.Backend, Adapter: adapterWire(v.Adapter), Version: v.Version,
 		}}}
-	case reducer.LoadWants:
-		return &peerv1.Message{Kind: &peerv1.Message_LoadWants{LoadWants: wantsToWire(m)}}
-	case reducer.LoadPermit:
-		return &peerv1.Message{Kind: &peerv1.Message_LoadPermit{LoadPermit: &peerv1.LoadPermit{
-			Sequence: m.Sequence, BackendServer: m.Backend, Adapter: adapterToWire(m.Adapter),
+	case reducer.AdapterPlace:
+		return &peerv1.Message{Kind: &peerv1.Message_AdapterPlace{AdapterPlace: &peerv1.AdapterPlace{
+			Backend: v.Backend, Adapter: adapterWire(v.Adapter), Version: v.Version, Stage: uint32(v.Stage), ReadyInUs: v.ReadyIn.Microseconds(),
 		}}}
-	case reducer.LoadReturn:
-		return &peerv1.Message{Kind: &peerv1.Message_LoadReturn{LoadReturn: &peerv1.LoadReturn{Sequence: m.Sequence, Unused: m.Unused}}}
-	case reducer.PermitConsume:
-		return &peerv1.Message{Kind: &peerv1.Message_PermitConsume{PermitConsume: &peerv1.PermitConsume{
-			Permit: m.Permit, RequestId: m.RequestID,
-		}}}
-	case reducer.PermitAnswer:
-		return &peerv1.Message{Kind: &peerv1.Message_PermitAnswer{PermitAnswer: &peerv1.PermitAnswer{
-			Permit: m.Permit, RequestId: m.RequestID, Consumed: m.Consumed, Known: m.Known,
+	case reducer.Usage:
+		return &peerv1.Message{Kind: &peerv1.Message_Usage{Usage: usageWire(v)}}
+	case reducer.BackendLoad:
+		return &peerv1.Message{Kind: &peerv1.Message_BackendLoad{BackendLoad: &peerv1.BackendLoad{
+			Backend: v.Backend, Running: int64(v.Running), Tokens: int64(v.Tokens), Prefill: int64(v.Prefill),
 		}}}
+	case reducer.DemandReport:
+		return &peerv1.Message{Kind: &peerv1.Message_DemandReport{DemandReport: &peerv1.DemandReport{Account: v.Account, PerSecond: v.PerSecond}}}
+	case reducer.AccountShare:
+		return &peerv1.Message{Kind: &peerv1.Message_AccountShare{AccountShare: &peerv1.AccountShare{Account: v.Account, Fraction: v.Fraction}}}
 	}
-	return &peerv1.Message{}
+	return nil
 }
 
-func fromWire(message *peerv1.Message) reducer.Message {
-	switch k := message.GetKind().(type) {
+func message(w *peerv1.Message) reducer.Message {
+	switch v := w.GetKind().(type) {
+	case *peerv1.Message_HostRecord:
+		return hostRecord(v.HostRecord)
 	case *peerv1.Message_Summary:
-		return reducer.Summary{
-			Revision: k.Summary.GetRevision(), Confirmed: k.Summary.GetConfirmed(), ConfirmedAge: duration(k.Summary.GetConfirmedAgeMs()),
-		}
+		return reducer.Summary{Revision: v.Summary.GetRevision(), ConfirmedAge: micros(v.Summary.GetConfirmedAgeUs())}
 	case *peerv1.Message_LeaseRequest:
-		return reducer.LeaseRequest{
-			Anchor: k.LeaseRequest.GetAnchor(), SentAt: time.Duration(k.LeaseRequest.GetSentAtNs()),
-			Digest: k.LeaseRequest.GetDigest(), Rights: rightsFromWire(k.LeaseRequest.GetRights()),
-		}
+		return leaseRequest(v.LeaseRequest)
 	case *peerv1.Message_LeaseReply:
-		return replyFromWire(k.LeaseReply)
+		return leaseReply(v.LeaseReply)
 	case *peerv1.Message_LeaseRelease:
-		return reducer.LeaseRelease{
-			SentAt: time.Duration(k.LeaseRelease.GetSentAtNs()), Rights: rightsFromWire(k.LeaseRelease.GetRights()),
+		return reducer.LeaseRelease{Backends: v.LeaseRelease.GetBackends()}
+	case *peerv1.Message_AdapterWant:
+		return reducer.AdapterWant{Backend: v.AdapterWant.GetBackend(), Adapter: adapter(v.AdapterWant.GetAdapter()), Version: v.AdapterWant.GetVersion()}
+	case *peerv1.Message_AdapterPlace:
+		return reducer.AdapterPlace{
+			Backend: v.AdapterPlace.GetBackend(), Adapter: adapter(v.AdapterPlace.GetAdapter()), Version: v.AdapterPlace.GetVersion(),
+			Stage: stage(v.AdapterPlace.GetStage()), ReadyIn: micros(v.AdapterPlace.GetReadyInUs()),
 		}
-	case *peerv1.Message_LeaseVacant:
-		return reducer.LeaseVacant{Rights: rightsFromWire(k.LeaseVacant.GetRights())}
-	case *peerv1.Message_LeaseClaim:
-		return reducer.LeaseClaim{Rights: rightsFromWire(k.LeaseClaim.GetRights())}
-	case *peerv1.Message_LeaseHandover:
-		return handoverFromWire(k.LeaseHandover)
-	case *peerv1.Message_BackendNotes:
-		return notesFromWire(k.BackendNotes)
-	}
-	return grantFromWire(message)
-}
-
-func grantFromWire(message *peerv1.Message) reducer.Message {
-	switch k := message.GetKind().(type) {
-	case *peerv1.Message_GrantRequest:
-		return grantRequestFromWire(k.GrantRequest)
-	case *peerv1.Message_GrantReply:
-		return reducer.GrantReply{
-			Account: k.GrantReply.GetAccount(), Sequence: k.GrantReply.GetSequence(), Tokens: k.GrantReply.GetTokens(),
-			SentAt: time.Duration(k.GrantReply.GetSentAtNs()), Wait: duration(k.GrantReply.GetWaitMs()), NotKeeper: k.GrantReply.GetNotKeeper(),
-			Settling: k.GrantReply.GetSettling(),
-		}
-	case *peerv1.Message_LoadWants:
-		return wantsFromWire(k.LoadWants)
-	case *peerv1.Message_LoadPermit:
-		return reducer.LoadPermit{
-			Sequence: k.LoadPermit.GetSequence(), Backend: k.LoadPermit.GetBackendServer(), Adapter: adapterFromWire(k.LoadPermit.GetAdapter()),
-		}
-	case *peerv1.Message_LoadReturn:
-		return reducer.LoadReturn{Sequence: k.LoadReturn.GetSequence(), Unused: k.LoadReturn.GetUnused()}
-	case *peerv1.Message_PermitConsume:
-		return reducer.PermitConsume{Permit: k.PermitConsume.GetPermit(), RequestID: k.PermitConsume.GetRequestId()}
-	case *peerv1.Message_PermitAnswer:
-		return reducer.PermitAnswer{
-			Permit: k.PermitAnswer.GetPermit(), RequestID: k.PermitAnswer.GetRequestId(),
-			Consumed: k.PermitAnswer.GetConsumed(), Known: k.PermitAnswer.GetKnown(),
+	case *peerv1.Message_Usage:
+		return usage(v.Usage)
+	case *peerv1.Message_BackendLoad:
+		return reducer.BackendLoad{
+			Backend: v.BackendLoad.GetBackend(), Running: int(v.BackendLoad.GetRunning()), Tokens: int(v.BackendLoad.GetTokens()),
+			Prefill: int(v.BackendLoad.GetPrefill()),
 		}
+	case *peerv1.Message_DemandReport:
+		return reducer.DemandReport{Account: v.DemandReport.GetAccount(), PerSecond: v.DemandReport.GetPerSecond()}
+	case *peerv1.Message_AccountShare:
+		return reducer.AccountShare{Account: v.AccountShare.GetAccount(), Fraction: v.AccountShare.GetFraction()}
 	}
 	return nil
 }
 
-func milliseconds(d time.Duration) uint64 {
-	return uint64(max(d.Milliseconds(), 0))
-}
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-func duration(ms uint64) time.Duration {
-	return time.Duration(ms) * time.Millisecond
+// stage keeps an unknown stage of a newer host from being taken for one that serves.
+func stage(n uint32) reducer.Stage {
+	if n > uint32(reducer.StageUnloading) {
+		return reducer.StageAbsent
+	}
+	return reducer.Stage(n)
 }
--- a/internal/watcher/doc.go
+++ b/internal/watcher/doc.go
@@ -1,2 +1,2 @@
-// Package watcher reads and watches the platform's configuration service.
+// Package watcher reads the platform's configuration service.
 package watcher
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -2,104 +2,128 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"github.com/redwingpick/redwingpick/internal/recorder"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
-	"github.com/redwingpick/redwingpick/pkg/decoder"
 )
 
 const (
-	readTimeout = 2 * time.Second
-	// maxIndex is the largest index in bytes that is read.
-	maxIndex = 1 << 20
+	// answerTimeout bounds a call beyond the time for which it may wait.
+	answerTimeout = time.Second
+	dialTimeout   = 400 * time.Millisecond
+	// maxAnswer is the largest answer in bytes that is read.
+	maxAnswer = 32 << 20
 )
 
 // ErrPlatform is returned when the configuration service cannot be read.
 var ErrPlatform = merry.New("configuration service failed")
 
-// Index is the platform's answer to a watch.
-type Index struct {
-	Keys map[string]uint64 `json:"keys"`
+// Codec translates the calls of the configuration service.
+type Codec interface { // type constraint
+	ListPath(after string) string
+	WatchPath(revision int64, wait time.Duration) string
+	Page(body []byte) (documents []cataloguer.Document, revision int64, more bool, err error)
 }
 
 // Watcher reads one configuration service; its exported fields are set before its first use.
-type Watcher struct {
-	Address string
+type Watcher[C Codec] struct {
+	Address  string
+	Codec    C
+	Recorder *recorder.Recorder
 }
 
-// Watch waits for revisions newer than the order's and returns the revision of each shard.
-func (w *Watcher) Watch(ctx context.Context, order reducer.WatchPlatform) reducer.IndexRead {
-	asked := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, order.Wait+readTimeout)
-	defer cancel()
-	address := fmt.Sprintf("http://%s/v1/keys?since=%d&wait_ms=%d", w.Address, order.Since, order.Wait.Milliseconds())
-	data, _, err := w.get(ctx, address)
-	if err != nil {
-		return reducer.IndexRead{AskedAt: asked, Failed: true}
-	}
-	var index Index
-	if err := json.Unmarshal(data, &index); err != nil {
-		return reducer.IndexRead{AskedAt: asked, Failed: true}
-	}
-	return reducer.IndexRead{AskedAt: asked, Shards: index.Keys}
+// UseTransport sets the process-wide HTTP client, which httpc uses, to one that follows no redirect and asks no proxy.
+func UseTransport() {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	http.DefaultClient.Transport = &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	http.DefaultClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 }
 
-// Read reads one shard; a shard that fails its checks is returned with the fault in place of its content.
-func (w *Watcher) Read(ctx context.Context, order reducer.ReadShard) reducer.ShardRead {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	event := reducer.ShardRead{Name: order.Name, Revision: order.Revision}
-	data, revision, err := w.get(ctx, "http://"+w.Address+"/v1/values/"+url.PathEscape(order.Name))
-	if err != nil || revision < order.Revision {
-		event.Failed = true
+// Watch waits for changes after a revision.
+func (w *Watcher[C]) Watch(ctx context.Context, now time.Time, order reducer.WatchPlatform) reducer.PlatformRead {
+	event := reducer.PlatformRead{AskedAt: now}
+	body, status, err := w.get(ctx, w.Codec.WatchPath(order.Since, order.Wait), order.Wait+answerTimeout)
+	if err != nil {
+		return w.failed(event, err)
+	}
+	if status == http.StatusGone {
+		event.Expired = true
 		return event
 	}
-	event.Revision = revision
-	shard, err := cataloguer.Parse(order.Name, data)
+	documents, revision, _, err := w.page(body, status)
 	if err != nil {
-		event.Fault = faultText(err)
-		return event
+		return w.failed(event, err)
 	}
-	shard.Name = order.Name
-	event.Shard = shard
+	event.Documents = documents
+	event.Revision = revision
 	return event
 }
 
-func faultText(err error) string {
-	var fault *decoder.FieldError
-	if errors.As(err, &fault) {
-		return fault.Error()
+// List reads all items; its revision is that of the first page, behind which a watch goes on.
+func (w *Watcher[C]) List(ctx context.Context, now time.Time) reducer.PlatformRead {
+	event := reducer.PlatformRead{AskedAt: now, Whole: true}
+	after := ""
+	for {
+		body, status, err := w.get(ctx, w.Codec.ListPath(after), answerTimeout)
+		if err != nil {
+			return w.failed(event, err)
+		}
+		documents, revision, more, err := w.page(body, status)
+		if err != nil {
+			return w.failed(event, err)
+		}
+		if after == "" {
+			event.Revision = revision
+		}
+		event.Documents = append(event.Documents, documents...)
+		if !more || len(documents) == 0 {
+			return event
+		}
+		after = documents[len(documents)-1].Key
 	}
-	return err.Error()
 }
 
-func (w *Watcher) get(ctx context.Context, address string) (data []byte, revision uint64, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+func (w *Watcher[C]) failed(event reducer.PlatformRead, err error) reducer.PlatformRead {
+	w.Recorder.Record(recorder.EventPlatformCall, reducer.Field{Name: "error", Value: err.Error()})
+	return reducer.PlatformRead{AskedAt: event.AskedAt, Failed: true}
+}
+
+func (w *Watcher[C]) page(body []byte, status int) (documents []cataloguer.Document, revision int64, more bool, err error) {
+	if status != http.StatusOK {
+		return nil, 0, false, merry.Wrap(ErrPlatform, merry.WithMessagef("status %d", status))
+	}
+	documents, revision, more, err = w.Codec.Page(body)
+	if err != nil {
+		return nil, 0, false, merry.Wrap(ErrPlatform, merry.WithCause(err))
+	}
+	return documents, revision, more, nil
+}
+
+// get makes one call; after a failure the connections are dropped, since one on which an answer was lost stays silent.
+func (w *Watcher[C]) get(ctx context.Context, path string, limit time.Duration) (body []byte, status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Address+path, nil)
 	if err != nil {
 		return nil, 0, merry.Wrap(ErrPlatform, merry.WithCause(err))
 	}
 	response, err := httpc.DoRequest(request)
 	if err != nil {
+		http.DefaultClient.CloseIdleConnections()
 		return nil, 0, merry.Wrap(ErrPlatform, merry.WithCause(err))
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, 0, merry.Wrap(ErrPlatform, merry.WithMessagef("status %d", response.StatusCode))
-	}
-	data, err = io.ReadAll(io.LimitReader(response.Body, cataloguer.MaxShardBytes+maxIndex))
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
 		return nil, 0, merry.Wrap(ErrPlatform, merry.WithCause(err))
 	}
-	_, _ = fmt.Sscan(response.Header.Get("X-Revision"), &revision)
-	return data, revision, nil
+	return body, response.StatusCode, nil
 }
--- a/internal/wire/redwingpick/peer/v1/peerv1connect/peer.connect.go
+++ b/internal/wire/redwingpick/peer/v1/peerv1connect/peer.connect.go
@@ -38,22 +38,14 @@
 	PeerServiceExchangeProcedure = "/redwingpick.peer.v1.PeerService/Exchange"
 	// PeerServiceUpdatesProcedure is the fully-qualified name of the PeerService's Updates RPC.
 	PeerServiceUpdatesProcedure = "/redwingpick.peer.v1.PeerService/Updates"
-	// PeerServiceRunProcedure is the fully-qualified name of the PeerService's Run RPC.
-	PeerServiceRunProcedure = "/redwingpick.peer.v1.PeerService/Run"
-	// PeerServiceAttachProcedure is the fully-qualified name of the PeerService's Attach RPC.
-	PeerServiceAttachProcedure = "/redwingpick.peer.v1.PeerService/Attach"
 )
 
 // PeerServiceClient is a client for the redwingpick.peer.v1.PeerService service.
 type PeerServiceClient interface {
 	// Exchange delivers one envelope of control messages.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Updates returns the shards that are newer than those the caller has.
+	// Updates returns the published documents that changed after a revision.
 	Updates(context.Context, *connect.Request[v1.UpdatesRequest]) (*connect.Response[v1.UpdatesResponse], error)
-	// Run runs a request on a backend server that the called host owns.
-	Run(context.Context, *connect.Request[v1.RunRequest]) (*connect.ServerStreamForClient[v1.RunResponse], error)
-	// Attach continues the answer of a running request at an offset, on a new connection.
-	Attach(context.Context, *connect.Request[v1.AttachRequest]) (*connect.ServerStreamForClient[v1.RunResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the redwingpick.peer.v1.PeerService service. By
@@ -79,18 +71,6 @@
 			connect.WithSchema(peerServiceMethods.ByName("Updates")),
 			connect.WithClientOptions(opts...),
 		),
-		run: connect.NewClient[v1.RunRequest, v1.RunResponse](
-			httpClient,
-			baseURL+PeerServiceRunProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Run")),
-			connect.WithClientOptions(opts...),
-		),
-		attach: connect.NewClient[v1.AttachRequest, v1.RunResponse](
-			httpClient,
-			baseURL+PeerServiceAttachProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Attach")),
-			connect.WithClientOptions(opts...),
-		),
 	}
 }
 
@@ -98,8 +78,6 @@
 type peerServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	updates  *connect.Client[v1.UpdatesRequest, v1.UpdatesResponse]
-	run      *connect.Client[v1.RunRequest, v1.RunResponse]
-	attach   *connect.Client[v1.AttachRequest, v1.RunResponse]
 }
 
 // Exchange calls redwingpick.peer.v1.PeerService.Exchange.
@@ -112,26 +90,12 @@
 	return c.updates.CallUnary(ctx, req)
 }
 
-// Run calls redwingpick.peer.v1.PeerService.Run.
-func (c *peerServiceClient) Run(ctx context.Context, req *connect.Request[v1.RunRequest]) (*connect.ServerStreamForClient[v1.RunResponse], error) {
-	return c.run.CallServerStream(ctx, req)
-}
-
-// Attach calls redwingpick.peer.v1.PeerService.Attach.
-func (c *peerServiceClient) Attach(ctx context.Context, req *connect.Request[v1.AttachRequest]) (*connect.ServerStreamForClient[v1.RunResponse], error) {
-	return c.attach.CallServerStream(ctx, req)
-}
-
 // PeerServiceHandler is an implementation of the redwingpick.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange delivers one envelope of control messages.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Updates returns the shards that are newer than those the caller has.
+	// Updates returns the published documents that changed after a revision.
 	Updates(context.Context, *connect.Request[v1.UpdatesRequest]) (*connect.Response[v1.UpdatesResponse], error)
-	// Run runs a request on a backend server that the called host owns.
-	Run(context.Context, *connect.Request[v1.RunRequest], *connect.ServerStream[v1.RunResponse]) error
-	// Attach continues the answer of a running request at an offset, on a new connection.
-	Attach(context.Context, *connect.Request[v1.AttachRequest], *connect.ServerStream[v1.RunResponse]) error
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -153,28 +117,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Updates")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServiceRunHandler := connect.NewServerStreamHandler(
-		PeerServiceRunProcedure,
-		svc.Run,
-		connect.WithSchema(peerServiceMethods.ByName("Run")),
-		connect.WithHandlerOptions(opts...),
-	)
-	peerServiceAttachHandler := connect.NewServerStreamHandler(
-		PeerServiceAttachProcedure,
-		svc.Attach,
-		connect.WithSchema(peerServiceMethods.ByName("Attach")),
-		connect.WithHandlerOptions(opts...),
-	)
 	return "/redwingpick.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
 			peerServiceExchangeHandler.ServeHTTP(w, r)
 		case PeerServiceUpdatesProcedure:
 			peerServiceUpdatesHandler.ServeHTTP(w, r)
-		case PeerServiceRunProcedure:
-			peerServiceRunHandler.ServeHTTP(w, r)
-		case PeerServiceAttachProcedure:
-			peerServiceAttachHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -191,11 +139,3 @@
 func (UnimplementedPeerServiceHandler) Updates(context.Context, *connect.Request[v1.UpdatesRequest]) (*connect.Response[v1.UpdatesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingpick.peer.v1.PeerService.Updates is not implemented"))
 }
-
-func (UnimplementedPeerServiceHandler) Run(context.Context, *connect.Request[v1.RunRequest], *connect.ServerStream[v1.RunResponse]) error {
-	return connect.NewError(connect.CodeUnimplemented, errors.New("redwingpick.peer.v1.PeerService.Run is not implemented"))
-}
-
-func (UnimplementedPeerServiceHandler) Attach(context.Context, *connect.Request[v1.AttachRequest], *connect.ServerStream[v1.RunResponse]) error {
-	return connect.NewError(connect.CodeUnimplemented, errors.New("redwingpick.peer.v1.PeerService.Attach is not implemented"))
-}
--- a/pkg/cataloguer/catalogue.go
+++ b/pkg/cataloguer/catalogue.go
@@ -1,109 +1,227 @@
 package cataloguer
 
-import "time"
+import (
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Repeat tells how often a request of a route may be run.
+type Repeat uint8
 
-// Kinds of backend server.
+// Kinds of repetition.
 const (
-	KindEngine  = "engine"
-	KindService = "service"
+	// RepeatSafe requests may run more than once.
+	RepeatSafe Repeat = iota + 1
+	// RepeatNever requests may run at most once.
+	RepeatNever
+	// RepeatStream requests are answered by a stream of events; they may run again only where the route is resumable.
+	RepeatStream
 )
 
-// Values of the state of a host, backend server or failure domain.
+// Catalogue is one version of the operators' configuration.
+type Catalogue struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Callers  CallerLimits
+}
+
+// Route selects requests by the name of the called host and the start of their path.
+type Route struct {
+	Name     string
+	HostName string
+	Prefix   string
+	Repeat   Repeat
+	// Timeout is how long a caller may be kept waiting.
+	Timeout time.Duration
+	// Target is the time to the first piece of an answer that is on time.
+	Target time.Duration
+	// GapTarget is the longest pause in a stream that is on time.
+	GapTarget time.Duration
+	// Priority ranks routes; 0 is the most urgent.
+	Priority    int
+	MaxAttempts int
+	// Open routes need no key.
+	Open      bool
+	Resumable bool
+	Split     []Share
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a set of backend servers that do the same work.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections to one backend server from all hosts together.
+	MaxConnections int
+	// ColdFor is how long a backend server stays cold after its start.
+	ColdFor time.Duration
+	// ColdRate is the requests a second that a cold backend server tolerates; 0 means no bound.
+	ColdRate float64
+	// Engine is set for services that run models.
+	Engine *Engine
+}
+
+// Engine describes the backend servers of a service that runs models.
+type Engine struct {
+	// Slots is the number of sequences in one batch.
+	Slots int
+	// CacheTokens is the memory for running sequences and kept prompt parts.
+	CacheTokens  int
+	AdapterSlots int
+	MemoryMB     float64
+	// LoadsPerSecond bounds the loads of models from the weight store over all backend servers.
+	LoadsPerSecond float64
+	Models         []Model
+}
+
+// Model is a base model that an engine can hold.
+type Model struct {
+	Name      string
+	WeightsMB float64
+	AdapterMB float64
+	LoadFor   time.Duration
+}
+
+// Account is one client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Priority goes before the route's; it is negative where the account has none.
+	Priority int
+	// Rate and Burst bound the account's use over all hosts, in tokens or requests; a Rate of 0 means no bound.
+	Rate  float64
+	Burst float64
+	// ByTokens is set where the bounds count tokens; otherwise they count requests.
+	ByTokens bool
+	// PlainTokens is what a request counts that states no tokens.
+	PlainTokens float64
+}
+
+// CallerLimits bounds what callers may send and how long they may take.
+type CallerLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Backend is what a backend server publishes of itself.
+type Backend struct {
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	// Born is the start of this incarnation in milliseconds of Unix time; 0 if it is not published.
+	Born    int64
+	Slots   int
+	Leaving bool
+	// ColdFor is how long the backend server stayed cold from when it published this.
+	ColdFor time.Duration
+	// Orders is the number of orders that it has accepted.
+	Orders int64
+	Models []Resident
+}
+
+// Resident is a model that a backend server holds, with its adapters.
+type Resident struct {
+	Model    string
+	Version  int64
+	Adapters []Adapter
+}
+
+// Adapter is one version of an adapter; version 0 stands for the first one.
+type Adapter struct {
+	Name    string
+	Version int64
+}
+
+// AdapterVersion declares the newest version of an adapter.
+type AdapterVersion struct {
+	Model   string
+	Adapter string
+	Version int64
+}
+
+// Document is one published item, decoded; the pointer of its kind is set unless the item is gone or unreadable.
+type Document struct {
+	Key  string
+	Kind Kind
+	// Name is the backend server or the failure domain that the item is about, where it is about one.
+	Name     string
+	Revision int64
+	Gone     bool
+	// Raw is the item as it was published, which hosts hand on to each other.
+	Raw []byte
+	// Fault says why the item cannot be used, or is empty.
+	Fault     string
+	Catalogue *Catalogue
+	Backend   *Backend
+	Version   *AdapterVersion
+}
+
+// Kind tells what a document is about, also when it is gone.
+type Kind uint8
+
+// Kinds of documents.
 const (
-	StateInService = "in_service"
-	StateWithdrawn = "withdrawn"
-	StateLeaving   = "leaving"
+	KindOther Kind = iota
+	KindCatalogue
+	KindBackend
+	KindWithdrawn
+	KindVersion
 )
 
-// Host is one entry host of the system.
-type Host struct {
-	ID            string `yaml:"id"`
-	Address       string `yaml:"address"`
-	PeerAddress   string `yaml:"peer_address"`
-	FailureDomain string `yaml:"failure_domain"`
-}
-
-// FailureDomain is a set of hosts and backend servers that can be taken out together.
-type FailureDomain struct {
-	Name   string `yaml:"name"`
-	Region string `yaml:"region"`
-	State  string `yaml:"state,omitempty"`
-}
-
-// BackendServer is an engine or a plain service to which requests are routed.
-type BackendServer struct {
-	ID            string `yaml:"id"`
-	Kind          string `yaml:"kind"`
-	Address       string `yaml:"address"`
-	FailureDomain string `yaml:"failure_domain"`
-	State         string `yaml:"state,omitempty"`
-	BaseModel     string `yaml:"base_model,omitempty"`
-	Service       string `yaml:"service,omitempty"`
-	ChecksFencing bool   `yaml:"checks_fencing,omitempty"`
-	MaxRunning    int    `yaml:"max_running"`
-	AdapterSlots  int    `yaml:"adapter_slots,omitempty"`
-	ColdRunning   int    `yaml:"cold_running"`
-	// ColdFor is how long the server bears no more than ColdRunning requests after it starts.
-	ColdFor time.Duration `yaml:"cold_for"`
-}
-
-// Key is the digest of a key of a client account.
-type Key struct {
-	Digest string `yaml:"digest"`
-}
-
-// ClientAccount is a tenant with its keys and its limits in tokens.
-type ClientAccount struct {
-	ID     string  `yaml:"id"`
-	Rate   float64 `yaml:"rate"`
-	Burst  float64 `yaml:"burst"`
-	Weight float64 `yaml:"weight,omitempty"`
-	Keys   []Key   `yaml:"keys"`
-}
-
-// Adapter is a LoRA adapter in the version that serves now.
-type Adapter struct {
-	Name      string `yaml:"name"`
-	Version   uint32 `yaml:"version"`
-	BaseModel string `yaml:"base_model"`
-	Owner     string `yaml:"owner"`
-	Class     string `yaml:"class"`
-	MaxTokens int    `yaml:"max_tokens"`
-	Open      bool   `yaml:"open,omitempty"`
+// Limited reports whether the account has a bound on its use.
+func (a Account) Limited() bool { return a.Rate > 0 }
+
+// Cost returns what a request with the given tokens counts against the account's bounds.
+func (a Account) Cost(tokens int) float64 {
+	switch {
+	case !a.ByTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	}
+	return a.PlainTokens
 }
 
-// Service is a plain service, whose calls may or may not be repeated.
-type Service struct {
-	Name       string `yaml:"name"`
-	Owner      string `yaml:"owner,omitempty"`
-	Open       bool   `yaml:"open,omitempty"`
-	Repeatable bool   `yaml:"repeatable"`
-	CallTokens int    `yaml:"call_tokens"`
-}
-
-// WeightStore holds the limits of the store that adapters are loaded from.
-type WeightStore struct {
-	LoadsPerSecond float64       `yaml:"loads_per_second"`
-	MaxInFlight    int           `yaml:"max_in_flight"`
-	LoadTime       time.Duration `yaml:"load_time"`
-}
-
-// Shard is one published value of the catalogue; each section may be absent.
-type Shard struct {
-	Name           string          `yaml:"shard"`
-	FailureDomains []FailureDomain `yaml:"failure_domains,omitempty"`
-	Hosts          []Host          `yaml:"hosts,omitempty"`
-	PreviousHosts  []Host          `yaml:"previous_hosts,omitempty"`
-	BackendServers []BackendServer `yaml:"backend_servers,omitempty"`
-	ClientAccounts []ClientAccount `yaml:"client_accounts,omitempty"`
-	Adapters       []Adapter       `yaml:"adapters,omitempty"`
-	Services       []Service       `yaml:"services,omitempty"`
-	WeightStore    *WeightStore    `yaml:"weight_store,omitempty"`
-	HostList       *HostList       `yaml:"host_list,omitempty"`
-}
-
-// HostList is the platform's lagging list of live and leaving hosts.
-type HostList struct {
-	Live    []string `yaml:"live"`
-	Leaving []string `yaml:"leaving,omitempty"`
+// Find returns the route of a request: among those of the host name, the one with the longest prefix of the path.
+func (c *Catalogue) Find(hostName, path string) (Route, bool) {
+	best := -1
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.HostName != hostName || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if best < 0 || len(r.Prefix) > len(c.Routes[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Route{}, false
+	}
+	return c.Routes[best], true
+}
+
+// Service returns the service of a name.
+func (c *Catalogue) Service(name string) (Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// ValidAddress reports whether text is an IP number and a port.
+func ValidAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0
 }
--- a/pkg/cataloguer/doc.go
+++ b/pkg/cataloguer/doc.go
@@ -1,2 +1,2 @@
-// Package cataloguer holds the published catalogue: its entries, shards, checks and differences.
+// Package cataloguer holds the types of what operators publish: routes, services, client accounts and backend servers.
 package cataloguer
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -11,40 +11,69 @@
 
 // Settings is the settings file of one host.
 type Settings struct {
-	// HostID is the name of the host in the catalogue.
+	// HostID is the name of the host.
 	HostID string `yaml:"host_id"`
-	// FailureDomain is the failure domain the host stands in.
+	// FailureDomain is the failure domain that the host stands in.
 	FailureDomain string `yaml:"failure_domain"`
+	// Region is the region of the failure domain.
+	Region string `yaml:"region"`
 	// Address is where callers connect.
 	Address string `yaml:"address"`
+	// ReadinessAddress is where the platform asks whether the host may be sent callers.
+	ReadinessAddress string `yaml:"readiness_address"`
+	// DirectoryAddress is where callers ask which hosts to use.
+	DirectoryAddress string `yaml:"directory_address"`
 	// PeerAddress is where other hosts connect.
 	PeerAddress string `yaml:"peer_address"`
 	// OperatorAddress is where operators and monitoring connect.
 	OperatorAddress string `yaml:"operator_address"`
 	// Platform is the address of the configuration service.
 	Platform string `yaml:"platform"`
-	// Seeds are peer addresses that a starting host asks for the newest configuration.
+	// Seeds are peer addresses of hosts that a starting host asks for the others.
 	Seeds []string `yaml:"seeds,omitempty"`
-	// DrainFor bounds the time that a leaving host waits for its running requests.
-	DrainFor time.Duration `yaml:"drain_for,omitempty"`
-	// RequestTimeout bounds the time of a request that names no deadline.
-	RequestTimeout time.Duration `yaml:"request_timeout,omitempty"`
+	// Bounds are the figures of the promises that the host keeps.
+	Bounds Bounds `yaml:"bounds"`
 	// MailboxSize is the number of requests that may wait for the control goroutine.
 	MailboxSize int `yaml:"mailbox_size,omitempty"`
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int `yaml:"memory_mb,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level,omitempty"`
+	// LogBytesPerSecond bounds what the log writes.
+	LogBytesPerSecond int `yaml:"log_bytes_per_second,omitempty"`
 	// TraceCollector is the address of an OTLP collector; empty for none.
 	TraceCollector string `yaml:"trace_collector,omitempty"`
-	// TraceLines writes one line a span to standard error.
+	// TraceLines writes one line a span to standard output.
 	TraceLines bool `yaml:"trace_lines,omitempty"`
 }
 
+// Bounds are the figures of the promises, in the units that their names state.
+type Bounds struct {
+	// ConfigMs is the time within which a published change is in force.
+	ConfigMs int `yaml:"config_ms"`
+	// DrainMs is the time after which a leaving backend server gets nothing new.
+	DrainMs int `yaml:"drain_ms"`
+	// ContactMs is the time after which a host that nobody hears counts as gone.
+	ContactMs int `yaml:"contact_ms"`
+	// GraceSeconds is the time between the signal to stop and the end of the process.
+	GraceSeconds float64 `yaml:"grace_seconds"`
+	// OrderLeaseMs is the time in which no two hosts order one backend server by turns.
+	OrderLeaseMs int `yaml:"order_lease_ms"`
+	// RetryRatio is the repeats that a service bears for each request.
+	RetryRatio float64 `yaml:"retry_ratio"`
+	// RetrySlack is the repeats in RetryWindowSeconds that a service bears besides.
+	RetrySlack float64 `yaml:"retry_slack"`
+	// RetryWindowSeconds is the length of the window that repeats are counted in.
+	RetryWindowSeconds float64 `yaml:"retry_window_seconds"`
+	// DirectorySeconds is the longest time that callers keep an answer of the directory.
+	DirectorySeconds float64 `yaml:"directory_seconds"`
+}
+
 // Defaults of the optional settings.
 const (
-	DefaultDrainFor       = 5 * time.Minute
-	DefaultRequestTimeout = 2 * time.Minute
-	DefaultMailboxSize    = 4096
-	DefaultLogLevel       = "info"
+	DefaultMailboxSize       = 4096
+	DefaultLogLevel          = "info"
+	DefaultLogBytesPerSecond = 64 << 10
 )
 
 // Read reads and checks a settings file.
@@ -77,7 +106,8 @@
 		return document.Fault("is required", "failure_domain")
 	}
 	addresses := []struct{ field, value string }{
-		{"address", s.Address}, {"peer_address", s.PeerAddress}, {"operator_address", s.OperatorAddress}, {"platform", s.Platform},
+		{"address", s.Address}, {"readiness_address", s.ReadinessAddress}, {"directory_address", s.DirectoryAddress},
+		{"peer_address", s.PeerAddress}, {"operator_address", s.OperatorAddress}, {"platform", s.Platform},
 	}
 	for _, a := range addresses {
 		if !cataloguer.ValidAddress(a.value) {
@@ -89,18 +119,45 @@
 			return document.Fault("must be an IP number and a port", "seeds", strconv.Itoa(i))
 		}
 	}
+	if fault := checkBounds(document); fault != nil {
+		return fault
+	}
 	return checkOptional(document)
 }
 
+func checkBounds(document decoder.Document[Settings]) *decoder.FieldError {
+	b := document.Value.Bounds
+	figures := []struct {
+		field string
+		value float64
+	}{
+		{"config_ms", float64(b.ConfigMs)}, {"drain_ms", float64(b.DrainMs)}, {"contact_ms", float64(b.ContactMs)},
+		{"grace_seconds", b.GraceSeconds}, {"order_lease_ms", float64(b.OrderLeaseMs)},
+		{"retry_window_seconds", b.RetryWindowSeconds}, {"directory_seconds", b.DirectorySeconds},
+	}
+	for _, f := range figures {
+		if f.value <= 0 {
+			return document.Fault("must be above 0", "bounds", f.field)
+		}
+	}
+	if b.RetryRatio < 0 {
+		return document.Fault("must not be negative", "bounds", "retry_ratio")
+	}
+	if b.RetrySlack < 0 {
+		return document.Fault("must not be negative", "bounds", "retry_slack")
+	}
+	return nil
+}
+
 func checkOptional(document decoder.Document[Settings]) *decoder.FieldError {
 	s := document.Value
 	switch {
-	case s.DrainFor < 0:
-		return document.Fault("must not be negative", "drain_for")
-	case s.RequestTimeout < 0:
-		return document.Fault("must not be negative", "request_timeout")
 	case s.MailboxSize < 0:
 		return document.Fault("must not be negative", "mailbox_size")
+	case s.MemoryMB < 0:
+		return document.Fault("must not be negative", "memory_mb")
+	case s.LogBytesPerSecond < 0:
+		return document.Fault("must not be negative", "log_bytes_per_second")
 	case s.TraceCollector != "" && !cataloguer.ValidAddress(s.TraceCollector):
 		return document.Fault("must be an IP number and a port", "trace_collector")
 	}
@@ -112,17 +169,20 @@
 }
 
 func withDefaults(s Settings) Settings {
-	if s.DrainFor == 0 {
-		s.DrainFor = DefaultDrainFor
-	}
-	if s.RequestTimeout == 0 {
-		s.RequestTimeout = DefaultRequestTimeout
-	}
 	if s.MailboxSize == 0 {
 		s.MailboxSize = DefaultMailboxSize
 	}
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
+	if s.LogBytesPerSecond == 0 {
+		s.LogBytesPerSecond = DefaultLogBytesPerSecond
+	}
 	return s
 }
+
+// Milliseconds returns a figure of the settings as a duration.
+func Milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Seconds returns a figure of the settings as a duration.
+func Seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
