--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -90,6 +90,7 @@
 		ConfigFor: configurer.Milliseconds(b.ConfigMs), DrainFor: configurer.Milliseconds(b.DrainMs),
 		ContactFor: configurer.Milliseconds(b.ContactMs), GraceFor: configurer.Seconds(b.GraceSeconds),
 		OrderLeaseFor: configurer.Milliseconds(b.OrderLeaseMs), RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
+		QuotaWindow: configurer.Seconds(b.QuotaWindowSeconds), QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack,
 		DirectoryFor: configurer.Seconds(b.DirectorySeconds),
 	}
 }
@@ -179,7 +180,6 @@
 
 // serve starts the listeners and returns the function that stops them.
 func (d *daemon) serve() (stop func(), err error) {
-	d.recorder.UseForLibrary()
 	peerServer := &http.Server{Handler: d.peers.Handler(), Protocols: new(http.Protocols)}
 	peerServer.Protocols.SetHTTP1(true)
 	peerServer.Protocols.SetUnencryptedHTTP2(true)
@@ -200,6 +200,8 @@
 	if err := d.callers.Start(); err != nil {
 		return nil, err
 	}
+	// The library sets its log up with its server, so its messages are taken over after that.
+	d.recorder.UseForLibrary()
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 		defer cancel()
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -1,53 +1,93 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/limiter"
+	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
-// demandHalfLife is how fast this host forgets what an account has asked for.
-const demandHalfLife = time.Second
+// Times of a host's use of a client account.
+const (
+	// demandHalfLife is how fast this host forgets what an account has asked for.
+	demandHalfLife = time.Second
+	// reserveFor is the time for whose demand a host holds tokens.
+	reserveFor = 400 * time.Millisecond
+	// grantTimeout is how long a host waits for a keeper before it uses its even part of the rate.
+	grantTimeout = 80 * time.Millisecond
+	// returnEvery is the time between two returns of tokens that are not needed.
+	returnEvery = 500 * time.Millisecond
+)
 
-// charge takes a request's cost from the account's part on this host and reports whether it was there.
-func charge(s *State, now time.Time, account cataloguer.Account, tokens int) (taken bool, wait time.Duration) {
-	if !account.Limited() {
-		return true, 0
+// charge spends a request's cost from the tokens that this host has been granted.
+//
+// Without enough of them the request waits for the answer of the account's keeper; known tells that there is an answer.
+func charge(s *State, now time.Time, r *Request, account cataloguer.Account) (taken bool) {
+	if !account.Limited() || r.Charged {
+		return true
 	}
-	cost := account.Cost(tokens)
 	a := s.account(now, account)
-	a.Demand.Add(now, cost, demandHalfLife)
-	setShare(s, now, account, a)
-	if a.Bucket.Take(now, cost) {
-		return true, 0
+	if !r.Counted {
+		r.Counted = true
+		a.Demand.Add(now, r.Cost, demandHalfLife)
+	}
+	if a.Level >= r.Cost {
+		a.Level -= r.Cost
+		r.Charged = true
+		return true
 	}
-	a.Refused++
-	return false, a.Bucket.Wait(now, cost)
+	if !slices.Contains(a.Waiting, r.ID) {
+		a.Waiting = append(a.Waiting, r.ID)
+	}
+	askTokens(s, now, account, a)
+	return false
 }
 
-// account returns the state of an account; a new bucket starts half full, since a former incarnation may have spent the rest.
+// account returns this host's state of a client account.
 func (s *State) account(now time.Time, account cataloguer.Account) *Account {
 	a, ok := s.Accounts[account.Name]
-	if ok {
-		return a
+	if !ok {
+		a = &Account{}
+		a.Alone.Set(now, 0, 0)
+		s.Accounts[account.Name] = a
 	}
-	a = &Account{}
-	s.Accounts[account.Name] = a
-	setShare(s, now, account, a)
-	a.Bucket.Level = a.Bucket.Burst / 2
 	return a
 }
 
-// setShare puts this host's part of the account's rate into force; without a keeper's word it is an even one.
-func setShare(s *State, now time.Time, account cataloguer.Account, a *Account) {
-	fraction := 1 / float64(max(len(s.memberHosts(now)), 1))
-	if !a.SharedAt.IsZero() && now.Sub(a.SharedAt) < shareValid {
-		fraction = a.Fraction
+// askTokens asks the keeper for what the waiting requests lack and for a reserve.
+func askTokens(s *State, now time.Time, account cataloguer.Account, a *Account) {
+	if !a.AskedAt.IsZero() && now.Sub(a.AskedAt) < grantTimeout {
+		return
+	}
+	need := 0.0
+	for _, id := range a.Waiting {
+		if r, ok := s.Requests[id]; ok {
+			need += r.Cost
+		}
+	}
+	a.AskedAt = now
+	a.Sequence++
+	request := TokenRequest{
+		Account: account.Name, Sequence: a.Sequence, Needed: max(need-a.Level, 0), Wanted: a.Demand.At(now, demandHalfLife) * reserveFor.Seconds(),
 	}
-	a.Bucket.Set(now, account.Rate*fraction*quotaHeadroom, account.Burst*fraction)
+	s.wakeAt(now.Add(grantTimeout))
+	s.sendKeeper(now, request)
 }
 
-// keeperOf returns the host that divides an account's rate.
+func (s *State) sendKeeper(now time.Time, m TokenRequest) {
+	if keeper := s.keeperOf(now, m.Account); keeper != s.Self.HostID {
+		s.send(keeper, m)
+		return
+	}
+	if grant, ok := grantTokens(s, now, m); ok {
+		s.Granted = append(s.Granted, grant)
+		s.wakeAt(now)
+	}
+}
+
+// keeperOf returns the host that grants an account's tokens.
 func (s *State) keeperOf(now time.Time, account string) string {
 	ranked := rankHosts("account/"+account, s.aliveHosts(now), 1)
 	if len(ranked) == 0 {
@@ -56,76 +96,152 @@
 	return ranked[0]
 }
 
-// tickAccounts tells the keepers what the accounts in use ask of this host.
-func tickAccounts(s *State, now time.Time) {
-	for name, a := range s.Accounts {
-		if _, ok := s.Documents.Accounts[name]; !ok {
-			delete(s.Accounts, name)
-			continue
-		}
-		if now.Sub(a.ReportedAt) < demandEvery {
-			continue
-		}
-		a.ReportedAt = now
-		report := DemandReport{Account: name, PerSecond: a.Demand.At(now, demandHalfLife)}
-		keeper := s.keeperOf(now, name)
-		if keeper != s.Self.HostID {
-			s.send(keeper, report)
-			continue
-		}
-		receiveDemand(s, now, s.Self.HostID, report)
-	}
-	for name := range s.Keepers {
-		if _, ok := s.Documents.Accounts[name]; !ok {
-			delete(s.Keepers, name)
-		}
+// receiveTokenRequest answers a host that asks for tokens.
+func receiveTokenRequest(s *State, now time.Time, from string, m TokenRequest) {
+	if grant, ok := grantTokens(s, now, m); ok {
+		s.send(from, grant)
 	}
 }
 
-// receiveDemand notes a host's demand and tells it its part: a tenth is divided evenly, the rest by demand.
-func receiveDemand(s *State, now time.Time, from string, m DemandReport) {
+// grantTokens takes what is asked for from the account's bucket, as far as it is there.
+func grantTokens(s *State, now time.Time, m TokenRequest) (TokenGrant, bool) {
+	account, ok := s.Documents.Accounts[m.Account]
+	if !ok {
+		return TokenGrant{}, false
+	}
 	k, ok := s.Keepers[m.Account]
 	if !ok {
-		k = &Keeper{Demands: map[string]KeptDemand{}}
+		k = &limiter.Bucket{}
 		s.Keepers[m.Account] = k
+		s.setKeeper(now, account, k)
+		k.Level = k.Burst * newKeeperShare
+	}
+	s.setKeeper(now, account, k)
+	k.Level = min(k.Level+m.Returned, k.Burst)
+	grant := TokenGrant{Account: m.Account, Sequence: m.Sequence}
+	if m.Needed+m.Wanted <= 0 {
+		return grant, false
+	}
+	// The reserve comes from what others do not need soon, so that no host hoards the last tokens.
+	grant.Tokens = min(m.Needed, max(k.Level, 0))
+	if spare := (k.Level - grant.Tokens) / reserveParts; spare > 0 {
+		grant.Tokens += min(m.Wanted, spare)
+	}
+	k.Level -= grant.Tokens
+	if grant.Tokens < m.Needed {
+		grant.Wait = k.Wait(now, m.Needed)
+	}
+	return grant, true
+}
+
+// newKeeperShare is the part of the burst that a new keeper starts with, since a former one may have granted the rest, and
+// reserveParts the number of parts of the level of which one may become a host's reserve.
+const (
+	newKeeperShare = 0.3
+	reserveParts   = 8
+)
+
+// setKeeper puts the account's bounds into force; a keeper that reaches only some of the hosts grants only their part.
+func (s *State) setKeeper(now time.Time, account cataloguer.Account, k *limiter.Bucket) {
+	reached := float64(len(s.aliveHosts(now))) / float64(max(len(s.memberHosts(now)), 1))
+	k.Set(now, account.Rate*quotaHeadroom*min(reached, 1), s.fleetBurst(account))
+}
+
+// fleetBurst is the burst over all hosts: what a window allows beyond the rate, less a part for keepers that start anew.
+func (s *State) fleetBurst(account cataloguer.Account) float64 {
+	window := s.Limits.QuotaWindow.Seconds()
+	allowed := (account.Rate*window+account.Burst)*(1+s.Limits.QuotaOvershoot) + s.Limits.QuotaSlack
+	return (allowed - account.Rate*window*quotaHeadroom) * quotaBurstShare
+}
+
+// receiveGrant adds tokens and decides on the requests that wait for them.
+func receiveGrant[P selector.Policy](s *State, now time.Time, m TokenGrant) {
+	a, ok := s.Accounts[m.Account]
+	if !ok {
+		return
 	}
-	k.Demands[from] = KeptDemand{PerSecond: m.PerSecond, At: now}
-	share := AccountShare{Account: m.Account, Fraction: k.fraction(s, now, from)}
-	if from == s.Self.HostID {
-		receiveShare(s, now, share)
+	a.Level += m.Tokens
+	if m.Sequence != a.Sequence {
 		return
 	}
-	s.send(from, share)
+	a.AskedAt = time.Time{}
+	settleWaiting[P](s, now, a, m.Wait)
+}
+
+// settleWaiting places the waiting requests that the tokens suffice for and refuses the rest.
+func settleWaiting[P selector.Policy](s *State, now time.Time, a *Account, wait time.Duration) {
+	waiting := a.Waiting
+	a.Waiting = nil
+	for _, id := range waiting {
+		r, ok := s.Requests[id]
+		if !ok || r.Phase != PhaseTokens {
+			continue
+		}
+		if a.Level >= r.Cost {
+			a.Level -= r.Cost
+			r.Charged = true
+			r.Phase = PhaseQueued
+			place[P](s, now, r)
+			continue
+		}
+		if a.Asked(now) {
+			a.Waiting = append(a.Waiting, id)
+			continue
+		}
+		a.Refused++
+		s.note(EventOverRate, Field{"account", r.Account}, floatField("cost", r.Cost), floatField("level", a.Level), msField("wait_ms", wait))
+		refuse(s, now, r, ReasonOverRate, max(wait, refusedRetryWait))
+	}
 }
 
-// evenPart is the part of an account's rate that all hosts share evenly.
-const evenPart = 0.1
+// Asked reports whether an answer of the keeper is still awaited.
+func (a *Account) Asked(now time.Time) bool {
+	return !a.AskedAt.IsZero() && now.Sub(a.AskedAt) < grantTimeout
+}
 
-func (k *Keeper) fraction(s *State, now time.Time, host string) float64 {
-	members := s.memberHosts(now)
-	total := 0.0
-	for id, d := range k.Demands {
-		if now.Sub(d.At) > forgetAfter {
-			delete(k.Demands, id)
+// tickAccounts ends waits for keepers that do not answer, and returns tokens that are not needed.
+func tickAccounts[P selector.Policy](s *State, now time.Time) {
+	granted := s.Granted
+	s.Granted = nil
+	for _, g := range granted {
+		receiveGrant[P](s, now, g)
+	}
+	for _, name := range sortedKeys(s.Accounts) {
+		a := s.Accounts[name]
+		account, ok := s.Documents.Accounts[name]
+		if !ok {
+			delete(s.Accounts, name)
+			delete(s.Keepers, name)
 			continue
 		}
-		total += d.PerSecond
+		if !a.AskedAt.IsZero() && !a.Asked(now) {
+			a.AskedAt = time.Time{}
+			goAlone[P](s, now, account, a)
+		}
+		returnTokens(s, now, name, a)
 	}
-	even := 1 / float64(max(len(members), 1))
-	if total <= 0 {
-		return even
+}
+
+// goAlone uses this host's even part of the rate while the keeper cannot be reached.
+func goAlone[P selector.Policy](s *State, now time.Time, account cataloguer.Account, a *Account) {
+	hosts := float64(max(len(s.memberHosts(now)), 1))
+	a.Alone.Set(now, account.Rate/hosts, max(account.Burst/hosts, account.Rate/hosts))
+	for _, id := range a.Waiting {
+		if r, ok := s.Requests[id]; ok && a.Alone.Take(now, r.Cost) {
+			a.Level += r.Cost
+		}
 	}
-	// A host that the keeper has not heard yet keeps its even part.
-	unheard := max(len(members)-len(k.Demands), 0)
-	left := (1 - evenPart) * (1 - float64(unheard)*even)
-	return evenPart*even + left*k.Demands[host].PerSecond/total
+	settleWaiting[P](s, now, a, a.Alone.Wait(now, a.Alone.Burst))
 }
 
-func receiveShare(s *State, now time.Time, m AccountShare) {
-	a, ok := s.Accounts[m.Account]
-	if !ok {
+func returnTokens(s *State, now time.Time, name string, a *Account) {
+	if now.Sub(a.ReturnedAt) < returnEvery {
 		return
 	}
-	a.Fraction = m.Fraction
-	a.SharedAt = now
+	a.ReturnedAt = now
+	reserve := a.Demand.At(now, demandHalfLife) * reserveFor.Seconds()
+	if surplus := a.Level - 2*reserve; surplus > 0 {
+		a.Level -= surplus
+		s.sendKeeper(now, TokenRequest{Account: name, Returned: surplus})
+	}
 }
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		if s.isEngine(b) && now.Sub(b.TouchedAt) >= usageEvery && (b.Running > 0 || b.UsedAt.After(b.TouchedAt)) {
-			tellUsage(s, now, b)
+			tellUsage(s, now, b, true)
 		}
 		trimParts(now, b)
 	}
@@ -127,20 +127,25 @@
 	}
 }
 
-func tellUsage(s *State, now time.Time, b *Backend) {
+// tellUsage tells the holder of a backend server what this host has running there: of all adapters in use, or of those
+// whose use has changed.
+func tellUsage(s *State, now time.Time, b *Backend, all bool) {
 	holder := s.holderOf(now, b.Info.ID)
 	if holder == "" {
 		return
 	}
-	b.TouchedAt = now
+	if all {
+		b.TouchedAt = now
+	}
 	usage := Usage{Backend: b.Info.ID, Running: b.Running, Tokens: b.Tokens, Prefill: b.Prefill}
 	for _, key := range sortedAdapters(b.Adapters) {
 		p := b.Adapters[key]
-		if p.Count == 0 && p.Running == 0 {
+		if !p.Changed && (!all || p.Running == 0) {
 			continue
 		}
 		usage.Adapters = append(usage.Adapters, AdapterUse{Adapter: key, Count: p.Count, Running: p.Running})
 		p.Count = 0
+		p.Changed = false
 	}
 	if holder == s.Self.HostID {
 		receiveUsage(s, now, holder, usage)
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -104,11 +104,44 @@
 	if e, ok := r.Ledger.Entries[m.Adapter]; ok && e.serves(m.Version) {
 		e.Use.Add(now, 1, usesDecay)
 		e.Askers[from] = now
+		e.AskedAt = now
 		tellPlace[P](s, now, from, m.Backend, m.Adapter, e)
 		return
 	}
 	queueWant(r, now, from, m)
 	nextOrder(s, now, m.Backend, r)
+	if !r.Ledger.comes(m.Adapter) && !r.Ledger.hasRoom(s, now, m.Backend) {
+		tellFull[P](s, now, from, m)
+	}
+}
+
+// comes reports whether an adapter is resident or on its way.
+func (l *Ledger) comes(key AdapterKey) bool {
+	e, ok := l.Entries[key]
+	return ok && (e.Stage == StageReady || e.Stage == StageLoading)
+}
+
+// hasRoom reports whether a place is free or can be freed at once.
+func (l *Ledger) hasRoom(s *State, now time.Time, backend string) bool {
+	b, ok := s.Backends[backend]
+	if !ok {
+		return false
+	}
+	if engine := s.engineOf(b); engine != nil && len(l.Entries) < engine.AdapterSlots {
+		return true
+	}
+	_, found := l.victim(now)
+	return found
+}
+
+// tellFull tells a host that the adapter has to wait for a place.
+func tellFull[P selector.Policy](s *State, now time.Time, to string, m AdapterWant) {
+	place := AdapterPlace{Backend: m.Backend, Adapter: m.Adapter, Stage: StageAbsent}
+	if to == s.Self.HostID {
+		receivePlace[P](s, now, place)
+		return
+	}
+	s.send(to, place)
 }
 
 // serves reports whether the entry will serve requests that need at least the given version.
@@ -221,14 +254,12 @@
 
 // busy reports whether requests for an adapter may be running or on their way.
 func (l *Ledger) busy(now time.Time, key AdapterKey, e *Entry) bool {
-	if now.Sub(e.Use.At) < quietFor || now.Sub(e.ReadyAt) < quietFor {
+	if now.Sub(e.AskedAt) < quietFor || now.Sub(e.ReadyAt) < quietFor {
 		return true
 	}
 	for _, u := range l.Uses {
-		for _, a := range u.Usage.Adapters {
-			if a.Adapter == key && a.Running > 0 {
-				return true
-			}
+		if u.Adapters[key] > 0 {
+			return true
 		}
 	}
 	return false
@@ -418,8 +449,19 @@
 		return
 	}
 	l := &r.Ledger
-	l.Uses[from] = &HostUse{Usage: m, At: now}
+	u, ok := l.Uses[from]
+	if !ok {
+		u = &HostUse{Adapters: map[AdapterKey]int{}}
+		l.Uses[from] = u
+	}
+	u.Running, u.Tokens, u.Prefill, u.At = m.Running, m.Tokens, m.Prefill, now
+	freed := false
 	for _, a := range m.Adapters {
+		u.Adapters[a.Adapter] = a.Running
+		if a.Running == 0 {
+			delete(u.Adapters, a.Adapter)
+			freed = true
+		}
 		if e, ok := l.Entries[a.Adapter]; ok {
 			e.Use.Add(now, float64(a.Count), usesDecay)
 			e.Askers[from] = now
@@ -428,11 +470,14 @@
 	load := BackendLoad{Backend: m.Backend}
 	for host, u := range l.Uses {
 		if host != from && now.Sub(u.At) < 3*usageEvery {
-			load.Running += u.Usage.Running
-			load.Tokens += u.Usage.Tokens
-			load.Prefill += u.Usage.Prefill
+			load.Running += u.Running
+			load.Tokens += u.Tokens
+			load.Prefill += u.Prefill
 		}
 	}
+	if freed {
+		nextOrder(s, now, m.Backend, r)
+	}
 	if from == s.Self.HostID {
 		receiveLoad(s, now, load)
 		return
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -16,6 +16,10 @@
 	OrderLeaseFor time.Duration
 	RetryRatio    float64
 	RetrySlack    float64
+	// An account may use (rate x QuotaWindow + burst) x (1 + QuotaOvershoot) + QuotaSlack in any window of that length.
+	QuotaWindow    time.Duration
+	QuotaOvershoot float64
+	QuotaSlack     float64
 	// DirectoryFor is the longest time that callers keep an answer of the directory.
 	DirectoryFor time.Duration
 }
@@ -73,8 +77,8 @@
 	wantRepeat   = 250 * time.Millisecond
 	wantsTried   = 3
 	usageEvery   = 400 * time.Millisecond
-	// quietFor is how long an adapter must not have been used to be dropped without waiting for its requests.
-	quietFor     = 1500 * time.Millisecond
+	// quietFor is how long an adapter stays after it came or was asked for, so that the requests for it can arrive.
+	quietFor     = 60 * time.Millisecond
 	askersKept   = 15 * time.Second
 	reportEvery  = 700 * time.Millisecond
 	orderTimeout = time.Second
@@ -88,10 +92,10 @@
 	ejectFirst         = 500 * time.Millisecond
 	ejectMost          = 8 * time.Second
 	lossDecay          = 0.8
-	// quotaHeadroom is the part of the allowed overshoot that the shares of an account use.
-	quotaHeadroom    = 1.12
-	demandEvery      = 400 * time.Millisecond
-	shareValid       = 3 * time.Second
+	// quotaHeadroom is the rate over all hosts as a multiple of the account's own.
+	quotaHeadroom = 1.05
+	// quotaBurstShare is the part of what a window allows beyond the rate that the hosts' bursts add up to.
+	quotaBurstShare = 0.6
 	coldHosts        = 5
 	retrySlackShare  = 0.8
 	refusedRetryWait = 300 * time.Millisecond
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -102,15 +102,21 @@
 	Prefill int
 }
 
-// DemandReport tells the keeper of a client account what it asks of the sender.
-type DemandReport struct {
-	Account string
-	// PerSecond is the demand in the account's unit.
-	PerSecond float64
+// TokenRequest asks the keeper of a client account for tokens, in the account's unit.
+type TokenRequest struct {
+	Account  string
+	Sequence uint64
+	// Needed is what waiting requests lack, and Wanted a reserve besides.
+	Needed float64
+	Wanted float64
+	// Returned is tokens that the sender gives back.
+	Returned float64
 }
 
-// AccountShare tells a host its part of a client account's rate.
-type AccountShare struct {
+// TokenGrant answers a TokenRequest; Wait is the time until the keeper has what was needed, if it had not.
+type TokenGrant struct {
 	Account  string
-	Fraction float64
+	Sequence uint64
+	Tokens   float64
+	Wait     time.Duration
 }
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -34,12 +34,17 @@
 	EventRequestRetried   = 205
 	EventRequestWaits     = 206
 	EventRequestLeft      = 207
+	EventOverRate         = 208
 )
 
 func boolField(name string, value bool) Field { return Field{name, strconv.FormatBool(value)} }
 
 func intField(name string, value int) Field { return Field{name, strconv.Itoa(value)} }
 
+func floatField(name string, value float64) Field {
+	return Field{name, strconv.FormatFloat(value, 'g', 6, 64)}
+}
+
 func msField(name string, value time.Duration) Field {
 	return Field{name, strconv.FormatInt(value.Milliseconds(), 10)}
 }
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -160,9 +160,19 @@
 	if ok && p.Stage != StageAbsent && p.fresh(now, r.Version) {
 		return max(p.ReadyAt.Sub(now), 0)
 	}
-	return s.loadTime(b, false)
+	delay := s.loadTime(b, false)
+	if ok && now.Sub(p.FullAt) < fullFor {
+		delay += fullDelay
+	}
+	return delay
 }
 
+// fullDelay is the expected wait for a place at an engine whose places are all in use, and fullFor how long that counts.
+const (
+	fullDelay = 500 * time.Millisecond
+	fullFor   = wantRepeat
+)
+
 // placeKept is how long this host counts on an adapter's place without a sign of it.
 const placeKept = 10 * time.Second
 
@@ -241,7 +251,12 @@
 	if !ok {
 		return
 	}
-	if m.Stage == StageAbsent || m.Stage == StageUnloading {
+	if m.Stage == StageAbsent {
+		b.place(m.Adapter).FullAt = now
+		releaseWaiting[P](s, now, b.place(m.Adapter))
+		return
+	}
+	if m.Stage == StageUnloading {
 		markAbsent(s, now, b, m.Adapter)
 		return
 	}
@@ -327,6 +342,7 @@
 		p := b.place(r.Adapter)
 		p.Running++
 		p.Count++
+		s.useChanged(now, b, p, p.Running == 1)
 	}
 	s.Counters.Dispatches++
 	s.note(EventRequestSent, s.requestFields(now, r, intField("running", b.Running), intField("others_running", b.Others.Running),
@@ -338,6 +354,14 @@
 	})
 }
 
+// useChanged notes a change of an adapter's use, and tells the holder at once when the first request begins or the last ends.
+func (s *State) useChanged(now time.Time, b *Backend, p *Place, atOnce bool) {
+	p.Changed = true
+	if atOnce {
+		tellUsage(s, now, b, false)
+	}
+}
+
 // connections is this host's part of the connections that a backend server accepts.
 func (s *State) connections(now time.Time, service cataloguer.Service) int {
 	if service.MaxConnections <= 0 {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -52,7 +52,7 @@
 	tickGossip(s, now)
 	tickRights[P](s, now)
 	tickBackends(s, now)
-	tickAccounts(s, now)
+	tickAccounts[P](s, now)
 	tickWatch(s, now)
 	tickDrain(s, now)
 	updateReadiness(s, now)
@@ -88,9 +88,9 @@
 		receiveUsage(s, now, e.From, m)
 	case BackendLoad:
 		receiveLoad(s, now, m)
-	case DemandReport:
-		receiveDemand(s, now, e.From, m)
-	case AccountShare:
-		receiveShare(s, now, m)
+	case TokenRequest:
+		receiveTokenRequest(s, now, e.From, m)
+	case TokenGrant:
+		receiveGrant[P](s, now, m)
 	}
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -38,16 +38,17 @@
 		if account.Priority >= 0 {
 			r.Priority = account.Priority
 		}
-		if taken, wait := charge(s, now, account, r.Tokens); !taken {
-			refuse(s, now, r, ReasonOverRate, max(wait, refusedRetryWait))
-			return
-		}
+		r.Cost = account.Cost(r.Tokens)
 	}
 	r.Deadline = now.Add(timeLeft(e, route))
 	r.Service = s.pickService(route)
 	r.Version = s.Documents.Versions[r.Adapter]
 	s.earnRetry(now, r.Service)
 	s.Requests[r.ID] = r
+	if known && !charge(s, now, r, s.Documents.Accounts[name]) {
+		r.Phase = PhaseTokens
+		return
+	}
 	place[P](s, now, r)
 }
 
@@ -210,6 +211,7 @@
 	r.Prefill = 0
 	if p, ok := b.Adapters[r.Adapter]; ok {
 		p.Running--
+		s.useChanged(now, b, p, p.Running == 0)
 	}
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -17,17 +17,19 @@
 	Hosts     map[string]*Host
 	Documents Documents
 	Accounts  map[string]*Account
-	Keepers   map[string]*Keeper
-	Services  map[string]*Service
-	Backends  map[string]*Backend
-	Rights    map[string]*Right
-	Promises  map[string]*Promise
-	Requests  map[string]*Request
-	Watch     Watch
-	Gossip    Gossip
-	Ready     bool
-	Draining  Draining
-	Counters  Counters
+	Keepers   map[string]*limiter.Bucket
+	// Granted holds grants of this host to itself until they are taken in.
+	Granted  []TokenGrant
+	Services map[string]*Service
+	Backends map[string]*Backend
+	Rights   map[string]*Right
+	Promises map[string]*Promise
+	Requests map[string]*Request
+	Watch    Watch
+	Gossip   Gossip
+	Ready    bool
+	Draining Draining
+	Counters Counters
 
 	effects []Effect
 	outbox  map[string][]Message
@@ -118,27 +120,19 @@
 
 // Account is the use of one client account on this host.
 type Account struct {
-	Bucket limiter.Bucket
+	// Level is the granted tokens that are not spent.
+	Level float64
 	// Demand is the asked units a second, decayed.
 	Demand   limiter.Decay
-	Fraction float64
-	// SharedAt is when a keeper last told the fraction.
-	SharedAt   time.Time
-	ReportedAt time.Time
+	Sequence uint64
+	AskedAt  time.Time
+	// Alone is this host's even part of the rate, for the time in which no keeper answers.
+	Alone      limiter.Bucket
+	Waiting    []string
+	ReturnedAt time.Time
 	Refused    uint64
 }
 
-// Keeper is the view of one client account over all hosts, at the host that divides its rate.
-type Keeper struct {
-	Demands map[string]KeptDemand
-}
-
-// KeptDemand is one host's demand as it last told.
-type KeptDemand struct {
-	PerSecond float64
-	At        time.Time
-}
-
 // Service is the state of one service on this host.
 type Service struct {
 	Retries limiter.Bucket
@@ -189,10 +183,13 @@
 	// KnownAt is when the stage was last confirmed.
 	KnownAt time.Time
 	AskedAt time.Time
-	Asks    int
+	// FullAt is when the holder last said that it has no place for the adapter.
+	FullAt  time.Time
 	Count   int
 	Running int
 	Waiting []string
+	// Changed is set while the holder has not been told of the present use.
+	Changed bool
 }
 
 // Right is this host's lease to order one backend server, and what it knows as its holder.
@@ -232,6 +229,8 @@
 	OrderedAt time.Time
 	ReadyAt   time.Time
 	Use       selector.Use
+	// AskedAt is when a host last asked for the adapter.
+	AskedAt time.Time
 	// Askers are the hosts that are told when the adapter comes or goes.
 	Askers map[string]time.Time
 }
@@ -246,8 +245,12 @@
 
 // HostUse is what one host has told of its requests on a backend server.
 type HostUse struct {
-	Usage Usage
-	At    time.Time
+	Running int
+	Tokens  int
+	Prefill int
+	// Adapters counts the running requests of each adapter in use.
+	Adapters map[AdapterKey]int
+	At       time.Time
 }
 
 // Promise is the backing that this host, as a voter, has given a host.
@@ -263,8 +266,10 @@
 
 // Phases of a request.
 const (
+	// PhaseTokens waits for tokens of its account.
+	PhaseTokens Phase = iota + 1
 	// PhaseQueued waits for room on a backend server.
-	PhaseQueued Phase = iota + 1
+	PhaseQueued
 	// PhaseLoading waits for its adapter.
 	PhaseLoading
 	// PhaseRunning is at a backend server.
@@ -285,13 +290,17 @@
 	// Tokens and PromptTokens are the stated size.
 	Tokens       int
 	PromptTokens int
-	Parts        []Part
-	Priority     int
-	ArrivedAt    time.Time
-	Deadline     time.Time
-	Phase        Phase
-	Backend      string
-	Attempt      int
+	// Cost is what the request counts against its account's rate.
+	Cost      float64
+	Counted   bool
+	Charged   bool
+	Parts     []Part
+	Priority  int
+	ArrivedAt time.Time
+	Deadline  time.Time
+	Phase     Phase
+	Backend   string
+	Attempt   int
 	// Ran counts the backend servers that may have run the request.
 	Ran int
 	// Tried holds the backend servers that failed it.
@@ -364,7 +373,7 @@
 		Hosts:     map[string]*Host{},
 		Documents: newDocuments(),
 		Accounts:  map[string]*Account{},
-		Keepers:   map[string]*Keeper{},
+		Keepers:   map[string]*limiter.Bucket{},
 		Services:  map[string]*Service{},
 		Backends:  map[string]*Backend{},
 		Rights:    map[string]*Right{},
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -41,10 +41,9 @@
 
 // AccountStatus is a client account's use of this host.
 type AccountStatus struct {
-	Name     string  `json:"name"`
-	Fraction float64 `json:"fraction"`
-	Level    float64 `json:"level"`
-	Refused  uint64  `json:"refused"`
+	Name    string  `json:"name"`
+	Level   float64 `json:"level"`
+	Refused uint64  `json:"refused"`
 }
 
 func status(s *State, now time.Time, e StatusAsked) {
@@ -81,7 +80,7 @@
 	}
 	for _, name := range sortedKeys(s.Accounts) {
 		a := s.Accounts[name]
-		v.Accounts = append(v.Accounts, AccountStatus{Name: name, Fraction: a.Fraction, Level: a.Bucket.Level, Refused: a.Refused})
+		v.Accounts = append(v.Accounts, AccountStatus{Name: name, Level: a.Level, Refused: a.Refused})
 	}
 	s.emit(StatusAnswer{ReplyID: e.ReplyID, Status: v})
 }
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -57,10 +57,14 @@
 		return &peerv1.Message{Kind: &peerv1.Message_BackendLoad{BackendLoad: &peerv1.BackendLoad{
 			Backend: v.Backend, Running: int64(v.Running), Tokens: int64(v.Tokens), Prefill: int64(v.Prefill),
 		}}}
-	case reducer.DemandReport:
-		return &peerv1.Message{Kind: &peerv1.Message_DemandReport{DemandReport: &peerv1.DemandReport{Account: v.Account, PerSecond: v.PerSecond}}}
-	case reducer.AccountShare:
-		return &peerv1.Message{Kind: &peerv1.Message_AccountShare{AccountShare: &peerv1.AccountShare{Account: v.Account, Fraction: v.Fraction}}}
+	case reducer.TokenRequest:
+		return &peerv1.Message{Kind: &peerv1.Message_TokenRequest{TokenRequest: &peerv1.TokenRequest{
+			Account: v.Account, Sequence: v.Sequence, Needed: v.Needed, Wanted: v.Wanted, Returned: v.Returned,
+		}}}
+	case reducer.TokenGrant:
+		return &peerv1.Message{Kind: &peerv1.Message_TokenGrant{TokenGrant: &peerv1.TokenGrant{
+			Account: v.Account, Sequence: v.Sequence, Tokens: v.Tokens, WaitUs: v.Wait.Microseconds(),
+		}}}
 	}
 	return nil
 }
@@ -91,10 +95,16 @@
 			Backend: v.BackendLoad.GetBackend(), Running: int(v.BackendLoad.GetRunning()), Tokens: int(v.BackendLoad.GetTokens()),
 			Prefill: int(v.BackendLoad.GetPrefill()),
 		}
-	case *peerv1.Message_DemandReport:
-		return reducer.DemandReport{Account: v.DemandReport.GetAccount(), PerSecond: v.DemandReport.GetPerSecond()}
-	case *peerv1.Message_AccountShare:
-		return reducer.AccountShare{Account: v.AccountShare.GetAccount(), Fraction: v.AccountShare.GetFraction()}
+	case *peerv1.Message_TokenRequest:
+		return reducer.TokenRequest{
+			Account: v.TokenRequest.GetAccount(), Sequence: v.TokenRequest.GetSequence(), Needed: v.TokenRequest.GetNeeded(),
+			Wanted: v.TokenRequest.GetWanted(), Returned: v.TokenRequest.GetReturned(),
+		}
+	case *peerv1.Message_TokenGrant:
+		return reducer.TokenGrant{
+			Account: v.TokenGrant.GetAccount(), Sequence: v.TokenGrant.GetSequence(), Tokens: v.TokenGrant.GetTokens(),
+			Wait: micros(v.TokenGrant.GetWaitUs()),
+		}
 	}
 	return nil
 }
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -65,6 +65,12 @@
 	RetrySlack float64 `yaml:"retry_slack"`
 	// RetryWindowSeconds is the length of the window that repeats are counted in.
 	RetryWindowSeconds float64 `yaml:"retry_window_seconds"`
+	// QuotaWindowSeconds is the length of the window that an account's use is counted in.
+	QuotaWindowSeconds float64 `yaml:"quota_window_seconds"`
+	// QuotaOvershoot is the part by which a window may exceed what the account's rate and burst allow.
+	QuotaOvershoot float64 `yaml:"quota_overshoot"`
+	// QuotaSlack is what a window bears besides, in the account's unit.
+	QuotaSlack float64 `yaml:"quota_slack"`
 	// DirectorySeconds is the longest time that callers keep an answer of the directory.
 	DirectorySeconds float64 `yaml:"directory_seconds"`
 }
@@ -133,7 +139,7 @@
 	}{
 		{"config_ms", float64(b.ConfigMs)}, {"drain_ms", float64(b.DrainMs)}, {"contact_ms", float64(b.ContactMs)},
 		{"grace_seconds", b.GraceSeconds}, {"order_lease_ms", float64(b.OrderLeaseMs)},
-		{"retry_window_seconds", b.RetryWindowSeconds}, {"directory_seconds", b.DirectorySeconds},
+		{"retry_window_seconds", b.RetryWindowSeconds}, {"quota_window_seconds", b.QuotaWindowSeconds}, {"directory_seconds", b.DirectorySeconds},
 	}
 	for _, f := range figures {
 		if f.value <= 0 {
@@ -146,6 +152,12 @@
 	if b.RetrySlack < 0 {
 		return document.Fault("must not be negative", "bounds", "retry_slack")
 	}
+	if b.QuotaOvershoot < 0 {
+		return document.Fault("must not be negative", "bounds", "quota_overshoot")
+	}
+	if b.QuotaSlack < 0 {
+		return document.Fault("must not be negative", "bounds", "quota_slack")
+	}
 	return nil
 }
 
