--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -143,7 +143,8 @@
 		if !p.Changed && (!all || p.Running == 0) {
 			continue
 		}
-		usage.Adapters = append(usage.Adapters, AdapterUse{Adapter: key, Count: p.Count, Running: p.Running})
+		usage.Adapters = append(usage.Adapters, AdapterUse{Adapter: key, Count: p.Count, Running: p.Running, Served: p.Served})
+		p.Served = false
 		p.Count = 0
 		p.Changed = false
 	}
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -32,7 +32,7 @@
 		return true
 	}
 	for _, e := range l.Entries {
-		if e.Stage == StageUnloading && now.Sub(e.OrderedAt) > reportEvery {
+		if (e.Stage == StageUnloading || !e.Proven) && now.Sub(e.OrderedAt) > reportEvery {
 			return true
 		}
 	}
@@ -110,7 +110,7 @@
 	}
 	queueWant(r, now, from, m)
 	nextOrder(s, now, m.Backend, r)
-	if !r.Ledger.comes(m.Adapter) && !r.Ledger.hasRoom(s, now, m.Backend) {
+	if !r.Ledger.comes(m.Adapter) && r.Ledger.free(s, now, m.Backend) < 0 {
 		tellFull[P](s, now, from, m)
 	}
 }
@@ -121,17 +121,19 @@
 	return ok && (e.Stage == StageReady || e.Stage == StageLoading)
 }
 
-// hasRoom reports whether a place is free or can be freed at once.
-func (l *Ledger) hasRoom(s *State, now time.Time, backend string) bool {
+// free returns the number of places that are empty or can be freed at once, less those that wants will take.
+func (l *Ledger) free(s *State, now time.Time, backend string) int {
 	b, ok := s.Backends[backend]
-	if !ok {
-		return false
+	if !ok || !s.isEngine(b) {
+		return 0
 	}
-	if engine := s.engineOf(b); engine != nil && len(l.Entries) < engine.AdapterSlots {
-		return true
+	free := s.engineOf(b).AdapterSlots - len(l.Entries) - len(l.Wants)
+	for key, e := range l.Entries {
+		if l.droppable(now, key, e) {
+			free++
+		}
 	}
-	_, found := l.victim(now)
-	return found
+	return free
 }
 
 // tellFull tells a host that the adapter has to wait for a place.
@@ -220,7 +222,7 @@
 func (l *Ledger) inTransit() int {
 	n := 0
 	for _, e := range l.Entries {
-		if e.Stage == StageLoading {
+		if e.Stage == StageLoading || e.Stage == StageReady && !e.Proven {
 			n++
 		}
 	}
@@ -242,7 +244,7 @@
 	least := 0.0
 	for _, key := range sortedAdapters(l.Entries) {
 		e := l.Entries[key]
-		if e.Stage != StageReady || l.busy(now, key, e) {
+		if !l.droppable(now, key, e) {
 			continue
 		}
 		if use := e.Use.Value(now, usesDecay); !found || use < least {
@@ -252,17 +254,17 @@
 	return best, found
 }
 
-// busy reports whether requests for an adapter may be running or on their way.
-func (l *Ledger) busy(now time.Time, key AdapterKey, e *Entry) bool {
-	if now.Sub(e.AskedAt) < quietFor || now.Sub(e.ReadyAt) < quietFor {
-		return true
+// droppable reports whether an adapter is certainly resident and no request for it is running or on its way.
+func (l *Ledger) droppable(now time.Time, key AdapterKey, e *Entry) bool {
+	if e.Stage != StageReady || !e.Proven || now.Sub(e.AskedAt) < quietFor || now.Sub(e.ReadyAt) < quietFor {
+		return false
 	}
 	for _, u := range l.Uses {
 		if u.Adapters[key] > 0 {
-			return true
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 func orderLoad(s *State, now time.Time, b *Backend, r *Right, want Want) {
@@ -271,7 +273,7 @@
 	took := s.loadTime(b, recent)
 	former := l.Entries[want.Adapter]
 	entry := &Entry{
-		Stage: StageLoading, Version: want.Version, OrderedAt: now, ReadyAt: now.Add(took), Askers: want.Askers,
+		Stage: StageLoading, Version: want.Version, OrderedAt: now, ReadyAt: now.Add(took), Recent: recent, Askers: want.Askers,
 	}
 	if former != nil {
 		entry.Use = former.Use
@@ -334,6 +336,10 @@
 		s.note(EventOrderFailed, Field{"backend_server", e.Backend}, Field{"adapter", e.Adapter.Adapter},
 			boolField("unload", e.Unload), Field{"result", e.Result.String()})
 	}
+	if e.Result == OrderUnknown {
+		s.fails(now, b, 1)
+		l.RetryAt = now.Add(reportEvery)
+	}
 	if e.Unload {
 		unloadEnded(l, now, e, entry)
 	} else {
@@ -351,7 +357,7 @@
 		l.Recent[e.Adapter] = now
 	case OrderBusy, OrderRefused:
 		entry.Stage = StageReady
-		l.RetryAt = now.Add(retryPause)
+		l.RetryAt = now.Add(orderPause)
 		l.Doubtful = true
 	case OrderUnknown:
 		l.Doubtful = true
@@ -367,7 +373,7 @@
 	case OrderAccepted:
 	case OrderBusy, OrderRefused:
 		delete(l.Entries, e.Adapter)
-		l.RetryAt = now.Add(retryPause)
+		l.RetryAt = now.Add(orderPause)
 		l.Doubtful = true
 		return
 	case OrderUnknown:
@@ -428,13 +434,14 @@
 
 // adopt adds an adapter that the report names and the ledger lacks.
 func (l *Ledger) adopt(s *State, now time.Time, b *Backend, key AdapterKey, stage Stage) {
-	if _, ok := l.Entries[key]; ok {
+	if e, ok := l.Entries[key]; ok {
+		e.Proven = e.Proven || stage == StageReady && e.Stage != StageUnloading
 		return
 	}
 	if dropped, ok := l.Recent[key]; ok && now.Sub(dropped) < reportLag {
 		return
 	}
-	entry := &Entry{Stage: stage, OrderedAt: now, ReadyAt: now, Askers: map[string]time.Time{}}
+	entry := &Entry{Stage: stage, OrderedAt: now, ReadyAt: now, Proven: stage == StageReady, Askers: map[string]time.Time{}}
 	if stage == StageLoading {
 		entry.ReadyAt = now.Add(s.loadTime(b, false))
 	}
@@ -458,6 +465,7 @@
 	freed := false
 	for _, a := range m.Adapters {
 		u.Adapters[a.Adapter] = a.Running
+		r.prove(s, now, m.Backend, a)
 		if a.Running == 0 {
 			delete(u.Adapters, a.Adapter)
 			freed = true
@@ -467,7 +475,7 @@
 			e.Askers[from] = now
 		}
 	}
-	load := BackendLoad{Backend: m.Backend}
+	load := BackendLoad{Backend: m.Backend, Free: l.free(s, now, m.Backend)}
 	for host, u := range l.Uses {
 		if host != from && now.Sub(u.At) < 3*usageEvery {
 			load.Running += u.Running
@@ -485,6 +493,21 @@
 	s.send(from, load)
 }
 
+// prove notes that an answer has shown an adapter to be resident, and what its load took at most.
+func (r *Right) prove(s *State, now time.Time, backend string, a AdapterUse) {
+	e, ok := r.Ledger.Entries[a.Adapter]
+	if !ok || e.Proven || !a.Served || e.Stage == StageUnloading {
+		return
+	}
+	e.Proven = true
+	e.Stage = StageReady
+	b, ok := s.Backends[backend]
+	if took := now.Sub(e.OrderedAt); ok && !e.Recent && took < loadTimeMost {
+		v := s.service(b.Info.Service)
+		v.LoadTime += time.Duration(latencyWeight * float64(took-v.LoadTime))
+	}
+}
+
 func receiveLoad(s *State, now time.Time, m BackendLoad) {
 	if b, ok := s.Backends[m.Backend]; ok {
 		b.Others = m
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -73,10 +73,12 @@
 	recentLoadShare = 0.12
 	loadMargin      = 5 * time.Millisecond
 	// transitLimit is the number of adapters that may be on their way to one backend server.
-	transitLimit = 4
-	wantRepeat   = 250 * time.Millisecond
-	wantsTried   = 3
-	usageEvery   = 400 * time.Millisecond
+	transitLimit = 2
+	// orderPause follows an order that was not taken.
+	orderPause = 150 * time.Millisecond
+	wantRepeat = 250 * time.Millisecond
+	wantsTried = 3
+	usageEvery = 400 * time.Millisecond
 	// quietFor is how long an adapter stays after it came or was asked for, so that the requests for it can arrive.
 	quietFor     = 60 * time.Millisecond
 	askersKept   = 15 * time.Second
@@ -95,7 +97,7 @@
 	// quotaHeadroom is the rate over all hosts as a multiple of the account's own.
 	quotaHeadroom = 1.05
 	// quotaBurstShare is the part of what a window allows beyond the rate that the hosts' bursts add up to.
-	quotaBurstShare = 0.6
+	quotaBurstShare  = 0.6
 	coldHosts        = 5
 	retrySlackShare  = 0.8
 	refusedRetryWait = 300 * time.Millisecond
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -92,6 +92,8 @@
 	Adapter AdapterKey
 	Count   int
 	Running int
+	// Served is set once a request for the adapter has been answered, which proves that it is resident.
+	Served bool
 }
 
 // BackendLoad tells what all other hosts have running on a backend server.
@@ -100,6 +102,8 @@
 	Running int
 	Tokens  int
 	Prefill int
+	// Free is the number of places that are empty or could be freed at once.
+	Free int
 }
 
 // TokenRequest asks the keeper of a client account for tokens, in the account's unit.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -48,18 +48,34 @@
 	if now.Sub(r.WaitSince) < r.Route.Target/queueShare {
 		return
 	}
+	s.refuseWaiting(now, r, ReasonNoBackend)
+}
+
+// refuseWaiting ends a request that has waited for long enough.
+func (s *State) refuseWaiting(now time.Time, r *Request, reason Reason) {
 	if r.Ran > 0 {
 		refuse(s, now, r, ReasonBroken, 0)
 		return
 	}
-	refuse(s, now, r, ReasonNoBackend, refusedRetryWait)
+	refuse(s, now, r, reason, refusedRetryWait)
+}
+
+// patience is how long a request waits for its adapter: longer once the adapter is known to be on its way.
+func (s *State) patience(r *Request, p *Place, now time.Time) time.Duration {
+	if p.Stage != StageAbsent && p.fresh(now, r.Version) {
+		return r.Route.Target
+	}
+	return r.Route.Target / loadShare
 }
 
+// loadShare is the part of a request's target for which it may wait for a place for its adapter: one in loadShare.
+const loadShare = 3
+
 // queueShare is the part of a request's target for which it may wait for room: one in queueShare.
 const queueShare = 8
 
-// homes is the number of backend servers, in rendezvous order, that an adapter is placed on.
-const homes = 2
+// homes is the number of backend servers, in rendezvous order, that an adapter may be placed on.
+const homes = 4
 
 // candidates returns the backend servers that may take a request.
 func (s *State) candidates(now time.Time, r *Request, service cataloguer.Service) []selector.Candidate {
@@ -161,7 +177,7 @@
 		return max(p.ReadyAt.Sub(now), 0)
 	}
 	delay := s.loadTime(b, false)
-	if ok && now.Sub(p.FullAt) < fullFor {
+	if ok && now.Sub(p.FullAt) < fullFor || now.Sub(b.OthersAt) < othersFresh && b.Others.Free <= 0 {
 		delay += fullDelay
 	}
 	return delay
@@ -225,11 +241,19 @@
 // requestAdapter lets a request wait at a backend server for its adapter and asks for it.
 func requestAdapter[P selector.Policy](s *State, now time.Time, r *Request, b *Backend) {
 	p := b.place(r.Adapter)
+	if r.Phase != PhaseLoading {
+		r.WaitSince = now
+	}
+	if now.Sub(r.WaitSince) > s.patience(r, p, now) {
+		s.stopWaiting(r)
+		r.Phase = PhaseQueued
+		s.refuseWaiting(now, r, ReasonNotLoaded)
+		return
+	}
 	if r.Phase != PhaseLoading || r.Backend != b.Info.ID {
 		s.stopWaiting(r)
 		r.Phase = PhaseLoading
 		r.Backend = b.Info.ID
-		r.WaitSince = now
 		p.Waiting = append(p.Waiting, r.ID)
 		s.Counters.LoadStalls++
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -138,6 +138,11 @@
 	if p, ok := b.Adapters[r.Adapter]; ok && p.Stage != StageAbsent {
 		p.Stage = StageReady
 		p.KnownAt = now
+		if !p.Proven {
+			p.Proven = true
+			p.Served = true
+			s.useChanged(now, b, p, true)
+		}
 	}
 	b.learnLatency(e.After)
 	s.learnPrefill(b, r, e.After)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -188,6 +188,10 @@
 	Count   int
 	Running int
 	Waiting []string
+	// Proven is set while this host knows from an answer that the adapter is resident.
+	Proven bool
+	// Served is set when an answer has proved that the adapter is resident, until the holder has been told.
+	Served bool
 	// Changed is set while the holder has not been told of the present use.
 	Changed bool
 }
@@ -229,6 +233,10 @@
 	OrderedAt time.Time
 	ReadyAt   time.Time
 	Use       selector.Use
+	// Proven is set once an answer or a report has shown the adapter to be resident.
+	Proven bool
+	// Recent is set for a load of an adapter that the backend server had at hand.
+	Recent bool
 	// AskedAt is when a host last asked for the adapter.
 	AskedAt time.Time
 	// Askers are the hosts that are told when the adapter comes or goes.
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -56,6 +56,7 @@
 	case reducer.BackendLoad:
 		return &peerv1.Message{Kind: &peerv1.Message_BackendLoad{BackendLoad: &peerv1.BackendLoad{
 			Backend: v.Backend, Running: int64(v.Running), Tokens: int64(v.Tokens), Prefill: int64(v.Prefill),
+			Free: int64(v.Free),
 		}}}
 	case reducer.TokenRequest:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenRequest{TokenRequest: &peerv1.TokenRequest{
@@ -93,7 +94,7 @@
 	case *peerv1.Message_BackendLoad:
 		return reducer.BackendLoad{
 			Backend: v.BackendLoad.GetBackend(), Running: int(v.BackendLoad.GetRunning()), Tokens: int(v.BackendLoad.GetTokens()),
-			Prefill: int(v.BackendLoad.GetPrefill()),
+			Prefill: int(v.BackendLoad.GetPrefill()), Free: int(v.BackendLoad.GetFree()),
 		}
 	case *peerv1.Message_TokenRequest:
 		return reducer.TokenRequest{
