--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -163,6 +163,7 @@
 	}
 	p := b.place(key)
 	p.Stage = StageAbsent
+	p.Proven = false
 	p.KnownAt = now
 }
 
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -25,7 +25,7 @@
 // reportDue reports whether the ledger lacks something that only the backend server can tell.
 func (r *Right) reportDue(now time.Time) bool {
 	l := &r.Ledger
-	if now.Sub(l.AskedAt) < reportEvery {
+	if now.Sub(l.AskedAt) < reportEvery || now.Sub(r.HeldSince) < reportLag {
 		return false
 	}
 	if l.ReadAt.IsZero() || l.Doubtful {
@@ -80,12 +80,11 @@
 }
 
 // wantAdapter sends a want to the host that orders the backend server and reports whether one is known.
-func wantAdapter[P selector.Policy](s *State, now time.Time, backend string, key AdapterKey, version int64) bool {
-	holder := s.holderOf(now, backend)
+func wantAdapter[P selector.Policy](s *State, now time.Time, want AdapterWant) bool {
+	holder := s.holderOf(now, want.Backend)
 	if holder == "" {
 		return false
 	}
-	want := AdapterWant{Backend: backend, Adapter: key, Version: version}
 	if holder == s.Self.HostID {
 		receiveWant[P](s, now, holder, want)
 		return true
@@ -102,6 +101,9 @@
 	}
 	settleEntries(s, now, m.Backend, r)
 	if e, ok := r.Ledger.Entries[m.Adapter]; ok && e.serves(m.Version) {
+		if m.Missed && !e.Proven {
+			s.loadOverran(now, m.Backend, e)
+		}
 		e.Use.Add(now, 1, usesDecay)
 		e.Askers[from] = now
 		e.AskedAt = now
@@ -189,7 +191,7 @@
 		return
 	}
 	l.dropStaleWants(now)
-	if len(l.Wants) == 0 || l.inTransit() >= transitLimit {
+	if len(l.Wants) == 0 || l.inTransit() >= s.service(b.Info.Service).transitLimit() {
 		return
 	}
 	engine := s.engineOf(b)
@@ -222,7 +224,7 @@
 func (l *Ledger) inTransit() int {
 	n := 0
 	for _, e := range l.Entries {
-		if e.Stage == StageLoading || e.Stage == StageReady && !e.Proven {
+		if e.Stage == StageLoading {
 			n++
 		}
 	}
@@ -502,12 +504,60 @@
 	e.Proven = true
 	e.Stage = StageReady
 	b, ok := s.Backends[backend]
-	if took := now.Sub(e.OrderedAt); ok && !e.Recent && took < loadTimeMost {
-		v := s.service(b.Info.Service)
-		v.LoadTime += time.Duration(latencyWeight * float64(took-v.LoadTime))
+	if !ok || e.Recent || e.Overran {
+		return
+	}
+	v := s.service(b.Info.Service)
+	v.LoadTime = time.Duration(float64(v.LoadTime) * loadInTime)
+	if v.LeastLoad == 0 || v.LoadTime < v.LeastLoad {
+		v.LeastLoad = v.LoadTime
+	}
+}
+
+// loadOverran takes that an adapter was not there when its load was expected to be over: it is expected again after a part of
+// the time that it has taken so far.
+func (s *State) loadOverran(now time.Time, backend string, e *Entry) {
+	if now.Before(e.ReadyAt) {
+		return
+	}
+	taken := now.Sub(e.OrderedAt)
+	e.ReadyAt = now.Add(max(taken/overrunShare, retryPause))
+	e.Stage = StageLoading
+	b, ok := s.Backends[backend]
+	if !ok || e.Recent {
+		return
 	}
+	e.Overran = true
+	v := s.service(b.Info.Service)
+	v.LoadTime = min(time.Duration(float64(v.LoadTime)*loadLate), loadTimeMost)
 }
 
+// How the expected time of a load follows loads that were over in time and loads that were late, and the part of the time
+// taken so far after which a late load is expected again: one in overrunShare.
+const (
+	loadInTime   = 0.995
+	loadLate     = 1.06
+	loadTimeMost = 3 * time.Second
+	overrunShare = 4
+)
+
+// transitLimit is the number of adapters that may be on their way to one backend server: fewer while loads slow each other down.
+func (v *Service) transitLimit() int {
+	switch {
+	case v.LeastLoad == 0 || float64(v.LoadTime) < slightlySlow*float64(v.LeastLoad):
+		return transitMost
+	case float64(v.LoadTime) < clearlySlow*float64(v.LeastLoad):
+		return transitMost / 2
+	}
+	return 1
+}
+
+// Multiples of the least time of a load from which fewer loads are started at once.
+const (
+	slightlySlow = 1.7
+	clearlySlow  = 2.5
+)
+
 func receiveLoad(s *State, now time.Time, m BackendLoad) {
 	if b, ok := s.Backends[m.Backend]; ok {
 		b.Others = m
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -72,8 +72,8 @@
 	initialLoadTime = 250 * time.Millisecond
 	recentLoadShare = 0.12
 	loadMargin      = 5 * time.Millisecond
-	// transitLimit is the number of adapters that may be on their way to one backend server.
-	transitLimit = 2
+	// transitMost is the number of adapters that may be on their way to one backend server.
+	transitMost = 4
 	// orderPause follows an order that was not taken.
 	orderPause = 150 * time.Millisecond
 	wantRepeat = 250 * time.Millisecond
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -65,6 +65,8 @@
 	Backend string
 	Adapter AdapterKey
 	Version int64
+	// Missed is set when the adapter was not there at the time that the holder told.
+	Missed bool
 }
 
 // AdapterPlace tells how far an adapter is resident on a backend server.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -24,6 +24,10 @@
 		b := s.Backends[candidates[i].Backend]
 		if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
 			if s.awaitAdapter(now, r, b) {
+				if r.Phase != PhaseLoading && r.tooLate(now, candidates[i].Delay) {
+					s.refuseWaiting(now, r, ReasonNotLoaded)
+					return
+				}
 				requestAdapter[P](s, now, r, b)
 				return
 			}
@@ -37,6 +41,12 @@
 	s.waitForRoom(now, r)
 }
 
+// tooLate reports whether an answer whose first piece takes the given time would miss its target, so that bringing the adapter
+// would be in vain.
+func (r *Request) tooLate(now time.Time, delay time.Duration) bool {
+	return now.Sub(r.ArrivedAt)+delay > r.Route.Target
+}
+
 // waitForRoom keeps a request for a part of its target, then refuses it with the word that it has not run.
 func (s *State) waitForRoom(now time.Time, r *Request) {
 	if r.Phase == PhaseLoading {
@@ -75,7 +85,7 @@
 const queueShare = 8
 
 // homes is the number of backend servers, in rendezvous order, that an adapter may be placed on.
-const homes = 4
+const homes = 3
 
 // candidates returns the backend servers that may take a request.
 func (s *State) candidates(now time.Time, r *Request, service cataloguer.Service) []selector.Candidate {
@@ -266,7 +276,9 @@
 		return
 	}
 	p.AskedAt = now
-	wantAdapter[P](s, now, b.Info.ID, r.Adapter, r.Version)
+	missed := p.Missed
+	p.Missed = false
+	wantAdapter[P](s, now, AdapterWant{Backend: b.Info.ID, Adapter: r.Adapter, Version: r.Version, Missed: missed})
 }
 
 // receivePlace takes the holder's word on an adapter's place and sends what waits for it.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -250,23 +250,16 @@
 // adapterMissing notes that an adapter is not there; shortly after its load was expected to end, it is still on its way.
 func (s *State) adapterMissing(now time.Time, b *Backend, r *Request) {
 	p := b.place(r.Adapter)
-	if p.Stage != StageAbsent && !p.ReadyAt.IsZero() && now.Sub(p.ReadyAt) < loadOverrun {
-		p.Stage = StageLoading
-		p.ReadyAt = now.Add(retryPause)
-		v := s.service(b.Info.Service)
-		v.LoadTime = min(v.LoadTime+loadTimeStep, loadTimeMost)
-		return
-	}
+	missed := p.Stage != StageAbsent && !p.Proven && now.Sub(p.ReadyAt) < loadOverrun
 	markAbsent(s, now, b, r.Adapter)
-	b.place(r.Adapter).KnownAt = now
+	p = b.place(r.Adapter)
+	p.KnownAt = now
+	p.Missed = missed
+	p.AskedAt = time.Time{}
 }
 
-// Bounds of learning how long a load takes.
-const (
-	loadOverrun  = 1500 * time.Millisecond
-	loadTimeStep = 10 * time.Millisecond
-	loadTimeMost = 3 * time.Second
-)
+// loadOverrun is the time after its expected end for which a load may still be under way.
+const loadOverrun = 1500 * time.Millisecond
 
 // goOn decides what becomes of a request whose last attempt failed.
 func goOn[P selector.Policy](s *State, now time.Time, r *Request, e DispatchEnded) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -138,6 +138,8 @@
 	Retries limiter.Bucket
 	// LoadTime is the expected time of loading an adapter from the weight store.
 	LoadTime time.Duration
+	// LeastLoad is the shortest load that was seen; 0 if none was.
+	LeastLoad time.Duration
 	// PrefillRate is the prompt tokens that a backend server reads in a second.
 	PrefillRate float64
 }
@@ -192,6 +194,8 @@
 	Proven bool
 	// Served is set when an answer has proved that the adapter is resident, until the holder has been told.
 	Served bool
+	// Missed is set when the adapter was not there at the time that the holder told, until the holder has been told.
+	Missed bool
 	// Changed is set while the holder has not been told of the present use.
 	Changed bool
 }
@@ -235,6 +239,8 @@
 	Use       selector.Use
 	// Proven is set once an answer or a report has shown the adapter to be resident.
 	Proven bool
+	// Overran is set once a load was not over at the expected time.
+	Overran bool
 	// Recent is set for a load of an adapter that the backend server had at hand.
 	Recent bool
 	// AskedAt is when a host last asked for the adapter.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -23,8 +23,12 @@
 	Choose(candidates []Candidate) int
 }
 
-// homeLead is the time by which another backend server must be faster than an adapter's home to take a request.
-const homeLead = 150 * time.Millisecond
+// homeLead is the time by which another backend server must be faster than an adapter's home to take a request, and rankLead
+// what each further rank must be faster, so that requests which leave an adapter's home meet again.
+const (
+	homeLead = 100 * time.Millisecond
+	rankLead = 50 * time.Millisecond
+)
 
 // nearLead is the time that a backend server in another failure domain counts more.
 const nearLead = 3 * time.Millisecond
@@ -52,7 +56,10 @@
 }
 
 func weighed(c Candidate) time.Duration {
-	delay := c.Delay + time.Duration(c.Rank)*homeLead
+	delay := c.Delay + time.Duration(c.Rank)*rankLead
+	if c.Rank > 0 {
+		delay += homeLead
+	}
 	if !c.Near {
 		delay += nearLead
 	}
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -45,7 +45,7 @@
 		return &peerv1.Message{Kind: &peerv1.Message_LeaseRelease{LeaseRelease: &peerv1.LeaseRelease{Backends: v.Backends}}}
 	case reducer.AdapterWant:
 		return &peerv1.Message{Kind: &peerv1.Message_AdapterWant{AdapterWant: &peerv1.AdapterWant{
-			Backend: v.Backend, Adapter: adapterWire(v.Adapter), Version: v.Version,
+			Backend: v.Backend, Adapter: adapterWire(v.Adapter), Version: v.Version, Missed: v.Missed,
 		}}}
 	case reducer.AdapterPlace:
 		return &peerv1.Message{Kind: &peerv1.Message_AdapterPlace{AdapterPlace: &peerv1.AdapterPlace{
@@ -83,7 +83,10 @@
 	case *peerv1.Message_LeaseRelease:
 		return reducer.LeaseRelease{Backends: v.LeaseRelease.GetBackends()}
 	case *peerv1.Message_AdapterWant:
-		return reducer.AdapterWant{Backend: v.AdapterWant.GetBackend(), Adapter: adapter(v.AdapterWant.GetAdapter()), Version: v.AdapterWant.GetVersion()}
+		return reducer.AdapterWant{
+			Backend: v.AdapterWant.GetBackend(), Adapter: adapter(v.AdapterWant.GetAdapter()), Version: v.AdapterWant.GetVersion(),
+			Missed: v.AdapterWant.GetMissed(),
+		}
 	case *peerv1.Message_AdapterPlace:
 		return reducer.AdapterPlace{
 			Backend: v.AdapterPlace.GetBackend(), Adapter: adapter(v.AdapterPlace.GetAdapter()), Version: v.AdapterPlace.GetVersion(),
