--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -28,7 +28,7 @@
 	if !account.Limited() || r.Charged {
 		return true
 	}
-	a := s.account(now, account)
+	a := s.account(now, account.Name)
 	if !r.Counted {
 		r.Counted = true
 		a.Demand.Add(now, r.Cost, demandHalfLife)
@@ -41,27 +41,27 @@
 	if !slices.Contains(a.Waiting, r.ID) {
 		a.Waiting = append(a.Waiting, r.ID)
 	}
-	askTokens(s, now, account, a)
+	askTokens(s, now, account.Name, a)
 	return false
 }
 
-// account returns this host's state of a client account.
-func (s *State) account(now time.Time, account cataloguer.Account) *Account {
-	a, ok := s.Accounts[account.Name]
+// account returns this host's state of a client account, or of another fleet-wide budget.
+func (s *State) account(now time.Time, name string) *Account {
+	a, ok := s.Accounts[name]
 	if !ok {
 		a = &Account{}
 		a.Alone.Set(now, 0, 0)
-		s.Accounts[account.Name] = a
+		s.Accounts[name] = a
 	}
 	return a
 }
 
 // askTokens asks the keeper for what the waiting requests lack and for a reserve.
-func askTokens(s *State, now time.Time, account cataloguer.Account, a *Account) {
+func askTokens(s *State, now time.Time, name string, a *Account) {
 	if !a.AskedAt.IsZero() && now.Sub(a.AskedAt) < grantTimeout {
 		return
 	}
-	need := 0.0
+	need := a.Extra
 	for _, id := range a.Waiting {
 		if r, ok := s.Requests[id]; ok {
 			need += r.Cost
@@ -70,7 +70,7 @@
 	a.AskedAt = now
 	a.Sequence++
 	request := TokenRequest{
-		Account: account.Name, Sequence: a.Sequence, Needed: max(need-a.Level, 0), Wanted: a.Demand.At(now, demandHalfLife) * reserveFor.Seconds(),
+		Account: name, Sequence: a.Sequence, Needed: max(need-a.Level, 0), Wanted: a.Demand.At(now, demandHalfLife) * reserveFor.Seconds(),
 	}
 	s.wakeAt(now.Add(grantTimeout))
 	s.sendKeeper(now, request)
@@ -105,7 +105,7 @@
 
 // grantTokens takes what is asked for from the account's bucket, as far as it is there.
 func grantTokens(s *State, now time.Time, m TokenRequest) (TokenGrant, bool) {
-	account, ok := s.Documents.Accounts[m.Account]
+	rate, burst, ok := s.pool(m.Account)
 	if !ok {
 		return TokenGrant{}, false
 	}
@@ -113,10 +113,10 @@
 	if !ok {
 		k = &limiter.Bucket{}
 		s.Keepers[m.Account] = k
-		s.setKeeper(now, account, k)
+		s.setKeeper(now, rate, burst, k)
 		k.Level = k.Burst * newKeeperShare
 	}
-	s.setKeeper(now, account, k)
+	s.setKeeper(now, rate, burst, k)
 	k.Level = min(k.Level+m.Returned, k.Burst)
 	grant := TokenGrant{Account: m.Account, Sequence: m.Sequence}
 	if m.Needed+m.Wanted <= 0 {
@@ -141,10 +141,10 @@
 	reserveParts   = 8
 )
 
-// setKeeper puts the account's bounds into force; a keeper that reaches only some of the hosts grants only their part.
-func (s *State) setKeeper(now time.Time, account cataloguer.Account, k *limiter.Bucket) {
+// setKeeper puts the bounds into force; a keeper that reaches only some of the hosts grants only their part.
+func (s *State) setKeeper(now time.Time, rate, burst float64, k *limiter.Bucket) {
 	reached := float64(len(s.aliveHosts(now))) / float64(max(len(s.memberHosts(now)), 1))
-	k.Set(now, account.Rate*quotaHeadroom*min(reached, 1), s.fleetBurst(account))
+	k.Set(now, rate*min(reached, 1), burst)
 }
 
 // fleetBurst is the burst over all hosts: what a window allows beyond the rate, less a part for keepers that start anew.
@@ -208,7 +208,7 @@
 	}
 	for _, name := range sortedKeys(s.Accounts) {
 		a := s.Accounts[name]
-		account, ok := s.Documents.Accounts[name]
+		rate, _, ok := s.pool(name)
 		if !ok {
 			delete(s.Accounts, name)
 			delete(s.Keepers, name)
@@ -216,16 +216,16 @@
 		}
 		if !a.AskedAt.IsZero() && !a.Asked(now) {
 			a.AskedAt = time.Time{}
-			goAlone[P](s, now, account, a)
+			goAlone[P](s, now, rate, a)
 		}
 		returnTokens(s, now, name, a)
 	}
 }
 
 // goAlone uses this host's even part of the rate while the keeper cannot be reached.
-func goAlone[P selector.Policy](s *State, now time.Time, account cataloguer.Account, a *Account) {
+func goAlone[P selector.Policy](s *State, now time.Time, rate float64, a *Account) {
 	hosts := float64(max(len(s.memberHosts(now)), 1))
-	a.Alone.Set(now, account.Rate/hosts, max(account.Burst/hosts, account.Rate/hosts))
+	a.Alone.Set(now, rate/hosts, rate/hosts)
 	for _, id := range a.Waiting {
 		if r, ok := s.Requests[id]; ok && a.Alone.Take(now, r.Cost) {
 			a.Level += r.Cost
@@ -239,6 +239,9 @@
 		return
 	}
 	a.ReturnedAt = now
+	if a.Extra > 0 {
+		return
+	}
 	reserve := a.Demand.At(now, demandHalfLife) * reserveFor.Seconds()
 	if surplus := a.Level - 2*reserve; surplus > 0 {
 		a.Level -= surplus
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
@@ -56,7 +57,11 @@
 	}
 	x, y := *a.Backend, *b.Backend
 	return x.Service == y.Service && x.Address == y.Address && x.FailureDomain == y.FailureDomain && x.Born == y.Born &&
-		x.Slots == y.Slots && x.Leaving == y.Leaving && y.ColdFor <= x.ColdFor
+		x.Slots == y.Slots && x.Leaving == y.Leaving && y.ColdFor <= x.ColdFor && sameModels(x, y)
+}
+
+func sameModels(a, b cataloguer.Backend) bool {
+	return slices.EqualFunc(a.Models, b.Models, func(x, y cataloguer.Resident) bool { return x.Model == y.Model })
 }
 
 func putInForce(s *State, now time.Time, d cataloguer.Document) {
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -190,6 +190,10 @@
 	if !ok || l.ReadAt.IsZero() || l.Ordering || now.Before(l.RetryAt) || b.Info.Leaving || !s.usable(now, b) {
 		return
 	}
+	if model, missing := s.missingModel(b); missing {
+		s.orderModel(now, b, r, model)
+		return
+	}
 	l.dropStaleWants(now)
 	if len(l.Wants) == 0 || l.inTransit() >= s.service(b.Info.Service).transitLimit() {
 		return
@@ -330,6 +334,12 @@
 	}
 	l := &r.Ledger
 	l.Ordering = false
+	if e.Adapter.Adapter == "" {
+		if e.Result == OrderUnknown {
+			s.fails(now, b, 1)
+		}
+		return
+	}
 	entry, ok := l.Entries[e.Adapter]
 	if !ok {
 		return
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -115,7 +115,7 @@
 	var fresh, tried []*Backend
 	for _, id := range sortedKeys(s.Backends) {
 		b := s.Backends[id]
-		if b.Info.Service != r.Service || !s.usable(now, b) {
+		if b.Info.Service != r.Service || !s.usable(now, b) || r.Adapter.Model != "" && s.isEngine(b) && !b.holdsModel(r.Adapter.Model) {
 			continue
 		}
 		if slices.Contains(r.Tried, id) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -127,8 +127,10 @@
 	Sequence uint64
 	AskedAt  time.Time
 	// Alone is this host's even part of the rate, for the time in which no keeper answers.
-	Alone      limiter.Bucket
-	Waiting    []string
+	Alone   limiter.Bucket
+	Waiting []string
+	// Extra is what is needed besides what requests wait for.
+	Extra      float64
 	ReturnedAt time.Time
 	Refused    uint64
 }
@@ -367,6 +369,7 @@
 	LoadStalls        uint64              `json:"load_stalls_total"`
 	LoadStallMillis   uint64              `json:"load_stall_ms_total"`
 	Loads             uint64              `json:"loads_total"`
+	ModelLoads        uint64              `json:"model_loads_total"`
 	Unloads           uint64              `json:"unloads_total"`
 	LeasesTaken       uint64              `json:"leases_taken_total"`
 	LeasesLost        uint64              `json:"leases_lost_total"`
