--- /dev/null
+++ b/internal/exerciser/backends.go
@@ -0,0 +1,191 @@
+package exerciser
+
+import (
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/modeler"
+	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+)
+
+// Names of the modelled deployment.
+const (
+	engineService = "engines"
+	plainService  = "desk"
+	modelName     = "model"
+	callHost      = "calls.example"
+	coldFor       = 3 * time.Second
+	coldRate      = 7
+)
+
+// plainTime is how long a plain service works on a request.
+const plainTime = 60 * time.Millisecond
+
+// catalogue returns the operators' configuration of the model; extra is the number of routes that were added.
+func (w *World[P]) catalogue(version int64, extra int) *cataloguer.Catalogue {
+	stream := cataloguer.Route{
+		Name: "stream", HostName: callHost, Prefix: "/stream/", Repeat: cataloguer.RepeatStream, Timeout: 5 * time.Second,
+		Target: time.Second, GapTarget: 600 * time.Millisecond, Priority: 1, MaxAttempts: 1,
+		Split: []cataloguer.Share{{Service: engineService, Weight: 1}},
+	}
+	resumable := stream
+	resumable.Name, resumable.Prefix, resumable.Resumable, resumable.MaxAttempts = "resumable", "/resumable/", true, 2
+	safe := cataloguer.Route{
+		Name: "safe", HostName: callHost, Prefix: "/safe/", Repeat: cataloguer.RepeatSafe, Timeout: 1500 * time.Millisecond,
+		Target: 300 * time.Millisecond, Priority: 2, MaxAttempts: 2, Split: []cataloguer.Share{{Service: plainService, Weight: 1}},
+	}
+	once := safe
+	once.Name, once.Prefix, once.Repeat, once.MaxAttempts = "once", "/once/", cataloguer.RepeatNever, 1
+	c := &cataloguer.Catalogue{
+		Version: version,
+		Routes:  []cataloguer.Route{stream, resumable, safe, once},
+		Services: []cataloguer.Service{
+			{Name: engineService, MaxConnections: 360, ColdFor: coldFor, ColdRate: coldRate, Engine: &cataloguer.Engine{
+				Slots: w.Options.Spec.Slots, CacheTokens: 220_000, AdapterSlots: w.Options.Spec.AdapterSlots, MemoryMB: 66_000,
+				LoadsPerSecond: 2, Models: []cataloguer.Model{{Name: modelName, WeightsMB: 65_000, LoadFor: 2 * time.Second}},
+			}},
+			{Name: plainService, MaxConnections: 96},
+		},
+		Accounts: []cataloguer.Account{
+			{Name: "large", Keys: []string{"key-large"}, Priority: -1, Rate: 100_000, Burst: 100_000, ByTokens: true, PlainTokens: 200},
+			{Name: "small", Keys: []string{"key-small"}, Priority: -1, Rate: 20_000, Burst: 20_000, ByTokens: true, PlainTokens: 200},
+		},
+	}
+	for i := range extra {
+		route := safe
+		route.Name = "extra"
+		route.Prefix = extraPrefix(i)
+		c.Routes = append(c.Routes, route)
+	}
+	return c
+}
+
+func extraPrefix(i int) string { return "/extra-" + string(rune('a'+i%26)) + "/" }
+
+func (w *World[P]) publishCatalogue() {
+	w.Callers.version++
+	c := w.catalogue(w.Callers.version, int(w.Callers.version-1))
+	w.Store.Put(cataloguer.Document{Key: "catalogue", Kind: cataloguer.KindCatalogue, Catalogue: c, Raw: []byte("catalogue")})
+	w.Callers.publishedAt = append(w.Callers.publishedAt, w.Now)
+}
+
+// startBackend starts a new incarnation of a backend server and publishes it.
+func (w *World[P]) startBackend(id, service, domain string) {
+	b, known := w.Backends[id]
+	if !known {
+		b = &Backend{}
+		w.Backends[id] = b
+	}
+	b.Up = true
+	b.LeftAt = time.Time{}
+	b.Info = cataloguer.Backend{ID: id, Service: service, Address: id, FailureDomain: domain, Born: w.Now.UnixMilli(), Slots: 6}
+	if service == engineService {
+		b.Info.Slots = w.Options.Spec.Slots
+		b.Info.Models = []cataloguer.Resident{{Model: modelName}}
+		b.Engine = modeler.NewEngine(w.Options.Spec)
+		if known {
+			b.Info.ColdFor = coldFor
+			b.ColdFrom = w.Now
+		}
+	} else {
+		b.Engine = modeler.NewEngine(modeler.Spec{Slots: 6, Queue: 24})
+	}
+	w.publish(b)
+}
+
+func (w *World[P]) publish(b *Backend) {
+	info := b.Info
+	w.Store.Put(cataloguer.Document{
+		Key: "backends/" + info.ID, Kind: cataloguer.KindBackend, Name: info.ID, Backend: &info, Raw: []byte(info.ID),
+	})
+}
+
+// crash ends a backend server; its entry lapses later.
+func (w *World[P]) crash(b *Backend) {
+	b.Up = false
+	born := b.Info.Born
+	w.after(lapseAfter, func() {
+		if !b.Up && b.Info.Born == born {
+			w.Store.Remove("backends/" + b.Info.ID)
+		}
+	})
+}
+
+// lapseAfter is how long the entry of a crashed backend server stays.
+const lapseAfter = 3600 * time.Millisecond
+
+// leave publishes that a backend server leaves, and ends it later.
+func (w *World[P]) leave(b *Backend) {
+	b.Info.Leaving = true
+	b.LeftAt = w.Now
+	w.publish(b)
+	w.after(w.Options.Limits.DrainFor+5*time.Second, func() {
+		b.Up = false
+		w.Store.Remove("backends/" + b.Info.ID)
+	})
+}
+
+// dispatch carries a request to its backend server and its answer back.
+func (w *World[P]) dispatch(h *Host, e reducer.Dispatch) {
+	incarnation := h.Incarnation
+	ended := reducer.DispatchEnded{ID: e.ID, Backend: e.Backend, Attempt: e.Attempt}
+	r := w.Callers.requests[requestKey(h.ID, incarnation, e.ID)]
+	if r == nil {
+		w.Checks.fail(w.Now, "unasked", e.ID)
+		return
+	}
+	r.attempt = e.Attempt
+	w.Checks.dispatched(w.Now, r, e)
+	w.after(w.delay(), func() {
+		b, ok := w.Backends[e.Backend]
+		if !ok || !b.Up || !w.connected(h.ID, e.Backend) {
+			ended.Outcome = reducer.OutcomeNotSent
+			w.after(w.delay(), func() { w.post(h, incarnation, ended) })
+			return
+		}
+		w.Checks.arrived(w.Now, w.touched(h), b, h)
+		key := r.event.adapter()
+		if b.Info.Service != engineService {
+			key = reducer.AdapterKey{}
+		}
+		first, outcome := b.Engine.Begin(w.Now, key, r.event.PromptTokens)
+		if outcome != reducer.OutcomeDone {
+			ended.Outcome = outcome
+			w.after(w.delay(), func() { w.post(h, incarnation, ended) })
+			return
+		}
+		r.ran(&w.Checks, w.Now)
+		w.answer(h, b, r, e, first, key)
+	})
+}
+
+// answer brings the first piece and the end of an answer back; a backend server that ends meanwhile breaks it off.
+func (w *World[P]) answer(h *Host, b *Backend, r *Request, e reducer.Dispatch, first time.Time, key reducer.AdapterKey) {
+	incarnation := h.Incarnation
+	born := b.Info.Born
+	began := w.Now
+	ended := reducer.DispatchEnded{ID: e.ID, Backend: e.Backend, Attempt: e.Attempt, Outcome: reducer.OutcomeBroken}
+	work := plainTime
+	if b.Info.Service == engineService {
+		work = first.Sub(w.Now)
+	}
+	broken := func() bool { return !b.Up || b.Info.Born != born || !w.connected(h.ID, e.Backend) }
+	w.after(work, func() {
+		if broken() {
+			w.post(h, incarnation, ended)
+			return
+		}
+		w.post(h, incarnation, reducer.AnswerBegan{ID: e.ID, Attempt: e.Attempt, After: w.Now.Sub(began)})
+		w.after(time.Duration(r.event.OutputTokens)*w.Options.Spec.TokenTime, func() {
+			ended.Delivered = true
+			if !broken() {
+				b.Engine.End(w.Now, key)
+				ended.Outcome = reducer.OutcomeDone
+			}
+			if ended.Outcome == reducer.OutcomeDone && h.Up && h.Incarnation == incarnation && r.attempt == e.Attempt {
+				r.end(&w.Checks, w.Now, "done")
+			}
+			w.post(h, incarnation, ended)
+		})
+	})
+}
--- /dev/null
+++ b/internal/exerciser/callers.go
@@ -0,0 +1,151 @@
+package exerciser
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+// Callers is the modelled traffic.
+type Callers struct {
+	Sent    int
+	Done    int
+	Refused map[string]int
+
+	requests    map[string]*Request
+	version     int64
+	publishedAt []time.Time
+}
+
+// arrival is the event of a request.
+type arrival struct{ reducer.RequestArrived }
+
+func (a arrival) adapter() reducer.AdapterKey {
+	return reducer.AdapterKey{Model: a.Model, Adapter: a.Adapter}
+}
+
+// Request is one request of the modelled traffic, as its caller and the backend servers see it.
+type Request struct {
+	event   arrival
+	host    *Host
+	account string
+	once    bool
+	sentAt  time.Time
+	runs    int
+	attempt int
+	ended   string
+	// notRun is set once the caller has been told that the request has not run.
+	notRun bool
+}
+
+func requestKey(host string, incarnation uint64, id string) string {
+	return fmt.Sprintf("%s/%d/%s", host, incarnation, id)
+}
+
+// send lets a caller send a request to a host.
+func (w *World[P]) send(h *Host) {
+	if !h.Up || !h.State.Ready {
+		return
+	}
+	w.Callers.Sent++
+	e := reducer.RequestArrived{
+		ID: fmt.Sprint(w.Callers.Sent), CallerID: fmt.Sprint(w.Callers.Sent), HostName: callHost, TimeLeft: 5 * time.Second, Key: "key-large",
+	}
+	r := &Request{host: h, sentAt: w.Now, account: "large"}
+	if w.random.IntN(4) == 0 {
+		e.Key, r.account = "key-small", "small"
+	}
+	switch w.random.IntN(5) {
+	case 0:
+		e.Path, r.once = "/once/x", true
+	case 1:
+		e.Path = "/safe/x"
+	case 2:
+		e.Path = "/resumable/x"
+		w.generation(&e)
+	default:
+		e.Path, r.once = "/stream/x", true
+		w.generation(&e)
+	}
+	w.deliver(h, r, e)
+}
+
+func (w *World[P]) deliver(h *Host, r *Request, e reducer.RequestArrived) {
+	r.event = arrival{e}
+	incarnation := h.Incarnation
+	w.Callers.requests[requestKey(h.ID, incarnation, e.ID)] = r
+	w.post(h, incarnation, e)
+	w.after(e.TimeLeft+time.Second, func() {
+		if r.ended == "" && h.Up && h.Incarnation == incarnation && !h.Frozen && w.Now.Sub(h.DisturbedAt) > e.TimeLeft+time.Second {
+			w.Checks.fail(w.Now, "every_request_ends", h.ID+"/"+e.ID)
+		}
+		delete(w.Callers.requests, requestKey(h.ID, incarnation, e.ID))
+	})
+}
+
+// generation draws an adapter, of which few are asked for often, and a size.
+func (w *World[P]) generation(e *reducer.RequestArrived) {
+	rank := int(math.Pow(w.random.Float64(), -1/0.4))
+	e.Model = modelName
+	e.Adapter = fmt.Sprintf("a%d", min(rank, 3000))
+	e.PromptTokens = 500 + w.random.IntN(6000)
+	e.OutputTokens = 20 + w.random.IntN(200)
+}
+
+func (r *Request) ran(c *Checks, now time.Time) {
+	r.runs++
+	c.used(now, r)
+	if r.once && r.runs > 1 {
+		c.fail(now, "at_most_once", r.event.ID)
+	}
+	if r.notRun {
+		c.fail(now, "not_run_is_true", r.event.ID)
+	}
+}
+
+func (r *Request) end(c *Checks, now time.Time, how string) {
+	if r.ended != "" {
+		c.fail(now, "one_answer", r.event.ID+": "+r.ended+", then "+how)
+	}
+	r.ended = how
+}
+
+func (w *World[P]) refused(h *Host, e reducer.Refuse) {
+	r := w.Callers.requests[requestKey(h.ID, h.Incarnation, e.ID)]
+	if r == nil {
+		return
+	}
+	if w.Callers.Refused == nil {
+		w.Callers.Refused = map[string]int{}
+	}
+	w.Callers.Refused[e.Reason.String()]++
+	r.end(&w.Checks, w.Now, e.Reason.String())
+	if e.MayHaveRun {
+		return
+	}
+	r.notRun = true
+	if r.runs > 0 {
+		w.Checks.fail(w.Now, "not_run_is_true", fmt.Sprintf("%s: %s after %d runs", r.event.ID, e.Reason, r.runs))
+	}
+	w.Checks.refusedFor(w.Now, r, e.Reason)
+}
+
+func (w *World[P]) delivered(h *Host, e reducer.Deliver) {
+	if r := w.Callers.requests[requestKey(h.ID, h.Incarnation, e.ID)]; r != nil {
+		r.end(&w.Checks, w.Now, "failure")
+	}
+}
+
+func (w *World[P]) cancelled(*Host, reducer.Cancel) {}
+
+// Traffic sends requests at random times until the run ends.
+func (w *World[P]) Traffic(perSecond float64) {
+	var next func()
+	next = func() {
+		w.send(w.Hosts[w.random.IntN(len(w.Hosts))])
+		w.after(time.Duration(w.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+}
--- /dev/null
+++ b/internal/exerciser/checks.go
@@ -0,0 +1,120 @@
+package exerciser
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+// Checks holds what has been found broken.
+type Checks struct {
+	Violations []string
+	uses       map[string][]use
+}
+
+// Order is an order as a backend server saw it.
+type Order struct {
+	Holder string
+	Fence  int64
+	At     time.Time
+}
+
+type use struct {
+	at     time.Time
+	tokens float64
+}
+
+func (c *Checks) fail(now time.Time, rule, detail string) {
+	c.Violations = append(c.Violations, fmt.Sprintf("%7.3f s  %s: %s", now.Sub(Start).Seconds(), rule, detail))
+}
+
+// ordered checks that fences are distinct and grow, and that no two hosts order by turns within the lease.
+func (c *Checks) ordered(now time.Time, b *Backend, o Order, lease time.Duration) {
+	followed := false
+	for i := len(b.Orders) - 1; i >= 0; i-- {
+		former := b.Orders[i]
+		if former.Holder != o.Holder {
+			followed = followed || now.Sub(former.At) < lease
+			if former.Fence >= o.Fence {
+				c.fail(now, "fences_grow", fmt.Sprintf("%s: %s with %d after %s with %d", b.Info.ID, o.Holder, o.Fence, former.Holder, former.Fence))
+			}
+			continue
+		}
+		if followed {
+			c.fail(now, "one_holder", fmt.Sprintf("%s: %s came back within the lease", b.Info.ID, o.Holder))
+			break
+		}
+		if former.Fence > o.Fence {
+			c.fail(now, "fences_grow", fmt.Sprintf("%s: %s went back", b.Info.ID, o.Holder))
+		}
+	}
+	b.Orders = append(b.Orders, o)
+	if len(b.Orders) > 50 {
+		b.Orders = b.Orders[1:]
+	}
+}
+
+// dispatched checks whose account a request is sent for.
+func (c *Checks) dispatched(now time.Time, r *Request, e reducer.Dispatch) {
+	if e.Account != r.account {
+		c.fail(now, "own_account", r.event.ID+" was sent for "+e.Account)
+	}
+}
+
+// arrived checks leaving backend servers and the bound of cold ones.
+func (c *Checks) arrived(now time.Time, touched bool, b *Backend, h *Host) {
+	if !b.LeftAt.IsZero() && now.Sub(b.LeftAt) > drainBound && touched {
+		c.fail(now, "drain", b.Info.ID+" got a request from "+h.ID)
+	}
+	b.Arrivals = append(b.Arrivals, now)
+	for len(b.Arrivals) > 0 && now.Sub(b.Arrivals[0]) > time.Second {
+		b.Arrivals = b.Arrivals[1:]
+	}
+	cold := !b.ColdFrom.IsZero() && now.Sub(b.ColdFrom) < coldFor
+	if cold && float64(len(b.Arrivals)) > coldRate*coldOvershoot+coldSlack {
+		c.fail(now, "cold_bound", fmt.Sprintf("%s got %d requests in a second", b.Info.ID, len(b.Arrivals)))
+	}
+}
+
+// Bounds of the checks, from the deployments' pages.
+const (
+	drainBound     = 2 * time.Second
+	configBound    = 2 * time.Second
+	coldOvershoot  = 1.5
+	coldSlack      = 5
+	quotaWindow    = 8 * time.Second
+	quotaOvershoot = 0.25
+	quotaSlack     = 110_000
+)
+
+// used checks an account's use over all hosts in a sliding window.
+func (c *Checks) used(now time.Time, r *Request) {
+	if c.uses == nil {
+		c.uses = map[string][]use{}
+	}
+	tokens := float64(r.event.PromptTokens + r.event.OutputTokens)
+	if tokens == 0 {
+		tokens = 200
+	}
+	uses := append(c.uses[r.account], use{now, tokens})
+	for now.Sub(uses[0].at) > quotaWindow {
+		uses = uses[1:]
+	}
+	c.uses[r.account] = uses
+	sum := 0.0
+	for _, u := range uses {
+		sum += u.tokens
+	}
+	rate := map[string]float64{"large": 100_000, "small": 20_000}[r.account]
+	if bound := (rate*quotaWindow.Seconds()+rate)*(1+quotaOvershoot) + quotaSlack; sum > bound {
+		c.fail(now, "quota", fmt.Sprintf("%s used %.0f of %.0f", r.account, sum, bound))
+	}
+}
+
+// refusedFor checks that nobody is refused a route or a key that has been in force for long.
+func (c *Checks) refusedFor(now time.Time, r *Request, reason reducer.Reason) {
+	if reason == reducer.ReasonNoRoute || reason == reducer.ReasonNoKey {
+		c.fail(now, "configuration", fmt.Sprintf("%s at %s: %s %s", r.event.ID, r.host.ID, reason, r.event.Path))
+	}
+}
--- /dev/null
+++ b/internal/exerciser/soak_test.go
@@ -0,0 +1,75 @@
+package exerciser
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/modeler"
+	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/internal/selector"
+)
+
+var (
+	seeds     = flag.Int("seeds", 12, "number of seeds of TestSoak")
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of TestSoak")
+)
+
+func options(seed uint64) Options {
+	return Options{
+		Seed: seed, Hosts: 6, Domains: 3, Engines: 9, Plain: 4, Latency: time.Millisecond, Jitter: 2 * time.Millisecond, DropShare: 0.01,
+		Spec: modeler.Spec{
+			Slots: 64, Queue: 192, AdapterSlots: 6, LoadTime: 250 * time.Millisecond, RecentLoad: 25 * time.Millisecond,
+			PrefillRate: 38000, TokenTime: 5 * time.Millisecond, ReportLag: 400 * time.Millisecond,
+		},
+		Limits: reducer.Limits{
+			ConfigFor: 2 * time.Second, DrainFor: 2 * time.Second, ContactFor: 3 * time.Second, GraceFor: 8 * time.Second,
+			OrderLeaseFor: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 52, QuotaWindow: quotaWindow, QuotaOvershoot: quotaOvershoot,
+			QuotaSlack: quotaSlack, DirectoryFor: 5 * time.Second,
+		},
+	}
+}
+
+// run plays a warm-up, a minute of trouble and a calm end.
+func run(o Options) (w *World[selector.Expected], struck []string) {
+	w = New[selector.Expected](o)
+	w.Run(8 * time.Second)
+	w.Traffic(45)
+	for range 20 {
+		struck = append(struck, w.Strike())
+		w.Run(3 * time.Second)
+	}
+	w.Run(20 * time.Second)
+	return w, struck
+}
+
+func TestSoak(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w, struck := run(options(seed))
+			t.Logf("seed %d: %d sent, %d refused or failed by reason %v", seed, w.Callers.Sent, len(w.Callers.Refused), w.Callers.Refused)
+			if len(w.Checks.Violations) > 0 {
+				shown := w.Checks.Violations[:min(len(w.Checks.Violations), 10)]
+				t.Errorf("seed %d:\n%s\ntroubles:\n%s", seed, strings.Join(shown, "\n"), strings.Join(struck, "\n"))
+			}
+		})
+	}
+}
+
+func TestCalmFleetServesAndBreaksNothing(t *testing.T) {
+	w := New[selector.Expected](options(7))
+	w.Run(8 * time.Second)
+	w.Traffic(45)
+	w.Run(30 * time.Second)
+	assert.Equal(t, len(w.Checks.Violations), 0, "%v", w.Checks.Violations)
+	refused := 0
+	for _, n := range w.Callers.Refused {
+		refused += n
+	}
+	assert.Assert(t, refused*50 < w.Callers.Sent, "refused %v of %d", w.Callers.Refused, w.Callers.Sent)
+}
--- /dev/null
+++ b/internal/modeler/engine.go
@@ -0,0 +1,159 @@
+package modeler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+// Spec is the capacity of one engine.
+type Spec struct {
+	Slots        int
+	Queue        int
+	AdapterSlots int
+	// LoadTime is the time of bringing an adapter from the weight store, RecentLoad of one that was dropped lately.
+	LoadTime   time.Duration
+	RecentLoad time.Duration
+	// PrefillRate is the prompt tokens read in a second, and TokenTime the time of one output token.
+	PrefillRate float64
+	TokenTime   time.Duration
+	ReportLag   time.Duration
+}
+
+// Engine is the state of one incarnation of an engine.
+type Engine struct {
+	Spec     Spec
+	Adapters map[reducer.AdapterKey]*Adapter
+	Recent   map[reducer.AdapterKey]bool
+	Running  int
+	// ReadingUntil is when the prompts that are being read will have been read.
+	ReadingUntil time.Time
+	Orders       int64
+	history      []snapshot
+}
+
+// Adapter is one adapter on an engine, or on its way.
+type Adapter struct {
+	ReadyAt time.Time
+	Running int
+	Leaving bool
+}
+
+type snapshot struct {
+	at       time.Time
+	resident []reducer.AdapterKey
+	coming   []reducer.AdapterKey
+}
+
+// NewEngine returns an engine that holds no adapters.
+func NewEngine(spec Spec) *Engine {
+	return &Engine{Spec: spec, Adapters: map[reducer.AdapterKey]*Adapter{}, Recent: map[reducer.AdapterKey]bool{}}
+}
+
+// transit is the number of adapters that may be on their way at the same time.
+const transit = 4
+
+// Load takes an order to load an adapter; overfull tells that there is no place for it, which ends a real engine.
+func (e *Engine) Load(now time.Time, key reducer.AdapterKey) (result reducer.OrderResult, overfull bool) {
+	if a, ok := e.Adapters[key]; ok && !a.Leaving {
+		return reducer.OrderHolds, false
+	}
+	if len(e.Adapters) >= e.Spec.AdapterSlots {
+		return reducer.OrderRefused, true
+	}
+	coming := 0
+	for _, a := range e.Adapters {
+		if now.Before(a.ReadyAt) {
+			coming++
+		}
+	}
+	if coming >= transit {
+		return reducer.OrderBusy, false
+	}
+	took := e.Spec.LoadTime
+	if e.Recent[key] {
+		took = e.Spec.RecentLoad
+	}
+	e.Orders++
+	e.Adapters[key] = &Adapter{ReadyAt: now.Add(took)}
+	e.record(now)
+	return reducer.OrderAccepted, false
+}
+
+// Unload takes an order to unload an adapter, which leaves once its requests have ended.
+func (e *Engine) Unload(now time.Time, key reducer.AdapterKey) reducer.OrderResult {
+	a, ok := e.Adapters[key]
+	if !ok || now.Before(a.ReadyAt) {
+		return reducer.OrderHolds
+	}
+	e.Orders++
+	if a.Running > 0 {
+		a.Leaving = true
+		return reducer.OrderAccepted
+	}
+	delete(e.Adapters, key)
+	e.Recent[key] = true
+	e.record(now)
+	return reducer.OrderHolds
+}
+
+// Begin takes a request; it returns the time of the first piece of the answer, or why it does not run.
+func (e *Engine) Begin(now time.Time, key reducer.AdapterKey, promptTokens int) (first time.Time, outcome reducer.Outcome) {
+	if key.Adapter != "" {
+		a, ok := e.Adapters[key]
+		if !ok || a.Leaving || now.Before(a.ReadyAt) {
+			return time.Time{}, reducer.OutcomeAbsent
+		}
+	}
+	if e.Running >= e.Spec.Slots+e.Spec.Queue {
+		return time.Time{}, reducer.OutcomeFull
+	}
+	e.Running++
+	if key.Adapter != "" {
+		e.Adapters[key].Running++
+	}
+	if e.ReadingUntil.Before(now) {
+		e.ReadingUntil = now
+	}
+	e.ReadingUntil = e.ReadingUntil.Add(time.Duration(float64(promptTokens) / e.Spec.PrefillRate * float64(time.Second)))
+	return e.ReadingUntil, reducer.OutcomeDone
+}
+
+// End takes the end of a request.
+func (e *Engine) End(now time.Time, key reducer.AdapterKey) {
+	e.Running--
+	a, ok := e.Adapters[key]
+	if !ok {
+		return
+	}
+	a.Running--
+	if a.Leaving && a.Running == 0 {
+		delete(e.Adapters, key)
+		e.Recent[key] = true
+		e.record(now)
+	}
+}
+
+// Report returns the adapters as the engine tells them, which is as of some time ago.
+func (e *Engine) Report(now time.Time) (resident, coming []reducer.AdapterKey) {
+	asOf := now.Add(-e.Spec.ReportLag)
+	for _, h := range slices.Backward(e.history) {
+		if !h.at.After(asOf) {
+			return h.resident, h.coming
+		}
+	}
+	return nil, nil
+}
+
+func (e *Engine) record(now time.Time) {
+	s := snapshot{at: now}
+	for key, a := range e.Adapters {
+		if now.Before(a.ReadyAt) {
+			s.coming = append(s.coming, key)
+			continue
+		}
+		s.resident = append(s.resident, key)
+	}
+	e.history = append(e.history, s)
+}
--- a/internal/queuer/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package queuer holds queues that share service among lanes by weighted virtual time.
-package queuer
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -80,7 +80,7 @@
 		}
 	}
 	if r == nil {
-		r = &Right{Backed: map[string]time.Duration{}, SoughtAt: s.age(now)}
+		r = &Right{Backed: map[string]time.Duration{}, SoughtAt: s.age(now), Ledger: newLedger()}
 		s.Rights[backend] = r
 	}
 	if now.Sub(r.AskedAt) < leaseRenewEvery {
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -464,7 +464,7 @@
 // receiveUsage notes what a host has running on a backend server and tells it what the others have.
 func receiveUsage(s *State, now time.Time, from string, m Usage) {
 	r, ok := s.Rights[m.Backend]
-	if !ok {
+	if !ok || !s.holds(now, m.Backend) {
 		return
 	}
 	l := &r.Ledger
