--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -61,7 +61,8 @@
 	}
 	self := reducer.Self{
 		HostID: settings.HostID, Incarnation: incarnation, Address: settings.Address, PeerAddress: settings.PeerAddress,
-		FailureDomain: settings.FailureDomain, Region: settings.Region, StartedAt: clocker.Now(), Seeds: settings.Seeds,
+		FailureDomain: settings.FailureDomain, Region: settings.Region, StartedAt: clocker.Now(), StartedUnixMs: time.Now().UnixMilli(),
+		Seeds: settings.Seeds,
 	}
 	control := &executor.Control[policy, platform.Codec, *listener.Sink]{
 		State: reducer.NewState(self, limits(settings.Bounds), incarnation),
--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -48,7 +48,7 @@
 		},
 		Accounts: []cataloguer.Account{
 			{Name: "large", Keys: []string{"key-large"}, Priority: -1, Rate: 100_000, Burst: 100_000, ByTokens: true, PlainTokens: 200},
-			{Name: "small", Keys: []string{"key-small"}, Priority: -1, Rate: 20_000, Burst: 20_000, ByTokens: true, PlainTokens: 200},
+			{Name: "small", Keys: []string{"key-small"}, Priority: -1, Rate: 40_000, Burst: 40_000, ByTokens: true, PlainTokens: 200},
 		},
 	}
 	for i := range extra {
@@ -182,10 +182,12 @@
 				b.Engine.End(w.Now, key)
 				ended.Outcome = reducer.OutcomeDone
 			}
-			if ended.Outcome == reducer.OutcomeDone && h.Up && h.Incarnation == incarnation && r.attempt == e.Attempt {
-				r.end(&w.Checks, w.Now, "done")
-			}
-			w.post(h, incarnation, ended)
+			w.awake(h, incarnation, func() {
+				if ended.Outcome == reducer.OutcomeDone && r.attempt == e.Attempt && r.ended == "" {
+					r.end(&w.Checks, w.Now, "done")
+				}
+				w.reduce(h, ended)
+			})
 		})
 	})
 }
--- a/internal/exerciser/callers.go
+++ b/internal/exerciser/callers.go
@@ -51,7 +51,7 @@
 	}
 	w.Callers.Sent++
 	e := reducer.RequestArrived{
-		ID: fmt.Sprint(w.Callers.Sent), CallerID: fmt.Sprint(w.Callers.Sent), HostName: callHost, TimeLeft: 5 * time.Second, Key: "key-large",
+		ID: fmt.Sprint(w.Callers.Sent), CallerID: fmt.Sprint(w.Callers.Sent), At: w.Now, HostName: callHost, TimeLeft: 5 * time.Second, Key: "key-large",
 	}
 	r := &Request{host: h, sentAt: w.Now, account: "large"}
 	if w.random.IntN(4) == 0 {
--- a/internal/exerciser/faults.go
+++ b/internal/exerciser/faults.go
@@ -117,8 +117,8 @@
 		h.DisturbedAt = w.Now
 		waiting := h.waiting
 		h.waiting = nil
-		for _, e := range waiting {
-			w.reduce(h, e)
+		for _, run := range waiting {
+			run()
 		}
 	})
 }
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -22,6 +22,8 @@
 	peerTimeout  = 600 * time.Millisecond
 	callTimeout  = time.Second
 	platformTime = 4 * time.Millisecond
+	// skewMs is the largest error of a host's time of day.
+	skewMs = 2000
 )
 
 // Options describes one run; its fields are set before New.
@@ -68,7 +70,7 @@
 	State  *reducer.State
 	// Incarnation counts the processes; what belongs to an earlier one is dropped.
 	Incarnation uint64
-	waiting     []reducer.Event
+	waiting     []func()
 	StartedAt   time.Time
 	// DisturbedAt is when something last went wrong at the host.
 	DisturbedAt time.Time
@@ -179,7 +181,8 @@
 	h.DisturbedAt = w.Now
 	self := reducer.Self{
 		HostID: h.ID, Incarnation: uint64(w.Now.UnixNano()), Address: h.ID, PeerAddress: "peer-" + h.ID, FailureDomain: h.Domain,
-		Region: "region", StartedAt: w.Now, Seeds: []string{"peer-host-00", "peer-host-01", "peer-host-02"},
+		Region: "region", StartedAt: w.Now, StartedUnixMs: w.Now.UnixMilli() + w.random.Int64N(2*skewMs) - skewMs,
+		Seeds: []string{"peer-host-00", "peer-host-01", "peer-host-02"},
 	}
 	h.State = reducer.NewState(self, w.Options.Limits, w.random.Uint64())
 	incarnation := h.Incarnation
@@ -198,14 +201,19 @@
 
 // post delivers an event to the process that runs on the host now, or later if the host is frozen.
 func (w *World[P]) post(h *Host, incarnation uint64, event reducer.Event) {
+	w.awake(h, incarnation, func() { w.reduce(h, event) })
+}
+
+// awake does what the host's process does, once it is not frozen.
+func (w *World[P]) awake(h *Host, incarnation uint64, run func()) {
 	if !h.Up || h.Incarnation != incarnation {
 		return
 	}
 	if h.Frozen {
-		h.waiting = append(h.waiting, event)
+		h.waiting = append(h.waiting, run)
 		return
 	}
-	w.reduce(h, event)
+	run()
 }
 
 func (w *World[P]) reduce(h *Host, event reducer.Event) []reducer.Effect {
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -14,6 +14,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
 	"github.com/redwingpick/redwingpick/internal/reducer"
@@ -116,6 +117,7 @@
 func (c *Callers[P, C, F]) serve(w http.ResponseWriter, r *http.Request) {
 	c.running.Add(1)
 	defer c.running.Add(-1)
+	arrived := clocker.Now()
 	sink := &Sink{writer: w, leaving: c.Control.Leaving()}
 	event, call, ok := c.Front.Request(r)
 	if !ok {
@@ -126,6 +128,7 @@
 		sink.Refuse(reducer.Refuse{Reason: reason})
 		return
 	}
+	event.At = arrived
 	event.ID = strconv.FormatUint(c.sequence.Add(1), 36)
 	ctx, span := tracer.Hop(tracer.Extract(r.Context(), r.Header), "host", attribute.String("request", event.CallerID))
 	defer span.End()
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -32,6 +32,8 @@
 	// ID is unique on this host; CallerID is what the caller named the request.
 	ID       string
 	CallerID string
+	// At is when the request reached this host; its time left counts from then.
+	At       time.Time
 	HostName string
 	Path     string
 	Key      string
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -91,7 +91,7 @@
 		s.note(EventHostBack, Field{"peer", r.ID})
 	}
 	h.Record = r
-	h.HeardAt = now
+	h.HeardAt = now.Add(-r.SilentFor)
 	dropNamesakes(s, r)
 }
 
@@ -161,16 +161,21 @@
 	}
 }
 
-// gossipTable returns this host's record and those of hosts that are heard of.
+// gossipTable returns this host's record and those of hosts that count as members: a host that starts anew must learn of
+// silent ones too, since they may still vote and hold leases.
 func (s *State) gossipTable(now time.Time) []HostRecord {
 	records := []HostRecord{s.selfRecord(now)}
-	ids := s.selectHosts(func(id string) bool { return id != s.Self.HostID && s.reachable(now, id) })
+	ids := s.selectHosts(func(id string) bool {
+		return id != s.Self.HostID && now.Sub(s.Hosts[id].HeardAt) < forgetAfter
+	})
 	if len(ids) > gossipRecords {
 		s.shuffle(ids)
 		ids = ids[:gossipRecords]
 	}
 	for _, id := range ids {
-		records = append(records, s.Hosts[id].Record)
+		r := s.Hosts[id].Record
+		r.SilentFor = now.Sub(s.Hosts[id].HeardAt)
+		records = append(records, r)
 	}
 	return records
 }
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -92,16 +92,22 @@
 
 // mayClaim reports whether this host is the one that should seek a backend server that nobody orders.
 func (s *State) mayClaim(now time.Time, backend string) bool {
-	if s.Draining.Active || s.Documents.Catalogue == nil || s.holderOf(now, backend) != "" {
+	if s.Draining.Active || s.Documents.Catalogue == nil || s.age(now) < claimAfter || s.alone() || s.holderOf(now, backend) != "" {
 		return false
 	}
 	ranked := rankHosts("order/"+backend, s.aliveHosts(now), 1)
 	return len(ranked) > 0 && ranked[0] == s.Self.HostID
 }
 
+// alone reports whether this host knows no other although its seeds say that there are some; it may then be cut off.
+func (s *State) alone() bool {
+	others := slices.ContainsFunc(s.Self.Seeds, func(address string) bool { return address != s.Self.PeerAddress })
+	return others && len(s.Hosts) == 0
+}
+
 func claimRight(s *State, now time.Time, backend string, r *Right, claims map[string][]Claim) {
 	if r.Term == 0 {
-		r.Term = s.Documents.Revision * termScale
+		r.Term = s.firstTerm(now)
 	}
 	sent := s.age(now)
 	claim := Claim{Backend: backend, Term: r.Term, Valid: s.holds(now, backend)}
@@ -138,8 +144,29 @@
 	if !free || stale || forgetful && !c.Valid {
 		return Vote{Backend: c.Backend, Term: p.Term}
 	}
-	*p = Promise{Holder: from, Incarnation: incarnation, Until: now.Add(s.promiseFor()), Term: c.Term}
-	return Vote{Backend: c.Backend, Backed: true, Term: c.Term}
+	p.follow(from)
+	p.Incarnation, p.Until, p.Term = incarnation, now.Add(s.promiseFor()), c.Term
+	return Vote{Backend: c.Backend, Backed: true, Term: c.Term, HeldBefore: p.Formers[from]}
+}
+
+// follow makes a host the holder and remembers the one before.
+func (p *Promise) follow(holder string) {
+	if p.Holder == holder {
+		return
+	}
+	if p.Formers == nil {
+		p.Formers = map[string]bool{}
+	}
+	if p.Holder != "" {
+		p.Formers[p.Holder] = true
+	}
+	p.Holder = holder
+}
+
+// firstTerm is the term that a host claims which knows of no other: it grows with the time of day, and so past the terms that
+// all voters may have forgotten.
+func (s *State) firstTerm(now time.Time) int64 {
+	return (s.Self.StartedUnixMs - termEpochMs + s.age(now).Milliseconds()) / termStepMs
 }
 
 func countVotes(s *State, now time.Time, from string, m LeaseReply) {
@@ -163,6 +190,7 @@
 		return
 	}
 	r.Backed[from] = max(r.Backed[from], sent)
+	r.HeldBefore = r.HeldBefore || v.HeldBefore
 	extendRight(s, now, v.Backend, r)
 }
 
@@ -192,6 +220,9 @@
 	r.HeldSince = now
 	r.Fence = r.Term<<fenceBits | int64(hasher.Key(s.Self.HostID)&(1<<fenceBits-1))
 	r.Ledger = newLedger()
+	if r.HeldBefore {
+		r.Ledger.RetryAt = now.Add(s.Limits.OrderLeaseFor)
+	}
 	s.Counters.LeasesTaken++
 	s.note(EventLeaseTaken, Field{"backend_server", backend}, intField("term", int(r.Term)))
 }
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -47,8 +47,11 @@
 	leaseFor        = 1600 * time.Millisecond
 	leaseRenewEvery = 400 * time.Millisecond
 	leaseMargin     = 200 * time.Millisecond
-	// termScale leaves room for several terms within one revision of the platform.
-	termScale = 16
+	// claimAfter is the age from which a host seeks leases: by then it has heard of the others.
+	claimAfter = 2 * time.Second
+	// termEpochMs is the time of day that terms count from, and termStepMs the time in which the first term of a host grows by one.
+	termEpochMs = 1_577_836_800_000
+	termStepMs  = 100
 	// fenceBits is the part of a fence that tells hosts apart.
 	fenceBits = 20
 )
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -15,6 +15,8 @@
 	FailureDomain string
 	Ready         bool
 	Leaving       bool
+	// SilentFor is the time since the sender last heard news of the host.
+	SilentFor time.Duration
 	// Holds names the backend servers that the host may order.
 	Holds []string
 }
@@ -53,6 +55,8 @@
 	Backed  bool
 	// Term is the highest term that the voter has seen.
 	Term int64
+	// HeldBefore is set when another host has held the lease since the claimant last did.
+	HeldBefore bool
 }
 
 // LeaseRelease gives up claims.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -12,6 +12,10 @@
 
 // place sends a request to a backend server, lets it wait for its adapter, or refuses it when nothing can take it soon.
 func place[P selector.Policy](s *State, now time.Time, r *Request) {
+	if !now.Before(r.Deadline) {
+		expire(s, now, r)
+		return
+	}
 	service, ok := s.Documents.Services[r.Service]
 	if !ok {
 		refuse(s, now, r, ReasonNoBackend, refusedRetryWait)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -12,7 +12,7 @@
 func arrive[P selector.Policy](s *State, now time.Time, e RequestArrived) {
 	s.Counters.RequestsArrived++
 	r := &Request{
-		ID: e.ID, CallerID: e.CallerID, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: now,
+		ID: e.ID, CallerID: e.CallerID, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
 		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts, Resumed: e.ResumeAfter != "",
 		Phase: PhaseQueued, WaitSince: now,
 	}
@@ -40,7 +40,7 @@
 		}
 		r.Cost = account.Cost(r.Tokens)
 	}
-	r.Deadline = now.Add(timeLeft(e, route))
+	r.Deadline = e.At.Add(timeLeft(e, route))
 	r.Service = s.pickService(route)
 	r.Version = s.Documents.Versions[r.Adapter]
 	s.earnRetry(now, r.Service)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -46,6 +46,8 @@
 	FailureDomain string
 	Region        string
 	StartedAt     time.Time
+	// StartedUnixMs is the time of day at the start; terms grow from it when all voters have forgotten theirs.
+	StartedUnixMs int64
 	Seeds         []string
 }
 
@@ -212,6 +214,8 @@
 	ValidUntil time.Time
 	HeldSince  time.Time
 	AskedAt    time.Time
+	// HeldBefore is set when a voter remembers this host as a holder that another one followed.
+	HeldBefore bool
 	Ledger     Ledger
 }
 
@@ -275,6 +279,8 @@
 	Incarnation uint64
 	Until       time.Time
 	Term        int64
+	// Formers are the hosts that were backed before the holder.
+	Formers map[string]bool
 }
 
 // Phase tells how far a request has come.
--- a/internal/translator/parts.go
+++ b/internal/translator/parts.go
@@ -10,13 +10,14 @@
 	return &peerv1.HostRecord{
 		Id: r.ID, Incarnation: r.Incarnation, Beat: r.Beat, Address: r.Address, PeerAddress: r.PeerAddress,
 		FailureDomain: r.FailureDomain, Ready: r.Ready, Leaving: r.Leaving, Holds: r.Holds,
+		SilentForUs: r.SilentFor.Microseconds(),
 	}
 }
 
 func hostRecord(w *peerv1.HostRecord) reducer.HostRecord {
 	return reducer.HostRecord{
 		ID: w.GetId(), Incarnation: w.GetIncarnation(), Beat: w.GetBeat(), Address: w.GetAddress(), PeerAddress: w.GetPeerAddress(),
-		FailureDomain: w.GetFailureDomain(), Ready: w.GetReady(), Leaving: w.GetLeaving(), Holds: w.GetHolds(),
+		FailureDomain: w.GetFailureDomain(), Ready: w.GetReady(), Leaving: w.GetLeaving(), Holds: w.GetHolds(), SilentFor: micros(w.GetSilentForUs()),
 	}
 }
 
@@ -39,7 +40,7 @@
 func leaseReplyWire(m reducer.LeaseReply) *peerv1.LeaseReply {
 	w := &peerv1.LeaseReply{SentAtUs: m.SentAt.Microseconds()}
 	for _, v := range m.Votes {
-		w.Votes = append(w.Votes, &peerv1.Vote{Backend: v.Backend, Backed: v.Backed, Term: v.Term})
+		w.Votes = append(w.Votes, &peerv1.Vote{Backend: v.Backend, Backed: v.Backed, Term: v.Term, HeldBefore: v.HeldBefore})
 	}
 	return w
 }
@@ -47,7 +48,7 @@
 func leaseReply(w *peerv1.LeaseReply) reducer.LeaseReply {
 	m := reducer.LeaseReply{SentAt: micros(w.GetSentAtUs())}
 	for _, v := range w.GetVotes() {
-		m.Votes = append(m.Votes, reducer.Vote{Backend: v.GetBackend(), Backed: v.GetBacked(), Term: v.GetTerm()})
+		m.Votes = append(m.Votes, reducer.Vote{Backend: v.GetBackend(), Backed: v.GetBacked(), Term: v.GetTerm(), HeldBefore: v.GetHeldBefore()})
 	}
 	return m
 }
