--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -60,7 +60,7 @@
 	Order(order reducer.OrderAdapter) (path string, header http.Header, body []byte)
 	Ordered(status int) reducer.OrderResult
 	ReportCall(backend string) (path string, header http.Header)
-	Report(body []byte) (resident, coming []reducer.AdapterKey, err error)
+	Report(body []byte) ([]reducer.ReportedAdapter, error)
 }
 
 // Sink takes an answer to its caller.
--- a/internal/dispatcher/orders.go
+++ b/internal/dispatcher/orders.go
@@ -77,7 +77,7 @@
 		event.Failed = true
 		return event
 	}
-	event.Resident, event.Coming, err = c.Codec.Report(body)
+	event.Adapters, err = c.Codec.Report(body)
 	event.Failed = err != nil
 	return event
 }
--- a/internal/exerciser/carrier.go
+++ b/internal/exerciser/carrier.go
@@ -154,7 +154,7 @@
 		return
 	}
 	w.after(w.delay(), func() {
-		event.Resident, event.Coming = b.Engine.Report(w.Now)
+		event.Adapters = b.Engine.Report(w.Now)
 		w.after(w.delay(), func() { w.post(h, incarnation, event) })
 	})
 }
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -60,7 +60,6 @@
 	{reducer.EventBackendLeaving, log.InfoLevel, false, "backend server leaving", "The backend server gets nothing new.", "None."},
 	{reducer.EventBackendGone, log.InfoLevel, false, "backend server gone", "Its entry was removed; platform_well_ms is how long the configuration service had been answering.", "None."},
 	{reducer.EventBackendEjected, log.WarnLevel, false, "backend server left alone", "Exchanges failed in a row; this host sends it nothing for pause_ms.", "Check the server if it lasts."},
-	{reducer.EventBackendBack, log.InfoLevel, false, "backend server back", "Its entry is published again.", "None."},
 	{reducer.EventOrdered, log.InfoLevel, true, "order sent", "This host, which holds the lease, ordered an adapter to be loaded or unloaded.", "None."},
 	{reducer.EventOrderFailed, log.WarnLevel, false, "order failed", "The backend server did not take an order; result says how.", "Check the server if it lasts."},
 	{reducer.EventAdapterPlaced, log.InfoLevel, true, "adapter placed", "The expected time of a load is over.", "None."},
@@ -68,7 +67,6 @@
 	{reducer.EventRequestEnded, log.InfoLevel, true, "request ended", "The backend server's answer was delivered.", "None."},
 	{reducer.EventRequestRefused, log.WarnLevel, false, "request refused", "This host answered itself; reason says why and last_failure what came before.", "See docs/OPERATIONS.md."},
 	{reducer.EventRequestRetried, log.WarnLevel, false, "attempt failed", "An attempt at a backend server failed; what follows is in the next line of the request.", "See docs/OPERATIONS.md."},
-	{reducer.EventRequestWaits, log.InfoLevel, true, "request waits", "The request waits for its adapter or for room; why says which.", "None."},
 	{reducer.EventOverRate, log.WarnLevel, false, "account over its rate", "The host's part of the account's rate did not hold the request's cost; the next line of the host refuses it.", "Raise the account's rate if the use is meant."},
 	{reducer.EventRequestLeft, log.InfoLevel, false, "caller left", "The caller closed its connection before the answer was complete.", "None."},
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -41,6 +41,8 @@
 
 // Record writes one event of the catalogue, or counts it if the budget of this second is spent.
 func (r *Recorder) Record(number int, fields ...reducer.Field) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	entry, ok := Find(number)
 	if !ok {
 		entry = Entry{Number: number, Level: log.WarnLevel, Text: "unlisted event"}
@@ -48,8 +50,6 @@
 	if entry.Level < r.Level {
 		return
 	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	r.turnSecond()
 	if !r.room(entry.Routine) {
 		r.leftOut++
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -37,7 +37,7 @@
 
 // usable reports whether new requests may go to a backend server.
 func (s *State) usable(now time.Time, b *Backend) bool {
-	return !b.Info.Leaving && b.GoneAt.IsZero() && !s.Documents.Withdrawn[b.Info.FailureDomain] && !now.Before(b.EjectedUntil)
+	return !b.Info.Leaving && (b.GoneAt.IsZero() || b.Lapsed) && !s.Documents.Withdrawn[b.Info.FailureDomain] && !now.Before(b.EjectedUntil)
 }
 
 // takeBackend takes a published entry of a backend server.
@@ -56,6 +56,7 @@
 	}
 	b.Info = info
 	b.GoneAt = time.Time{}
+	b.Lapsed = false
 	if info.ColdFor > 0 {
 		b.ColdUntil = later(b.ColdUntil, now.Add(info.ColdFor))
 	}
@@ -98,6 +99,7 @@
 		return
 	}
 	b.GoneAt = now
+	b.Lapsed = !s.well(now)
 	s.note(EventBackendGone, Field{"backend_server", id}, msField("platform_well_ms", now.Sub(s.Watch.GoodSince)))
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -107,8 +107,14 @@
 	Born     int64
 	AskedAt  time.Time
 	Failed   bool
-	Resident []AdapterKey
-	Coming   []AdapterKey
+	Adapters []ReportedAdapter
+}
+
+// ReportedAdapter is one adapter that a backend server holds or that is on its way there.
+type ReportedAdapter struct {
+	Adapter AdapterKey
+	Version int64
+	Stage   Stage
 }
 
 // LocateAsked says that a caller asks which hosts to use.
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -150,7 +150,7 @@
 
 // serves reports whether the entry will serve requests that need at least the given version.
 func (e *Entry) serves(version int64) bool {
-	return (e.Stage == StageReady || e.Stage == StageLoading) && (version == 0 || e.Version == 0 || e.Version >= version)
+	return (e.Stage == StageReady || e.Stage == StageLoading) && e.Version >= version
 }
 
 func queueWant(r *Right, now time.Time, from string, m AdapterWant) {
@@ -419,12 +419,9 @@
 		return
 	}
 	l := &r.Ledger
-	named := map[AdapterKey]Stage{}
-	for _, k := range e.Resident {
-		named[k] = StageReady
-	}
-	for _, k := range e.Coming {
-		named[k] = StageLoading
+	named := map[AdapterKey]ReportedAdapter{}
+	for _, a := range e.Adapters {
+		named[a.Adapter] = a
 	}
 	asOf := e.AskedAt.Add(-reportLag)
 	for _, key := range sortedAdapters(l.Entries) {
@@ -434,7 +431,7 @@
 		}
 	}
 	for _, key := range sortedAdapters(named) {
-		l.adopt(s, now, b, key, named[key])
+		l.adopt(s, now, b, named[key])
 	}
 	l.ReadAt = now
 	l.Doubtful = false
@@ -445,7 +442,8 @@
 const reportLag = 600 * time.Millisecond
 
 // adopt adds an adapter that the report names and the ledger lacks.
-func (l *Ledger) adopt(s *State, now time.Time, b *Backend, key AdapterKey, stage Stage) {
+func (l *Ledger) adopt(s *State, now time.Time, b *Backend, a ReportedAdapter) {
+	key, stage := a.Adapter, a.Stage
 	if e, ok := l.Entries[key]; ok {
 		e.Proven = e.Proven || stage == StageReady && e.Stage != StageUnloading
 		return
@@ -453,7 +451,7 @@
 	if dropped, ok := l.Recent[key]; ok && now.Sub(dropped) < reportLag {
 		return
 	}
-	entry := &Entry{Stage: stage, OrderedAt: now, ReadyAt: now, Proven: stage == StageReady, Askers: map[string]time.Time{}}
+	entry := &Entry{Stage: stage, Version: a.Version, OrderedAt: now, ReadyAt: now, Proven: stage == StageReady, Askers: map[string]time.Time{}}
 	if stage == StageLoading {
 		entry.ReadyAt = now.Add(s.loadTime(b, false))
 	}
@@ -477,7 +475,7 @@
 	freed := false
 	for _, a := range m.Adapters {
 		u.Adapters[a.Adapter] = a.Running
-		r.prove(s, now, m.Backend, a)
+		r.prove(s, m.Backend, a)
 		if a.Running == 0 {
 			delete(u.Adapters, a.Adapter)
 			freed = true
@@ -506,7 +504,7 @@
 }
 
 // prove notes that an answer has shown an adapter to be resident, and what its load took at most.
-func (r *Right) prove(s *State, now time.Time, backend string, a AdapterUse) {
+func (r *Right) prove(s *State, backend string, a AdapterUse) {
 	e, ok := r.Ledger.Entries[a.Adapter]
 	if !ok || e.Proven || !a.Served || e.Stage == StageUnloading {
 		return
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -65,7 +65,7 @@
 	confirmShare = 0.7
 
 	// lapseFor is how long an entry that vanished while the platform was unwell may still come back.
-	lapseFor = 2200 * time.Millisecond
+	lapseFor = 1900 * time.Millisecond
 	// wellAfter is how long the platform must have answered for a removed entry to count at once.
 	wellAfter = 3 * time.Second
 )
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -24,7 +24,6 @@
 	EventBackendLeaving   = 142
 	EventBackendGone      = 143
 	EventBackendEjected   = 144
-	EventBackendBack      = 145
 	EventOrdered          = 151
 	EventOrderFailed      = 152
 	EventAdapterPlaced    = 153
@@ -32,7 +31,6 @@
 	EventRequestEnded     = 203
 	EventRequestRefused   = 204
 	EventRequestRetried   = 205
-	EventRequestWaits     = 206
 	EventRequestLeft      = 207
 	EventOverRate         = 208
 )
--- /dev/null
+++ b/internal/reducer/reducer_test.go
@@ -0,0 +1,203 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/selector"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+)
+
+var began = time.Unix(1_700_000_000, 0)
+
+// fixture is one host that knows a catalogue and a few backend servers.
+type fixture struct {
+	t     *testing.T
+	state *State
+	now   time.Time
+	store int64
+}
+
+func newFixture(t *testing.T) *fixture {
+	limits := Limits{
+		ConfigFor: 2 * time.Second, DrainFor: 2 * time.Second, ContactFor: 3 * time.Second, GraceFor: 8 * time.Second,
+		OrderLeaseFor: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 52, QuotaWindow: 8 * time.Second, QuotaOvershoot: 0.25,
+		QuotaSlack: 110_000, DirectoryFor: 5 * time.Second,
+	}
+	self := Self{HostID: "host-a", Incarnation: 1, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", FailureDomain: "east", StartedAt: began}
+	f := &fixture{t: t, state: NewState(self, limits, 1), now: began}
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: testCatalogue(1)})
+	for _, id := range []string{"desk-1", "desk-2"} {
+		f.backend(cataloguer.Backend{ID: id, Service: "desk", Address: "10.0.1.1:80", FailureDomain: "east", Born: 1, Slots: 6})
+	}
+	f.after(10 * time.Second)
+	return f
+}
+
+func testCatalogue(version int64) *cataloguer.Catalogue {
+	desk := []cataloguer.Share{{Service: "desk", Weight: 1}}
+	return &cataloguer.Catalogue{
+		Version: version,
+		Routes: []cataloguer.Route{
+			{Name: "once", HostName: "h", Prefix: "/once/", Repeat: cataloguer.RepeatNever, Timeout: time.Second, Target: 300 * time.Millisecond, MaxAttempts: 1, Split: desk},
+			{Name: "safe", HostName: "h", Prefix: "/safe/", Repeat: cataloguer.RepeatSafe, Timeout: time.Second, Target: 300 * time.Millisecond, MaxAttempts: 2, Split: desk},
+			{Name: "open", HostName: "h", Prefix: "/safe/open/", Repeat: cataloguer.RepeatSafe, Timeout: time.Second, Target: 300 * time.Millisecond, MaxAttempts: 2, Open: true, Split: desk},
+		},
+		Services: []cataloguer.Service{{Name: "desk", MaxConnections: 96}},
+		Accounts: []cataloguer.Account{{Name: "acme", Keys: []string{"secret"}, Priority: -1}},
+	}
+}
+
+func (f *fixture) publish(d cataloguer.Document) []Effect {
+	f.store++
+	d.Revision = f.store
+	return f.reduce(PlatformRead{Revision: f.store, Documents: []cataloguer.Document{d}})
+}
+
+func (f *fixture) backend(b cataloguer.Backend) []Effect {
+	return f.publish(cataloguer.Document{Key: "b/" + b.ID, Kind: cataloguer.KindBackend, Name: b.ID, Backend: &b, Raw: []byte(b.ID)})
+}
+
+func (f *fixture) reduce(e Event) []Effect { return Reduce[selector.Expected](f.state, f.now, e) }
+
+// after lets time pass in ticks.
+func (f *fixture) after(d time.Duration) []Effect {
+	var effects []Effect
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(50 * time.Millisecond)
+		effects = append(effects, f.reduce(Tick{})...)
+	}
+	return effects
+}
+
+func (f *fixture) arrive(id, path, key string) []Effect {
+	return f.reduce(RequestArrived{ID: id, CallerID: id, At: f.now, HostName: "h", Path: path, Key: key, TimeLeft: 3 * time.Second})
+}
+
+func find[E Effect](effects []Effect) (found E, ok bool) {
+	for _, e := range effects {
+		if v, ok := e.(E); ok {
+			return v, true
+		}
+	}
+	return found, false
+}
+
+func must[E Effect](t *testing.T, effects []Effect) E {
+	t.Helper()
+	e, ok := find[E](effects)
+	assert.Assert(t, ok, "no %T among %v", e, effects)
+	return e
+}
+
+func TestRouteAndKeyDecide(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, must[Refuse](t, f.arrive("1", "/none/", "secret")).Reason, ReasonNoRoute)
+	assert.Equal(t, must[Refuse](t, f.arrive("2", "/safe/x", "guess")).Reason, ReasonNoKey)
+	assert.Equal(t, must[Dispatch](t, f.arrive("3", "/safe/x", "secret")).Account, "acme")
+	assert.Equal(t, must[Dispatch](t, f.arrive("4", "/safe/open/x", "")).Account, "")
+}
+
+func TestSafeRequestRunsAgainElsewhereOnceOnly(t *testing.T) {
+	f := newFixture(t)
+	first := must[Dispatch](t, f.arrive("1", "/safe/x", "secret"))
+	second := must[Dispatch](t, f.reduce(DispatchEnded{ID: "1", Backend: first.Backend, Attempt: 1, Outcome: OutcomeBroken}))
+	assert.Assert(t, first.Backend != second.Backend)
+	refusal := must[Refuse](t, f.reduce(DispatchEnded{ID: "1", Backend: second.Backend, Attempt: 2, Outcome: OutcomeBroken}))
+	assert.Assert(t, refusal.MayHaveRun)
+}
+
+func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	f := newFixture(t)
+	first := must[Dispatch](t, f.arrive("1", "/once/x", "secret"))
+	effects := f.reduce(DispatchEnded{ID: "1", Backend: first.Backend, Attempt: 1, Outcome: OutcomeBroken})
+	assert.Assert(t, must[Refuse](t, effects).MayHaveRun)
+}
+
+func TestRequestThatCertainlyDidNotRunGoesElsewhere(t *testing.T) {
+	f := newFixture(t)
+	first := must[Dispatch](t, f.arrive("1", "/once/x", "secret"))
+	second := must[Dispatch](t, f.reduce(DispatchEnded{ID: "1", Backend: first.Backend, Attempt: 1, Outcome: OutcomeNotSent}))
+	assert.Assert(t, first.Backend != second.Backend)
+}
+
+func TestBackendServersFailureIsDeliveredWhereItMayNotRunAgain(t *testing.T) {
+	f := newFixture(t)
+	first := must[Dispatch](t, f.arrive("1", "/once/x", "secret"))
+	must[Deliver](t, f.reduce(DispatchEnded{ID: "1", Backend: first.Backend, Attempt: 1, Outcome: OutcomeFailed, Status: 500}))
+}
+
+func TestFinalAnswerComesAtTheRoutesTimeout(t *testing.T) {
+	f := newFixture(t)
+	must[Dispatch](t, f.arrive("1", "/once/x", "secret"))
+	effects := f.after(1050 * time.Millisecond)
+	must[Cancel](t, effects)
+	refusal := must[Refuse](t, effects)
+	assert.Equal(t, refusal.Reason, ReasonTimeout)
+	assert.Assert(t, refusal.MayHaveRun)
+}
+
+func TestTimeLeftCountsFromTheArrival(t *testing.T) {
+	f := newFixture(t)
+	late := RequestArrived{ID: "1", CallerID: "1", At: f.now.Add(-4 * time.Second), HostName: "h", Path: "/safe/x", Key: "secret", TimeLeft: 3 * time.Second}
+	assert.Equal(t, must[Refuse](t, f.reduce(late)).Reason, ReasonTimeout)
+}
+
+func TestLeavingBackendServerGetsNothingNew(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"desk-1", "desk-2"} {
+		f.backend(cataloguer.Backend{ID: id, Service: "desk", Address: "10.0.1.1:80", FailureDomain: "east", Born: 1, Slots: 6, Leaving: true})
+	}
+	_, sent := find[Dispatch](f.arrive("1", "/safe/x", "secret"))
+	assert.Assert(t, !sent)
+}
+
+func TestWithdrawnDomainGetsNothingUntilItIsBack(t *testing.T) {
+	f := newFixture(t)
+	gone := cataloguer.Document{Key: "w/east", Kind: cataloguer.KindWithdrawn, Name: "east", Raw: []byte("w")}
+	f.publish(gone)
+	_, sent := find[Dispatch](f.arrive("1", "/safe/x", "secret"))
+	assert.Assert(t, !sent)
+	gone.Gone = true
+	must[Dispatch](t, f.publish(gone))
+}
+
+func TestLapsedEntryStaysInUseForAWhileAfterThePlatformWasUnwell(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "b/desk-1", Kind: cataloguer.KindBackend, Name: "desk-1", Gone: true})
+	assert.Assert(t, f.state.Backends["desk-1"].Lapsed, "the platform had been silent for ten seconds")
+	f.after(2 * time.Second)
+	_, known := f.state.Backends["desk-1"]
+	assert.Assert(t, !known)
+}
+
+func TestOlderCatalogueIsNeverTaken(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: testCatalogue(7)})
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: testCatalogue(3)})
+	assert.Equal(t, f.state.Documents.Catalogue.Version, int64(7))
+}
+
+func TestUnreadableDocumentLeavesWhatWasThere(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "b/desk-1", Kind: cataloguer.KindBackend, Name: "desk-1", Raw: []byte("x"), Fault: "a field is missing"})
+	_, known := f.state.Backends["desk-1"]
+	assert.Assert(t, known)
+	assert.Equal(t, f.state.Counters.DocumentsRefused, uint64(1))
+}
+
+func TestUsageOfAHostThatSeeksALeaseIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	f.state.Rights["engine"] = &Right{}
+	f.reduce(PeerReceived{From: "host-b", Messages: []Message{Usage{Backend: "engine", Running: 1}}})
+	assert.Equal(t, len(f.state.Rights["engine"].Ledger.Uses), 0)
+}
+
+func TestHostWithoutCatalogueRefusesAsNotRun(t *testing.T) {
+	f := &fixture{t: t, state: NewState(Self{HostID: "host-a", StartedAt: began}, Limits{}, 1), now: began}
+	refusal := must[Refuse](t, f.arrive("1", "/safe/x", "secret"))
+	assert.Equal(t, refusal.Reason, ReasonNoCatalogue)
+	assert.Assert(t, !refusal.MayHaveRun && refusal.RetryAfter > 0)
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -157,6 +157,8 @@
 	Cold      limiter.Bucket
 	// GoneAt is set while the entry is missing but may come back.
 	GoneAt time.Time
+	// Lapsed is set for an entry that vanished while the platform was unwell: the backend server may live and stays in use.
+	Lapsed bool
 	// EjectedUntil is the time until which this host sends it nothing, from its own experience.
 	EjectedUntil time.Time
 	Failures     int
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -15,6 +15,7 @@
 
 // tickWatch reads the platform if this host is one of the watchers, or if nobody else's confirmation is fresh.
 func tickWatch(s *State, now time.Time) {
+	pruneDocuments(s, now)
 	if s.Watch.Reading || now.Before(s.Watch.NextAt) || !s.shouldWatch(now) {
 		return
 	}
@@ -200,7 +201,7 @@
 	}
 }
 
-// KindNames names the kinds of documents in the status.
+// kindNames names the kinds of documents in the status.
 var kindNames = map[cataloguer.Kind]string{
 	cataloguer.KindCatalogue: "catalogue", cataloguer.KindBackend: "backend_server",
 	cataloguer.KindWithdrawn: "withdrawn_domain", cataloguer.KindVersion: "adapter_version",
