--- /dev/null
+++ b/cmd/redwingpick-standin/main.go
@@ -0,0 +1,95 @@
+// Command redwingpick-standin plays the users' platform on loopback addresses and writes settings for hosts before it.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/redwingpick/redwingpick/platform/standin"
+)
+
+const portsPerHost = 5
+
+func main() {
+	var dir string
+	var hosts, engines, desks, firstPort int
+	command := &cobra.Command{
+		Use:           "redwingpick-standin --dir DIR",
+		Short:         "Play the users' platform on this machine",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return play(dir, hosts, engines, desks, firstPort) },
+	}
+	command.Flags().StringVar(&dir, "dir", "", "folder for the hosts' settings files")
+	command.Flags().IntVar(&hosts, "hosts", 3, "number of hosts")
+	command.Flags().IntVar(&engines, "engines", 3, "number of engines")
+	command.Flags().IntVar(&desks, "desks", 2, "number of servers of the plain service")
+	command.Flags().IntVar(&firstPort, "first-port", 21000, "first of the hosts' ports")
+	_ = command.MarkFlagRequired("dir")
+	if err := command.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "redwingpick-standin:", err)
+		os.Exit(2)
+	}
+}
+
+func play(dir string, hosts, engines, desks, firstPort int) error {
+	platform, err := standin.Start(engines, desks)
+	if err != nil {
+		return err
+	}
+	for i := range hosts {
+		file := filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i))
+		if err := os.WriteFile(file, []byte(settings(i, hosts, firstPort, platform.StoreAddress)), 0o600); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("the store is at %s; keys are %s and %s\n", platform.StoreAddress, standin.KeyLarge, standin.KeySmall)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	for _, s := range platform.Servers {
+		fmt.Printf("%s ran %d requests, saw %d keys, was ordered to load too much %d times\n", s.ID, len(s.Seen().Runs), s.Seen().Keys, s.Seen().Overfull)
+	}
+	return nil
+}
+
+func settings(host, hosts, firstPort int, store string) string {
+	address := func(host, port int) string {
+		return fmt.Sprintf("%q", fmt.Sprintf("127.0.0.1:%d", firstPort+portsPerHost*host+port))
+	}
+	var seeds []string
+	for i := range min(hosts, 3) {
+		seeds = append(seeds, address(i, 4))
+	}
+	return fmt.Sprintf(`host_id: host-%d
+failure_domain: zone-%d
+region: region
+address: %s
+readiness_address: %s
+directory_address: %s
+operator_address: %s
+peer_address: %s
+platform: %q
+seeds: [%s]
+bounds:
+  config_ms: 2000
+  drain_ms: 2000
+  contact_ms: 3000
+  grace_seconds: 6
+  order_lease_ms: 1000
+  retry_ratio: 0.2
+  retry_slack: 50
+  retry_window_seconds: 10
+  directory_seconds: 5
+  quota_window_seconds: 8
+  quota_overshoot: 0.25
+  quota_slack: 2000
+`, host, host%2, address(host, 0), address(host, 1), address(host, 2), address(host, 3), address(host, 4), store, strings.Join(seeds, ", "))
+}
--- /dev/null
+++ b/internal/commander/check.go
@@ -0,0 +1,55 @@
+package commander
+
+import (
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+
+	"github.com/redwingpick/redwingpick/pkg/configurer"
+)
+
+// CheckResult is the result of checking one settings file.
+type CheckResult struct {
+	File  string `json:"file"`
+	Host  string `json:"host,omitempty"`
+	Fault string `json:"fault,omitempty"`
+}
+
+func newCheck(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check settings files without a fleet",
+		Args:  cobra.MinimumNArgs(1),
+		RunE:  func(_ *cobra.Command, files []string) error { return o.check(files) },
+	}
+}
+
+func (o *options) check(files []string) error {
+	results := make([]CheckResult, 0, len(files))
+	bad := 0
+	for _, f := range files {
+		result := CheckResult{File: f}
+		settings, err := configurer.Read(f)
+		if err != nil {
+			result.Fault = err.Error()
+			bad++
+		}
+		result.Host = settings.HostID
+		results = append(results, result)
+	}
+	err := o.print(results, func() {
+		for _, r := range results {
+			if r.Fault != "" {
+				o.printf("%s\n", r.Fault)
+				continue
+			}
+			o.printf("%s: settings of %s are good\n", r.File, r.Host)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if bad > 0 {
+		return merry.Wrap(ErrUsage, merry.WithMessagef("%d of %d files are bad", bad, len(files)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander holds the commands of the operators' client.
+package commander
--- /dev/null
+++ b/internal/commander/fleet.go
@@ -0,0 +1,152 @@
+package commander
+
+import (
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/redwingpick/redwingpick/internal/recorder"
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+func newStatus(o *options) *cobra.Command {
+	var addresses []string
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show readiness, versions, peers and backend servers of one or more hosts",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return o.status(addresses) },
+	}
+	operatorFlag(command, &addresses)
+	return command
+}
+
+func operatorFlag(command *cobra.Command, addresses *[]string) {
+	command.Flags().StringSliceVar(addresses, "operator", nil, "operator addresses of the hosts")
+	_ = command.MarkFlagRequired("operator")
+}
+
+func readStatus(addresses []string) ([]reducer.Status, error) {
+	statuses := make([]reducer.Status, 0, len(addresses))
+	for _, a := range addresses {
+		var s reducer.Status
+		if err := getJSON(a, "/v1/status", &s); err != nil {
+			return statuses, err
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses, nil
+}
+
+func (o *options) status(addresses []string) error {
+	statuses, err := readStatus(addresses)
+	if err != nil {
+		return err
+	}
+	return o.print(statuses, func() {
+		for _, s := range statuses {
+			o.printStatus(s)
+		}
+	})
+}
+
+func (o *options) printStatus(s reducer.Status) {
+	o.printf("%s: ready %v, leaving %v, %d requests in progress\n", s.Host, s.Ready, s.Leaving, s.RequestsInProgress)
+	o.printf("  catalogue version %d, revision %d, confirmed %d ms ago, withdrawn %v\n", s.CatalogueVersion, s.Revision, s.ConfirmedAgeMs, s.WithdrawnDomains)
+	for _, h := range s.Hosts {
+		o.printf("  host %-24s alive %-5v ready %-5v heard %6d ms ago, orders %d backend servers\n", h.ID, h.Alive, h.Ready, h.AgeMs, h.Holding)
+	}
+	for _, b := range s.Backends {
+		o.printf("  backend server %-16s %-12s usable %-5v running %3d loss %.2f ordered by %s\n", b.ID, b.Service, b.Usable, b.Running, b.Loss, b.Holder)
+	}
+}
+
+// HostAccount is one client account as one host sees it.
+type HostAccount struct {
+	Host string `json:"host"`
+	reducer.AccountStatus
+}
+
+func newAccounts(o *options) *cobra.Command {
+	var addresses []string
+	command := &cobra.Command{
+		Use:   "accounts",
+		Short: "Show the tokens that hosts hold of the client accounts, and what they refused",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return o.accounts(addresses) },
+	}
+	operatorFlag(command, &addresses)
+	return command
+}
+
+func (o *options) accounts(addresses []string) error {
+	statuses, err := readStatus(addresses)
+	if err != nil {
+		return err
+	}
+	rows := []HostAccount{}
+	for _, s := range statuses {
+		for _, a := range s.Accounts {
+			rows = append(rows, HostAccount{Host: s.Host, AccountStatus: a})
+		}
+	}
+	return o.print(rows, func() {
+		o.printf("%-20s %-24s %12s %8s\n", "account", "host", "held tokens", "refused")
+		for _, r := range rows {
+			o.printf("%-20s %-24s %12.0f %8d\n", r.Name, r.Host, r.Level, r.Refused)
+		}
+	})
+}
+
+func newMetrics(o *options) *cobra.Command {
+	var addresses []string
+	command := &cobra.Command{
+		Use:   "metrics",
+		Short: "Show the counters of one or more hosts",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return o.metrics(addresses) },
+	}
+	operatorFlag(command, &addresses)
+	return command
+}
+
+func (o *options) metrics(addresses []string) error {
+	all := map[string]map[string]any{}
+	for _, a := range addresses {
+		var answer struct {
+			Redwingpick map[string]any `json:"redwingpick"`
+		}
+		if err := getJSON(a, "/debug/vars", &answer); err != nil {
+			return err
+		}
+		all[a] = answer.Redwingpick
+	}
+	return o.print(all, func() {
+		for _, a := range addresses {
+			names := make([]string, 0, len(all[a]))
+			for name := range all[a] {
+				names = append(names, name)
+			}
+			slices.Sort(names)
+			for _, name := range names {
+				o.printf("%s %s %v\n", a, name, all[a][name])
+			}
+		}
+	})
+}
+
+func newEvents(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "events",
+		Short: "List the numbered log events",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			entries := recorder.Entries()
+			return o.print(entries, func() {
+				for _, e := range entries {
+					o.printf("%4d  %-5s  %-30s %s\n", e.Number, e.Level, e.Text, e.Meaning)
+				}
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,229 @@
+package dispatcher
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/clocker"
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+// codec marks answers by the header Id alone.
+type codec struct{}
+
+func (codec) Head(h http.Header, _ reducer.Dispatch, _ time.Duration, resumeAfter string) http.Header {
+	out := h.Clone()
+	if resumeAfter != "" {
+		out.Set("After", resumeAfter)
+	}
+	return out
+}
+
+func (codec) Judge(a *http.Response, callerID, _ string) Verdict {
+	v := Verdict{Foreign: a.Header.Get("Id") != callerID}
+	if a.StatusCode == http.StatusServiceUnavailable {
+		v.Outcome = reducer.OutcomeFull
+	}
+	return v
+}
+
+func (codec) Order(reducer.OrderAdapter) (string, http.Header, []byte) {
+	return "/order", http.Header{}, []byte("{}")
+}
+func (codec) Ordered(int) reducer.OrderResult                  { return reducer.OrderAccepted }
+func (codec) ReportCall(string) (string, http.Header)          { return "/report", http.Header{} }
+func (codec) Report([]byte) ([]reducer.ReportedAdapter, error) { return nil, nil }
+
+// sink keeps what it is given.
+type sink struct {
+	body  strings.Builder
+	began bool
+}
+
+func (s *sink) Begin(int, http.Header)    { s.began = true }
+func (s *sink) Write(p []byte) error      { _, err := s.body.Write(p); return err }
+func (s *sink) Whole(answer Answer) error { _, err := s.body.Write(answer.Body); return err }
+
+// script serves connections one after the other with the given functions.
+func script(t *testing.T, serve ...func(c net.Conn, r *bufio.Reader)) string {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	go func() {
+		for _, f := range serve {
+			c, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			go func() { f(c, bufio.NewReader(c)); _ = c.Close() }()
+		}
+	}()
+	return socket.Addr().String()
+}
+
+func readRequest(r *bufio.Reader) string {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	body, _ := io.ReadAll(request.Body)
+	return request.Method + " " + request.RequestURI + " " + string(body)
+}
+
+func reply(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(client *Client[codec, *sink], address, id string, change func(*Call, *reducer.Dispatch)) (Result, *sink) {
+	call := Call{CallerID: id, Method: http.MethodPost, Target: "/x?q=%2F", HostName: "h", Header: http.Header{}, Body: []byte("body")}
+	order := reducer.Dispatch{ID: id, Backend: "b", Address: address, Deadline: clocker.Now().Add(2 * time.Second)}
+	if change != nil {
+		change(&call, &order)
+	}
+	s := &sink{}
+	return client.Send(context.Background(), call, order, s, func(time.Duration) {}), s
+}
+
+func TestAnswersOfOtherRequestsAreDiscarded(t *testing.T) {
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		reply(c, "one", "first")
+		readRequest(r)
+		reply(c, "one", "again")
+		reply(c, "two", "second")
+	})
+	client := &Client[codec, *sink]{}
+	_, s := send(client, address, "one", nil)
+	assert.Equal(t, s.body.String(), "first")
+	result, s := send(client, address, "two", nil)
+	assert.Equal(t, s.body.String(), "second")
+	assert.Equal(t, result.Foreign, 1)
+}
+
+func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
+	address := script(t,
+		func(c net.Conn, r *bufio.Reader) { readRequest(r); reply(c, "one", "first") },
+		func(c net.Conn, r *bufio.Reader) { readRequest(r); reply(c, "two", "second") },
+	)
+	client := &Client[codec, *sink]{}
+	_, _ = send(client, address, "one", nil)
+	time.Sleep(20 * time.Millisecond)
+	result, s := send(client, address, "two", nil)
+	assert.Equal(t, result.Outcome, reducer.OutcomeDone)
+	assert.Equal(t, s.body.String(), "second")
+}
+
+func TestUnsolicitedBytesEndTheConnection(t *testing.T) {
+	address := script(t,
+		func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			reply(c, "one", "first")
+			reply(c, "two", "not asked for")
+			time.Sleep(time.Second)
+		},
+		func(c net.Conn, r *bufio.Reader) { readRequest(r); reply(c, "two", "second") },
+	)
+	client := &Client[codec, *sink]{}
+	_, _ = send(client, address, "one", nil)
+	time.Sleep(20 * time.Millisecond)
+	_, s := send(client, address, "two", nil)
+	assert.Equal(t, s.body.String(), "second")
+}
+
+func TestUnreachableServerHasNotRun(t *testing.T) {
+	client := &Client[codec, *sink]{}
+	result, _ := send(client, "127.0.0.1:1", "one", nil)
+	assert.Equal(t, result.Outcome, reducer.OutcomeNotSent)
+}
+
+func TestRequestThatMayHaveArrivedIsBroken(t *testing.T) {
+	count := 0
+	serve := func(_ net.Conn, r *bufio.Reader) { readRequest(r); count++ }
+	address := script(t, serve, serve)
+	result, _ := send(&Client[codec, *sink]{}, address, "one", nil)
+	assert.Equal(t, result.Outcome, reducer.OutcomeBroken)
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, count, 1, "nothing sends the request again by itself")
+}
+
+func TestTruncatedAnswerIsNotDelivered(t *testing.T) {
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 100\r\n\r\nhalf")
+	})
+	result, s := send(&Client[codec, *sink]{}, address, "one", nil)
+	assert.Equal(t, result.Outcome, reducer.OutcomeBroken)
+	assert.Equal(t, s.body.String(), "")
+}
+
+func TestStreamIsHandedOnInWholeEvents(t *testing.T) {
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, piece := range []string{"id: 1\nda", "ta: a\n\nid: 2\n", "data: b\n\nid: 3\nda"} {
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(piece), piece)
+		}
+	})
+	result, s := send(&Client[codec, *sink]{}, address, "one", func(_ *Call, d *reducer.Dispatch) { d.Stream = true })
+	assert.Equal(t, result.Outcome, reducer.OutcomeBroken)
+	assert.Equal(t, s.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	assert.Equal(t, result.Last, "2")
+}
+
+func TestSilentServerIsGivenUpInItsTime(t *testing.T) {
+	address := script(t, func(_ net.Conn, r *bufio.Reader) { readRequest(r); time.Sleep(time.Second) })
+	start := time.Now()
+	result, _ := send(&Client[codec, *sink]{}, address, "one", func(_ *Call, d *reducer.Dispatch) { d.SilentAfter = 100 * time.Millisecond })
+	assert.Equal(t, result.Outcome, reducer.OutcomeSilent)
+	assert.Assert(t, time.Since(start) < 800*time.Millisecond)
+}
+
+func TestEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	address := script(t,
+		func(c net.Conn, r *bufio.Reader) {
+			_, _ = r.ReadString('\n')
+			reply(c, "one", "early")
+			time.Sleep(300 * time.Millisecond)
+		},
+		func(c net.Conn, r *bufio.Reader) { reply(c, "two", readRequest(r)) },
+	)
+	client := &Client[codec, *sink]{}
+	_, s := send(client, address, "one", func(c *Call, _ *reducer.Dispatch) { c.Body = make([]byte, 8<<20) })
+	assert.Equal(t, s.body.String(), "early")
+	_, s = send(client, address, "two", nil)
+	assert.Equal(t, s.body.String(), "POST /x?q=%2F body")
+}
+
+func TestConnectionsStayWithinTheirBound(t *testing.T) {
+	client := &Client[codec, *sink]{}
+	assert.Assert(t, client.pool.reserve("b", 2))
+	assert.Assert(t, client.pool.reserve("b", 2))
+	assert.Assert(t, !client.pool.reserve("b", 2))
+	client.pool.release("b")
+	assert.Assert(t, client.pool.reserve("b", 2))
+}
+
+func TestLateOrderNeverLeaves(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	address := script(t, func(_ net.Conn, r *bufio.Reader) {
+		if readRequest(r) != "" {
+			arrived <- struct{}{}
+		}
+	})
+	_, inTime := (&Client[codec, *sink]{}).Order(context.Background(), reducer.OrderAdapter{Address: address, NotAfter: clocker.Now().Add(-time.Millisecond)})
+	assert.Assert(t, !inTime)
+	select {
+	case <-arrived:
+		t.Fatal("the order arrived")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -141,9 +141,26 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	c.usableUntil = time.Now().Add(idleTime(answer.Header.Get("Keep-Alive")))
+	for _, expired := range p.keep(c) {
+		p.drop(expired)
+	}
+}
+
+// keep adds an idle connection and returns those of the same backend server whose time is over.
+func (p *pool) keep(c *connection) (expired []*connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.idle[c.backend] = append(p.idle[c.backend], c)
+	now := time.Now()
+	var usable []*connection
+	for _, other := range p.idle[c.backend] {
+		if now.Before(other.usableUntil) {
+			usable = append(usable, other)
+			continue
+		}
+		expired = append(expired, other)
+	}
+	p.idle[c.backend] = append(usable, c)
+	return expired
 }
 
 // idleTime returns how long a connection may be kept by the header that names the server's time in seconds.
--- /dev/null
+++ b/pkg/configurer/configurer_test.go
@@ -0,0 +1,55 @@
+package configurer
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const good = `host_id: a
+failure_domain: d
+region: r
+address: "127.0.0.1:1"
+readiness_address: "127.0.0.1:2"
+directory_address: "127.0.0.1:3"
+peer_address: "127.0.0.1:4"
+operator_address: "127.0.0.1:5"
+platform: "127.0.0.1:6"
+seeds: ["127.0.0.1:4"]
+bounds: {config_ms: 2000, drain_ms: 2000, contact_ms: 3000, grace_seconds: 8, order_lease_ms: 3000, retry_ratio: 0.2, retry_slack: 52,
+  retry_window_seconds: 10, directory_seconds: 5, quota_window_seconds: 8, quota_overshoot: 0.25, quota_slack: 110000}
+`
+
+func TestGoodSettingsHaveDefaults(t *testing.T) {
+	s, err := Parse("f", []byte(good))
+	assert.NilError(t, err)
+	assert.Equal(t, s.MailboxSize, DefaultMailboxSize)
+	assert.Equal(t, s.LogBytesPerSecond, DefaultLogBytesPerSecond)
+	assert.Equal(t, s.Bounds.QuotaSlack, 110000.0)
+}
+
+func TestBadSettingsNameLineAndField(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{"host_id: a", "host_id: \"\"", "f:1: host_id: is required"},
+		{"\"127.0.0.1:2\"", "\"localhost:2\"", "f:5: readiness_address: must be an IP number and a port"},
+		{"contact_ms: 3000", "contact_ms: 0", "f:11: bounds.contact_ms: must be above 0"},
+		{"quota_slack: 110000", "quota_slack: -1", "bounds.quota_slack: must not be negative"},
+		{"region: r", "region: r\nregoin: x", "f:4: regoin: unknown field"},
+	} {
+		_, err := Parse("f", []byte(strings.Replace(good, c.from, c.to, 1)))
+		assert.ErrorContains(t, err, c.want)
+	}
+}
+
+func TestTemplateOfThePlatformNamesEveryBound(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.yaml.tmpl")
+	assert.NilError(t, err)
+	for _, field := range []string{
+		"config_ms", "drain_ms", "contact_ms", "grace_seconds", "order_lease_ms", "retry_ratio", "retry_slack", "retry_window_seconds",
+		"directory_seconds", "quota_window_seconds", "quota_overshoot", "quota_slack",
+	} {
+		assert.Assert(t, strings.Contains(string(template), "  "+field+": {{bounds."), field)
+	}
+}
