--- a/cmd/redwingpick-standin/main.go
+++ b/cmd/redwingpick-standin/main.go
@@ -91,5 +91,6 @@
   quota_window_seconds: 8
   quota_overshoot: 0.25
   quota_slack: 2000
+  load_window_seconds: 5
 `, host, host%2, address(host, 0), address(host, 1), address(host, 2), address(host, 3), address(host, 4), store, strings.Join(seeds, ", "))
 }
--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -92,6 +92,7 @@
 		ContactFor: configurer.Milliseconds(b.ContactMs), GraceFor: configurer.Seconds(b.GraceSeconds),
 		OrderLeaseFor: configurer.Milliseconds(b.OrderLeaseMs), RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		QuotaWindow: configurer.Seconds(b.QuotaWindowSeconds), QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack,
+		LoadWindow:   configurer.Seconds(b.LoadWindowSeconds),
 		DirectoryFor: configurer.Seconds(b.DirectorySeconds),
 	}
 }
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -92,7 +92,7 @@
 platform: %q
 seeds: [%s]
 bounds: {config_ms: 2000, drain_ms: 2000, contact_ms: 3000, grace_seconds: 6, order_lease_ms: 1000, retry_ratio: 0.2, retry_slack: 50,
-  retry_window_seconds: 10, directory_seconds: 5, quota_window_seconds: 8, quota_overshoot: 0.25, quota_slack: 2000}
+  retry_window_seconds: 10, directory_seconds: 5, quota_window_seconds: 8, quota_overshoot: 0.25, quota_slack: 2000, load_window_seconds: 5}
 `, h.name, i%2, a[0], a[1], a[2], a[3], a[4], platform.StoreAddress, strings.Join(seeds, ", "))
 		assert.NilError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 		f.hosts = append(f.hosts, h)
--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -29,7 +29,7 @@
 		Limits: reducer.Limits{
 			ConfigFor: 2 * time.Second, DrainFor: 2 * time.Second, ContactFor: 3 * time.Second, GraceFor: 8 * time.Second,
 			OrderLeaseFor: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 52, QuotaWindow: quotaWindow, QuotaOvershoot: quotaOvershoot,
-			QuotaSlack: quotaSlack, DirectoryFor: 5 * time.Second,
+			QuotaSlack: quotaSlack, LoadWindow: 5 * time.Second, DirectoryFor: 5 * time.Second,
 		},
 	}
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -60,3 +60,53 @@
 	assert.Assert(t, rate > 80 && rate < 120, "rate %v", rate)
 	assert.Assert(t, d.At(start.Add(20*time.Second), time.Second) < 0.2)
 }
+
+func TestWindowNeverForgetsTooEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := Window{Length: 8 * time.Second}
+		type use struct {
+			at     time.Time
+			amount float64
+		}
+		var uses []use
+		now := start
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			amount := rapid.Float64Range(0, 100).Draw(t, "amount")
+			w.Add(now, 0, amount)
+			uses = append(uses, use{now, amount})
+			exact, longest := 0.0, 0.0
+			for _, u := range uses {
+				if now.Sub(u.at) < w.Length {
+					exact += u.amount
+				}
+				if now.Sub(u.at) <= w.Length+w.Length/40 {
+					longest += u.amount
+				}
+			}
+			total := w.Total(now)
+			assert.Assert(t, total >= exact-1e-6 && total <= longest+1e-6, "total %v, exact %v, at most %v", total, exact, longest)
+		}
+	})
+}
+
+func TestWindowTellsWhenItFalls(t *testing.T) {
+	w := Window{Length: 8 * time.Second}
+	w.Add(start, 0, 10)
+	w.Add(start.Add(2*time.Second), 0, 10)
+	now := start.Add(3 * time.Second)
+	wait := w.Wait(now, 15)
+	assert.Assert(t, w.Total(now.Add(wait)) <= 15)
+	assert.Assert(t, wait < 6*time.Second, "%v", wait)
+	assert.Equal(t, w.Wait(now, 20), time.Duration(0))
+}
+
+func TestWindowTellsItsParts(t *testing.T) {
+	w := Window{Length: 8 * time.Second}
+	w.Add(start, 0, 10)
+	now := start.Add(4500 * time.Millisecond)
+	w.Add(now, 0, 3)
+	parts := w.Parts(now, 8)
+	assert.Equal(t, parts[0], 3.0)
+	assert.Equal(t, parts[4], 10.0)
+}
--- /dev/null
+++ b/internal/limiter/window.go
@@ -0,0 +1,79 @@
+package limiter
+
+import "time"
+
+const (
+	// slotsPerWindow is the number of slots that a Window counts in; what is older than all of them is forgotten.
+	slotsPerWindow = 80
+)
+
+// Window is the sum of amounts in a sliding window of Length, counted in slots.
+//
+// It errs on the safe side: an amount counts for its whole slot, so for up to one slot longer than Length.
+type Window struct {
+	Length time.Duration
+	Slots  [slotsPerWindow + 1]float64
+	// Last is the number of the newest slot since the time's origin.
+	Last int64
+	Sum  float64
+}
+
+func (w *Window) slot(at time.Time) int64 {
+	return at.UnixNano() / int64(w.Length/slotsPerWindow)
+}
+
+// advance forgets the slots that have left the window.
+func (w *Window) advance(now time.Time) {
+	current := w.slot(now)
+	if w.Last == 0 || current-w.Last > slotsPerWindow {
+		w.Last = current
+		w.Slots = [slotsPerWindow + 1]float64{}
+		w.Sum = 0
+		return
+	}
+	for w.Last < current {
+		w.Last++
+		i := w.Last % (slotsPerWindow + 1)
+		w.Sum -= w.Slots[i]
+		w.Slots[i] = 0
+	}
+}
+
+// Add counts an amount that was used some time before now.
+func (w *Window) Add(now time.Time, ago time.Duration, amount float64) {
+	w.advance(now)
+	n := w.slot(now.Add(-ago))
+	if n <= w.Last-slotsPerWindow-1 || n > w.Last {
+		return
+	}
+	w.Slots[n%(slotsPerWindow+1)] += amount
+	w.Sum += amount
+}
+
+// Total returns the amount in the window that ends now.
+func (w *Window) Total(now time.Time) float64 {
+	w.advance(now)
+	return max(w.Sum, 0)
+}
+
+// Parts returns the amounts of the window in the given number of equal parts, the newest first.
+func (w *Window) Parts(now time.Time, count int) []float64 {
+	w.advance(now)
+	parts := make([]float64, count)
+	for back := range int64(slotsPerWindow) {
+		parts[int(back)*count/slotsPerWindow] += w.Slots[(w.Last-back)%(slotsPerWindow+1)]
+	}
+	return parts
+}
+
+// Wait returns how long it takes until the total has fallen to the given level.
+func (w *Window) Wait(now time.Time, level float64) time.Duration {
+	left := w.Total(now)
+	for back := int64(slotsPerWindow); back >= 0; back-- {
+		if left <= level {
+			return time.Duration(slotsPerWindow-back) * (w.Length / slotsPerWindow)
+		}
+		left -= w.Slots[(w.Last-back)%(slotsPerWindow+1)]
+	}
+	return w.Length
+}
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/redwingpick/redwingpick/internal/limiter"
 	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
@@ -14,7 +13,7 @@
 	// demandHalfLife is how fast this host forgets what an account has asked for.
 	demandHalfLife = time.Second
 	// reserveFor is the time for whose demand a host holds tokens.
-	reserveFor = 400 * time.Millisecond
+	reserveFor = 300 * time.Millisecond
 	// grantTimeout is how long a host waits for a keeper before it uses its even part of the rate.
 	grantTimeout = 80 * time.Millisecond
 	// returnEvery is the time between two returns of tokens that are not needed.
@@ -33,9 +32,7 @@
 		r.Counted = true
 		a.Demand.Add(now, r.Cost, demandHalfLife)
 	}
-	if a.Level >= r.Cost {
-		a.Level -= r.Cost
-		r.Charged = true
+	if a.spend(s, now, r) {
 		return true
 	}
 	if !slices.Contains(a.Waiting, r.ID) {
@@ -45,6 +42,18 @@
 	return false
 }
 
+// spend charges a request if the tokens suffice.
+func (a *Account) spend(s *State, now time.Time, r *Request) bool {
+	if a.Level < r.Cost {
+		return false
+	}
+	a.Level -= r.Cost
+	a.Spent.Length = s.Limits.QuotaWindow
+	a.Spent.Add(now, 0, r.Cost)
+	r.Charged = true
+	return true
+}
+
 // account returns this host's state of a client account, or of another fleet-wide budget.
 func (s *State) account(now time.Time, name string) *Account {
 	a, ok := s.Accounts[name]
@@ -70,18 +79,29 @@
 	a.AskedAt = now
 	a.Sequence++
 	request := TokenRequest{
-		Account: name, Sequence: a.Sequence, Needed: max(need-a.Level, 0), Wanted: a.Demand.At(now, demandHalfLife) * reserveFor.Seconds(),
+		Account: name, Sequence: a.Sequence, Needed: max(need-a.Level, 0), Wanted: a.Demand.At(now, demandHalfLife) * reserveFor.Seconds(), Spent: a.spentParts(now),
 	}
 	s.wakeAt(now.Add(grantTimeout))
 	s.sendKeeper(now, request)
 }
 
+// spentParts is what this host spent in the window, for a keeper that has not heard of it.
+func (a *Account) spentParts(now time.Time) []float64 {
+	if a.Spent.Length <= 0 {
+		return nil
+	}
+	return a.Spent.Parts(now, spentParts)
+}
+
+// spentParts is the number of parts of the window in which spending is told.
+const spentParts = 8
+
 func (s *State) sendKeeper(now time.Time, m TokenRequest) {
 	if keeper := s.keeperOf(now, m.Account); keeper != s.Self.HostID {
 		s.send(keeper, m)
 		return
 	}
-	if grant, ok := grantTokens(s, now, m); ok {
+	if grant, ok := grantTokens(s, now, s.Self.HostID, m); ok {
 		s.Granted = append(s.Granted, grant)
 		s.wakeAt(now)
 	}
@@ -98,60 +118,67 @@
 
 // receiveTokenRequest answers a host that asks for tokens.
 func receiveTokenRequest(s *State, now time.Time, from string, m TokenRequest) {
-	if grant, ok := grantTokens(s, now, m); ok {
+	if grant, ok := grantTokens(s, now, from, m); ok {
 		s.send(from, grant)
 	}
 }
 
-// grantTokens takes what is asked for from the account's bucket, as far as it is there.
-func grantTokens(s *State, now time.Time, m TokenRequest) (TokenGrant, bool) {
-	rate, burst, ok := s.pool(m.Account)
+// grantTokens takes what is asked for from what the pool's window still allows.
+func grantTokens(s *State, now time.Time, from string, m TokenRequest) (TokenGrant, bool) {
+	p, ok := s.pool(m.Account)
 	if !ok {
 		return TokenGrant{}, false
 	}
 	k, ok := s.Keepers[m.Account]
 	if !ok {
-		k = &limiter.Bucket{}
+		k = &Keeper{Heard: map[string]bool{}}
 		s.Keepers[m.Account] = k
-		s.setKeeper(now, rate, burst, k)
-		k.Level = k.Burst * newKeeperShare
 	}
-	s.setKeeper(now, rate, burst, k)
-	k.Level = min(k.Level+m.Returned, k.Burst)
+	k.Window.Length = p.Window
+	k.hear(now, from, m)
+	k.Window.Add(now, 0, -min(m.Returned, k.Window.Total(now)))
 	grant := TokenGrant{Account: m.Account, Sequence: m.Sequence}
 	if m.Needed+m.Wanted <= 0 {
 		return grant, false
 	}
+	left := max(p.Allowed*s.reached(now)-k.Window.Total(now), 0)
+	grant.Tokens = min(m.Needed, left)
 	// The reserve comes from what others do not need soon, so that no host hoards the last tokens.
-	grant.Tokens = min(m.Needed, max(k.Level, 0))
-	if spare := (k.Level - grant.Tokens) / reserveParts; spare > 0 {
-		grant.Tokens += min(m.Wanted, spare)
-	}
-	k.Level -= grant.Tokens
+	grant.Tokens += min(m.Wanted, (left-grant.Tokens)/reserveParts)
+	k.Window.Add(now, 0, grant.Tokens)
 	if grant.Tokens < m.Needed {
-		grant.Wait = k.Wait(now, m.Needed)
+		grant.Wait = max(k.Window.Wait(now, p.Allowed*s.reached(now)-m.Needed), shortestWait)
 	}
 	return grant, true
 }
 
-// newKeeperShare is the part of the burst that a new keeper starts with, since a former one may have granted the rest, and
-// reserveParts the number of parts of the level of which one may become a host's reserve.
 const (
-	newKeeperShare = 0.3
-	reserveParts   = 8
+	// reserveParts is the number of parts of what is left of which one may become a host's reserve.
+	reserveParts = 8
+	// shortestWait is told with a grant that falls short, so that it cannot be taken for one that does not.
+	shortestWait = 10 * time.Millisecond
 )
 
-// setKeeper puts the bounds into force; a keeper that reaches only some of the hosts grants only their part.
-func (s *State) setKeeper(now time.Time, rate, burst float64, k *limiter.Bucket) {
-	reached := float64(len(s.aliveHosts(now))) / float64(max(len(s.memberHosts(now)), 1))
-	k.Set(now, rate*min(reached, 1), burst)
+// hear counts what a host spent before this keeper heard of it, under a former keeper or none.
+func (k *Keeper) hear(now time.Time, from string, m TokenRequest) {
+	if k.Heard[from] {
+		return
+	}
+	k.Heard[from] = true
+	for i, spent := range m.Spent {
+		k.Window.Add(now, time.Duration(i)*k.Window.Length/time.Duration(len(m.Spent)), spent)
+	}
+}
+
+// reached is the part of the hosts that this one reaches; a keeper grants no more than that part of what is allowed.
+func (s *State) reached(now time.Time) float64 {
+	return min(float64(len(s.aliveHosts(now)))/float64(max(len(s.memberHosts(now)), 1)), 1)
 }
 
-// fleetBurst is the burst over all hosts: what a window allows beyond the rate, less a part for keepers that start anew.
-func (s *State) fleetBurst(account cataloguer.Account) float64 {
+// allowedUse is what an account may use in a window, less a part for the reserves that hosts hold.
+func (s *State) allowedUse(account cataloguer.Account) float64 {
 	window := s.Limits.QuotaWindow.Seconds()
-	allowed := (account.Rate*window+account.Burst)*(1+s.Limits.QuotaOvershoot) + s.Limits.QuotaSlack
-	return (allowed - account.Rate*window*quotaHeadroom) * quotaBurstShare
+	return ((account.Rate*window+account.Burst)*(1+s.Limits.QuotaOvershoot) + s.Limits.QuotaSlack) * quotaShare
 }
 
 // receiveGrant adds tokens and decides on the requests that wait for them.
@@ -181,9 +208,7 @@
 		if !ok || r.Phase != PhaseTokens {
 			continue
 		}
-		if a.Level >= r.Cost {
-			a.Level -= r.Cost
-			r.Charged = true
+		if a.spend(s, now, r) {
 			r.Phase = PhaseQueued
 			place[P](s, now, r)
 			continue
@@ -212,7 +237,7 @@
 	}
 	for _, name := range sortedKeys(s.Accounts) {
 		a := s.Accounts[name]
-		rate, _, ok := s.pool(name)
+		p, ok := s.pool(name)
 		if !ok {
 			delete(s.Accounts, name)
 			delete(s.Keepers, name)
@@ -220,16 +245,16 @@
 		}
 		if !a.AskedAt.IsZero() && !a.Asked(now) {
 			a.AskedAt = time.Time{}
-			goAlone[P](s, now, rate, a)
+			goAlone[P](s, now, p, a)
 		}
 		returnTokens(s, now, name, a)
 	}
 }
 
 // goAlone uses this host's even part of the rate while the keeper cannot be reached.
-func goAlone[P selector.Policy](s *State, now time.Time, rate float64, a *Account) {
+func goAlone[P selector.Policy](s *State, now time.Time, p Pool, a *Account) {
 	hosts := float64(max(len(s.memberHosts(now)), 1))
-	a.Alone.Set(now, rate/hosts, rate/hosts)
+	a.Alone.Set(now, p.Rate/hosts, p.Rate/hosts)
 	for _, id := range a.Waiting {
 		if r, ok := s.Requests[id]; ok && a.Alone.Take(now, r.Cost) {
 			a.Level += r.Cost
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -20,6 +20,8 @@
 	QuotaWindow    time.Duration
 	QuotaOvershoot float64
 	QuotaSlack     float64
+	// LoadWindow is the window in which loads of models from the weight store are counted.
+	LoadWindow time.Duration
 	// DirectoryFor is the longest time that callers keep an answer of the directory.
 	DirectoryFor time.Duration
 }
@@ -97,10 +99,8 @@
 	ejectFirst         = 500 * time.Millisecond
 	ejectMost          = 8 * time.Second
 	lossDecay          = 0.8
-	// quotaHeadroom is the rate over all hosts as a multiple of the account's own.
-	quotaHeadroom = 1.05
-	// quotaBurstShare is the part of what a window allows beyond the rate that the hosts' bursts add up to.
-	quotaBurstShare  = 0.6
+	// quotaShare is the part of what a window allows that keepers grant; the rest is for the reserves of hosts.
+	quotaShare       = 0.88
 	coldHosts        = 5
 	retrySlackShare  = 0.8
 	refusedRetryWait = 300 * time.Millisecond
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -121,6 +121,8 @@
 	Wanted float64
 	// Returned is tokens that the sender gives back.
 	Returned float64
+	// Spent is what the sender charged in the window, in equal parts of it, the newest first.
+	Spent []float64
 }
 
 // TokenGrant answers a TokenRequest; Wait is the time until the keeper has what was needed, if it had not.
--- a/internal/reducer/model.go
+++ b/internal/reducer/model.go
@@ -10,17 +10,26 @@
 // loadPool names the fleet-wide budget for a service's loads of models from the weight store.
 func loadPool(service string) string { return "loads/" + service }
 
-// pool returns the bounds of a fleet-wide budget: a client account's, or a service's loads of models.
-func (s *State) pool(name string) (rate, burst float64, ok bool) {
+// Pool is a fleet-wide budget: what all hosts together may use in any window.
+type Pool struct {
+	Allowed float64
+	Window  time.Duration
+	// Rate is what may be used a second in the long run.
+	Rate float64
+}
+
+// pool returns a client account's budget, or that of a service's loads of models.
+func (s *State) pool(name string) (Pool, bool) {
 	if account, ok := s.Documents.Accounts[name]; ok {
-		return account.Rate * quotaHeadroom, s.fleetBurst(account), true
+		return Pool{Allowed: s.allowedUse(account), Window: s.Limits.QuotaWindow, Rate: account.Rate}, true
 	}
 	for _, service := range s.Documents.Services {
 		if service.Engine != nil && loadPool(service.Name) == name {
-			return service.Engine.LoadsPerSecond, max(service.Engine.LoadsPerSecond, 1), true
+			rate := service.Engine.LoadsPerSecond
+			return Pool{Allowed: rate*s.Limits.LoadWindow.Seconds() + 1, Window: s.Limits.LoadWindow, Rate: rate}, true
 		}
 	}
-	return 0, 0, false
+	return Pool{}, false
 }
 
 // holdsModel reports whether a backend server is known to hold a model.
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -24,7 +24,7 @@
 	limits := Limits{
 		ConfigFor: 2 * time.Second, DrainFor: 2 * time.Second, ContactFor: 3 * time.Second, GraceFor: 8 * time.Second,
 		OrderLeaseFor: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 52, QuotaWindow: 8 * time.Second, QuotaOvershoot: 0.25,
-		QuotaSlack: 110_000, DirectoryFor: 5 * time.Second,
+		QuotaSlack: 110_000, LoadWindow: 5 * time.Second, DirectoryFor: 5 * time.Second,
 	}
 	self := Self{HostID: "host-a", Incarnation: 1, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", FailureDomain: "east", StartedAt: began}
 	f := &fixture{t: t, state: NewState(self, limits, 1), now: began}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -17,7 +17,7 @@
 	Hosts     map[string]*Host
 	Documents Documents
 	Accounts  map[string]*Account
-	Keepers   map[string]*limiter.Bucket
+	Keepers   map[string]*Keeper
 	// Granted holds grants of this host to itself until they are taken in.
 	Granted  []TokenGrant
 	Services map[string]*Service
@@ -124,6 +124,8 @@
 type Account struct {
 	// Level is the granted tokens that are not spent.
 	Level float64
+	// Spent is what this host charged in the window.
+	Spent limiter.Window
 	// Demand is the asked units a second, decayed.
 	Demand   limiter.Decay
 	Sequence uint64
@@ -137,6 +139,13 @@
 	Refused    uint64
 }
 
+// Keeper is the use of a fleet-wide budget, at the host that grants it.
+type Keeper struct {
+	Window limiter.Window
+	// Heard holds the hosts whose earlier spending has been counted.
+	Heard map[string]bool
+}
+
 // Service is the state of one service on this host.
 type Service struct {
 	Retries limiter.Bucket
@@ -398,7 +407,7 @@
 		Hosts:     map[string]*Host{},
 		Documents: newDocuments(),
 		Accounts:  map[string]*Account{},
-		Keepers:   map[string]*limiter.Bucket{},
+		Keepers:   map[string]*Keeper{},
 		Services:  map[string]*Service{},
 		Backends:  map[string]*Backend{},
 		Rights:    map[string]*Right{},
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -61,6 +61,7 @@
 	case reducer.TokenRequest:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenRequest{TokenRequest: &peerv1.TokenRequest{
 			Account: v.Account, Sequence: v.Sequence, Needed: v.Needed, Wanted: v.Wanted, Returned: v.Returned,
+			Spent: v.Spent,
 		}}}
 	case reducer.TokenGrant:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenGrant{TokenGrant: &peerv1.TokenGrant{
@@ -102,7 +103,7 @@
 	case *peerv1.Message_TokenRequest:
 		return reducer.TokenRequest{
 			Account: v.TokenRequest.GetAccount(), Sequence: v.TokenRequest.GetSequence(), Needed: v.TokenRequest.GetNeeded(),
-			Wanted: v.TokenRequest.GetWanted(), Returned: v.TokenRequest.GetReturned(),
+			Wanted: v.TokenRequest.GetWanted(), Returned: v.TokenRequest.GetReturned(), Spent: v.TokenRequest.GetSpent(),
 		}
 	case *peerv1.Message_TokenGrant:
 		return reducer.TokenGrant{
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -71,6 +71,8 @@
 	QuotaOvershoot float64 `yaml:"quota_overshoot"`
 	// QuotaSlack is what a window bears besides, in the account's unit.
 	QuotaSlack float64 `yaml:"quota_slack"`
+	// LoadWindowSeconds is the length of the window that loads of models from the weight store are counted in.
+	LoadWindowSeconds float64 `yaml:"load_window_seconds"`
 	// DirectorySeconds is the longest time that callers keep an answer of the directory.
 	DirectorySeconds float64 `yaml:"directory_seconds"`
 }
@@ -139,7 +141,8 @@
 	}{
 		{"config_ms", float64(b.ConfigMs)}, {"drain_ms", float64(b.DrainMs)}, {"contact_ms", float64(b.ContactMs)},
 		{"grace_seconds", b.GraceSeconds}, {"order_lease_ms", float64(b.OrderLeaseMs)},
-		{"retry_window_seconds", b.RetryWindowSeconds}, {"quota_window_seconds", b.QuotaWindowSeconds}, {"directory_seconds", b.DirectorySeconds},
+		{"retry_window_seconds", b.RetryWindowSeconds}, {"quota_window_seconds", b.QuotaWindowSeconds},
+		{"load_window_seconds", b.LoadWindowSeconds}, {"directory_seconds", b.DirectorySeconds},
 	}
 	for _, f := range figures {
 		if f.value <= 0 {
--- a/pkg/configurer/configurer_test.go
+++ b/pkg/configurer/configurer_test.go
@@ -19,7 +19,8 @@
 platform: "127.0.0.1:6"
 seeds: ["127.0.0.1:4"]
 bounds: {config_ms: 2000, drain_ms: 2000, contact_ms: 3000, grace_seconds: 8, order_lease_ms: 3000, retry_ratio: 0.2, retry_slack: 52,
-  retry_window_seconds: 10, directory_seconds: 5, quota_window_seconds: 8, quota_overshoot: 0.25, quota_slack: 110000}
+  retry_window_seconds: 10, directory_seconds: 5, quota_window_seconds: 8, quota_overshoot: 0.25, quota_slack: 110000,
+  load_window_seconds: 5}
 `
 
 func TestGoodSettingsHaveDefaults(t *testing.T) {
@@ -48,7 +49,7 @@
 	assert.NilError(t, err)
 	for _, field := range []string{
 		"config_ms", "drain_ms", "contact_ms", "grace_seconds", "order_lease_ms", "retry_ratio", "retry_slack", "retry_window_seconds",
-		"directory_seconds", "quota_window_seconds", "quota_overshoot", "quota_slack",
+		"directory_seconds", "quota_window_seconds", "quota_overshoot", "quota_slack", "load_window_seconds",
 	} {
 		assert.Assert(t, strings.Contains(string(template), "  "+field+": {{bounds."), field)
 	}
