Shorten voters' promises and let published residency serve while nobody orders an engine

Cause: after all hosts lost power, voters kept silent for 4.8 s and no host knew which adapters the engines still held, so nearly every generation was refused for 5 s. A promise need only outlast the lease, and half the time of turn-taking; without a holder nothing is dropped, so what an engine published holds.

--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if known && insignificant(item.Document, d) {
-		item.Document.Backend = d.Backend
+		item.Document.Backend, item.Document.Raw = d.Backend, d.Raw
 		takeBackend(s, now, *d.Backend)
 		return
 	}
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -8,10 +8,10 @@
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
-// promiseFor is how long a voter backs a holder after a request: the holder's lease, then the time in which no other host
-// may order.
+// promiseFor is how long a voter backs a holder after a request: at least the holder's lease, and so long that a host which is
+// followed by another and follows it again cannot do so within the time in which no two hosts may order by turns.
 func (s *State) promiseFor() time.Duration {
-	return leaseFor + s.Limits.OrderLeaseFor + leaseMargin
+	return max(leaseFor, s.Limits.OrderLeaseFor/2) + leaseMargin
 }
 
 // votersOf returns the hosts that vote on a backend server, and how many of them make a quorum.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -95,7 +95,7 @@
 func (s *State) candidates(now time.Time, r *Request, service cataloguer.Service) []selector.Candidate {
 	usable := s.usableBackends(now, r)
 	if service.Engine != nil && r.Adapter.Adapter != "" {
-		usable = s.rankBackends(r.Adapter, usable, homes)
+		usable = s.rankBackends(now, r, usable)
 	}
 	candidates := make([]selector.Candidate, 0, len(usable))
 	for rank, b := range usable {
@@ -134,9 +134,10 @@
 	return fresh
 }
 
-// rankBackends returns the first count of the backend servers in the rendezvous order of an adapter.
-func (s *State) rankBackends(key AdapterKey, backends []*Backend, count int) []*Backend {
-	hash := hasher.Key(key.Model + "/" + key.Adapter)
+// rankBackends returns the homes of a request's adapter in their order, and behind them the backend servers that have it though
+// nobody orders them.
+func (s *State) rankBackends(now time.Time, r *Request, backends []*Backend) []*Backend {
+	hash := hasher.Key(r.Adapter.Model + "/" + r.Adapter.Adapter)
 	type scored struct {
 		backend *Backend
 		score   uint64
@@ -146,9 +147,11 @@
 		all[i] = scored{b, hasher.Score(hash, hasher.NewName(b.Info.ID))}
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	ranked := make([]*Backend, 0, count)
-	for i := 0; i < min(count, len(all)); i++ {
-		ranked = append(ranked, all[i].backend)
+	ranked := make([]*Backend, 0, homes)
+	for i, a := range all {
+		if i < homes || s.published(now, r, a.backend) {
+			ranked = append(ranked, a.backend)
+		}
 	}
 	return ranked
 }
@@ -190,6 +193,9 @@
 	if ok && p.Stage != StageAbsent && p.fresh(now, r.Version) {
 		return max(p.ReadyAt.Sub(now), 0)
 	}
+	if s.published(now, r, b) {
+		return 0
+	}
 	delay := s.loadTime(b, false)
 	if ok && now.Sub(p.FullAt) < fullFor || now.Sub(b.OthersAt) < othersFresh && b.Others.Free <= 0 {
 		delay += fullDelay
@@ -197,6 +203,26 @@
 	return delay
 }
 
+// published reports whether a backend server that nobody orders has published that it holds the adapter; without a holder
+// nothing is dropped, so that is still so, unless a request has found otherwise.
+func (s *State) published(now time.Time, r *Request, b *Backend) bool {
+	if s.holderOf(now, b.Info.ID) != "" {
+		return false
+	}
+	if p, ok := b.Adapters[r.Adapter]; ok && p.Stage == StageAbsent && now.Sub(p.KnownAt) < placeKept {
+		return false
+	}
+	for _, m := range b.Info.Models {
+		if m.Model != r.Adapter.Model {
+			continue
+		}
+		return slices.ContainsFunc(m.Adapters, func(a cataloguer.Adapter) bool {
+			return a.Name == r.Adapter.Adapter && a.Version >= r.Version
+		})
+	}
+	return false
+}
+
 // fullDelay is the expected wait for a place at an engine whose places are all in use, and fullFor how long that counts.
 const (
 	fullDelay = 500 * time.Millisecond
@@ -248,6 +274,9 @@
 
 // awaitAdapter reports whether the adapter must first be brought to the backend server, as far as this host knows.
 func (s *State) awaitAdapter(now time.Time, r *Request, b *Backend) bool {
+	if s.published(now, r, b) {
+		return false
+	}
 	p, ok := b.Adapters[r.Adapter]
 	return !ok || p.Stage == StageAbsent || !p.fresh(now, r.Version) || now.Before(p.ReadyAt)
 }
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -216,3 +216,66 @@
 	assert.Assert(t, !refused)
 	assert.Equal(t, f.state.Counters.Dispatches, uint64(4))
 }
+
+func engineCatalogue() *cataloguer.Catalogue {
+	c := testCatalogue(2)
+	c.Services = append(c.Services, cataloguer.Service{Name: "engines", Engine: &cataloguer.Engine{
+		Slots: 64, CacheTokens: 200_000, AdapterSlots: 6, MemoryMB: 66_000, LoadsPerSecond: 2,
+		Models: []cataloguer.Model{{Name: "m", WeightsMB: 65_000, LoadFor: time.Second}},
+	}})
+	c.Routes = append(c.Routes, cataloguer.Route{
+		Name: "gen", HostName: "h", Prefix: "/gen/", Repeat: cataloguer.RepeatStream, Timeout: 5 * time.Second, Target: time.Second,
+		MaxAttempts: 1, Split: []cataloguer.Share{{Service: "engines", Weight: 1}},
+	})
+	return c
+}
+
+func engine(id string, adapters ...string) cataloguer.Backend {
+	b := cataloguer.Backend{ID: id, Service: "engines", Address: "10.0.2.1:80", FailureDomain: "east", Born: 1, Slots: 64}
+	resident := cataloguer.Resident{Model: "m"}
+	for _, a := range adapters {
+		resident.Adapters = append(resident.Adapters, cataloguer.Adapter{Name: a})
+	}
+	b.Models = []cataloguer.Resident{resident}
+	return b
+}
+
+func (f *fixture) generate(id, adapter string) []Effect {
+	return f.reduce(RequestArrived{
+		ID: id, CallerID: id, At: f.now, HostName: "h", Path: "/gen/x", Key: "secret", Model: "m", Adapter: adapter,
+		PromptTokens: 1000, OutputTokens: 10, TimeLeft: 5 * time.Second,
+	})
+}
+
+func TestPublishedAdapterServesWhileNobodyOrdersItsServer(t *testing.T) {
+	f := newFixture(t)
+	// The seeds name another host that is not heard of, so that this one seeks no leases.
+	f.state.Self.Seeds = []string{"10.0.0.9:81"}
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	for _, id := range []string{"e1", "e2", "e3", "e4", "e5"} {
+		f.backend(engine(id))
+	}
+	f.backend(engine("e6", "a7"))
+	assert.Equal(t, must[Dispatch](t, f.generate("1", "a7")).Backend, "e6")
+	_, sent := find[Dispatch](f.generate("2", "a8"))
+	assert.Assert(t, !sent)
+	f.reduce(DispatchEnded{ID: "1", Backend: "e6", Attempt: 1, Outcome: OutcomeAbsent})
+	_, sent = find[Dispatch](f.generate("3", "a7"))
+	assert.Assert(t, !sent, "a request has found that the adapter is not there")
+}
+
+func TestEmptyEngineIsOrderedItsModelWithinTheBudget(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	empty := engine("e1")
+	empty.Models = nil
+	f.backend(empty)
+	effects := f.after(3 * time.Second)
+	report := must[ReadReport](t, effects)
+	effects = append(f.reduce(BackendReported{Backend: "e1", Born: report.Born, AskedAt: f.now}), f.after(200*time.Millisecond)...)
+	order := must[OrderAdapter](t, effects)
+	assert.DeepEqual(t, order.Adapter, AdapterKey{Model: "m"})
+	assert.Assert(t, order.Fence > 0 && order.NotAfter.After(f.now))
+	_, sent := find[Dispatch](f.generate("1", ""))
+	assert.Assert(t, !sent, "nothing is sent where the model is not")
+}
