Break an answer off when the caller is gone, and take a stream that ends inside an event as cut

Cause: when a caller's sending side closed, the handler returned normally and the library ended the chunked answer as if it were whole; and an unframed stream that a server broke off inside an event was passed on as complete.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -344,6 +344,23 @@
 	assert.Assert(t, r.status == 200 && whole(r.body, 300), "%d, %d bytes, %v", r.status, len(r.body), r.err)
 }
 
+func TestAnswerIsNotEndedWhenTheCallerClosesItsSendingSide(t *testing.T) {
+	f := newFleet(t, 1)
+	conn, err := net.Dial("tcp", f.hosts[0].address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /stream/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: half\r\nDeadline-Remaining: 8000\r\nAuthorization: Token %s\r\n"+
+		"Model: %s/a1\r\nToken-Count: 500,300\r\nContent-Length: 0\r\n\r\n", standin.Host, standin.KeyLarge, standin.ModelName)
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	body, err := io.ReadAll(response.Body)
+	assert.Assert(t, err != nil || whole(string(body), 300), "%d bytes look like a whole answer", len(body))
+}
+
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	f := newFleet(t, 2)
 	f.platform.Leave("desk-0")
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -265,6 +265,10 @@
 			}
 			x.result.Last = events.last
 		}
+		if errors.Is(err, io.EOF) && len(events.rest) > 0 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
+			// The answer ends with its connection, in the middle of an event: the backend server was cut off.
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			x.result.Outcome = reducer.OutcomeDone
 			_ = x.sink.Write(events.rest)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -179,6 +179,25 @@
 	assert.Equal(t, result.Last, "2")
 }
 
+func TestStreamThatEndsWithItsConnectionInAnEventIsBroken(t *testing.T) {
+	address := script(t,
+		func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: one\r\n\r\nid: 1\ndata: a\n\nid: 2\nda")
+		},
+		func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: two\r\n\r\nid: 1\ndata: a\n\n")
+		},
+	)
+	stream := func(_ *Call, d *reducer.Dispatch) { d.Stream = true }
+	result, s := send(&Client[codec, *sink]{}, address, "one", stream)
+	assert.Equal(t, result.Outcome, reducer.OutcomeBroken)
+	assert.Equal(t, s.body.String(), "id: 1\ndata: a\n\n")
+	result, _ = send(&Client[codec, *sink]{}, address, "two", stream)
+	assert.Equal(t, result.Outcome, reducer.OutcomeDone)
+}
+
 func TestSilentServerIsGivenUpInItsTime(t *testing.T) {
 	address := script(t, func(_ net.Conn, r *bufio.Reader) { readRequest(r); time.Sleep(time.Second) })
 	start := time.Now()
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -17,6 +17,8 @@
 	dispatcher.Sink
 	// Refuse answers with a refusal, or breaks the answer off if it has begun.
 	Refuse(refusal reducer.Refuse)
+	// Abort breaks the answer off, so that it cannot be taken for a whole one.
+	Abort()
 }
 
 // Session carries out the effects of one request; its exported fields are set before Run.
@@ -44,6 +46,7 @@
 				return
 			}
 		case <-ctx.Done():
+			s.Sink.Abort()
 			s.Control.Report(context.WithoutCancel(ctx), reducer.RequestAbandoned{ID: s.Arrived.ID})
 			return
 		}
--- a/internal/listener/sink.go
+++ b/internal/listener/sink.go
@@ -56,7 +56,7 @@
 // Refuse answers with a refusal, or breaks the answer off if it has begun.
 func (s *Sink) Refuse(refusal reducer.Refuse) {
 	if s.began {
-		s.aborted = true
+		s.Abort()
 		return
 	}
 	s.began = true
@@ -72,6 +72,9 @@
 	_, _ = s.writer.Write([]byte(body))
 }
 
+// Abort breaks the answer off: a caller of which one direction is lost may still read, and must not see an end.
+func (s *Sink) Abort() { s.aborted = true }
+
 // statusOf returns the status code of a refusal; those that promise that a request has not run are kept for such requests.
 func statusOf(refusal reducer.Refuse) int {
 	switch refusal.Reason {
