--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -143,12 +143,15 @@
 			w.after(w.delay(), func() { w.post(h, incarnation, ended) })
 			return
 		}
-		w.Checks.arrived(w.Now, w.touched(h), b, h)
 		key := r.event.adapter()
 		if b.Info.Service != engineService {
 			key = reducer.AdapterKey{}
 		}
 		first, outcome := b.Engine.Begin(w.Now, key, r.event.PromptTokens)
+		// The pages do not count requests for an adapter that is not there.
+		if outcome != reducer.OutcomeAbsent {
+			w.Checks.arrived(w.Now, w.touched(h), b, h)
+		}
 		if outcome != reducer.OutcomeDone {
 			ended.Outcome = outcome
 			w.after(w.delay(), func() { w.post(h, incarnation, ended) })
--- a/internal/exerciser/carrier.go
+++ b/internal/exerciser/carrier.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/internal/translator"
 )
 
 // carryOut is the executor of the modelled hosts.
@@ -41,6 +44,7 @@
 
 // sendPeer delivers an envelope and brings its answer back; both may be lost.
 func (w *World[P]) sendPeer(h *Host, e reducer.SendPeer) {
+	w.count(h, e)
 	to := w.host(e.Address)
 	incarnation := h.Incarnation
 	failed := func() { w.post(h, incarnation, reducer.PeerFailed{To: e.To, Address: e.Address}) }
@@ -55,6 +59,7 @@
 
 // answerPeer brings the answer to an envelope back to its sender.
 func (w *World[P]) answerPeer(h *Host, e reducer.SendPeer) {
+	w.count(h, e)
 	to := w.host(e.To)
 	if to == nil || !w.connected(h.ID, to.ID) {
 		return
@@ -64,6 +69,14 @@
 	w.after(w.delay(), func() { w.post(to, incarnation, event) })
 }
 
+// count adds up envelopes in their wire form.
+func (w *World[P]) count(h *Host, e reducer.SendPeer) {
+	if w.Options.Count {
+		w.Envelopes++
+		w.EnvelopeBytes += proto.Size(translator.Envelope(h.ID, h.State.Self.Incarnation, e.Messages))
+	}
+}
+
 func (w *World[P]) readUpdates(h *Host, e reducer.ReadUpdates) {
 	from := w.host(e.From)
 	incarnation := h.Incarnation
@@ -86,6 +99,7 @@
 
 // watch answers as soon as there is a change, or when the wait is over.
 func (w *World[P]) watch(h *Host, e reducer.WatchPlatform) {
+	w.PlatformCalls++
 	incarnation := h.Incarnation
 	asked := w.Now
 	var look func()
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -40,6 +40,8 @@
 	Jitter  time.Duration
 	// DropShare is the part of the envelopes between hosts that is lost.
 	DropShare float64
+	// Count makes the run count the bytes of envelopes and the time in Reduce.
+	Count bool
 }
 
 // World is one fleet in virtual time.
@@ -51,6 +53,11 @@
 	Store    modeler.Store
 	Checks   Checks
 	Callers  Callers
+	// Envelopes, EnvelopeBytes and Busy are counted with Options.Count; an answer to an envelope counts as one.
+	Envelopes     int
+	EnvelopeBytes int
+	Busy          time.Duration
+	PlatformCalls int
 
 	random   *rand.Rand
 	queue    actionQueue
@@ -217,7 +224,11 @@
 }
 
 func (w *World[P]) reduce(h *Host, event reducer.Event) []reducer.Effect {
+	began := time.Now()
 	effects := reducer.Reduce[P](h.State, w.Now, event)
+	if w.Options.Count {
+		w.Busy += time.Since(began)
+	}
 	for _, v := range asserter.Check(h.State, w.Now, effects) {
 		w.Checks.fail(w.Now, v.Rule, h.ID+": "+v.Detail)
 	}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -14,17 +14,6 @@
 	return s.Documents.Services[b.Info.Service].Engine
 }
 
-// engineIDs returns the backend servers that take adapters.
-func (s *State) engineIDs() []string {
-	var ids []string
-	for _, id := range sortedKeys(s.Backends) {
-		if engine := s.engineOf(s.Backends[id]); engine != nil && engine.AdapterSlots > 0 {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // service returns this host's state of a service.
 func (s *State) service(name string) *Service {
 	v, ok := s.Services[name]
@@ -54,6 +43,9 @@
 	if info.Leaving && !b.Info.Leaving {
 		s.note(EventBackendLeaving, Field{"backend_server", info.ID})
 	}
+	if b.Info.Service != info.Service {
+		s.backendsChanged()
+	}
 	b.Info = info
 	b.GoneAt = time.Time{}
 	b.Lapsed = false
@@ -65,6 +57,7 @@
 func newBackend(s *State, now time.Time, info cataloguer.Backend) *Backend {
 	b := &Backend{Info: info, SeenAt: now, Adapters: map[AdapterKey]*Place{}, Parts: map[string]time.Time{}}
 	s.Backends[info.ID] = b
+	s.backendsChanged()
 	return b
 }
 
@@ -78,6 +71,7 @@
 // forgetBackend drops an incarnation of a backend server and what this host knew of it.
 func forgetBackend(s *State, _ time.Time, b *Backend) {
 	delete(s.Backends, b.Info.ID)
+	s.backendsChanged()
 	if r, ok := s.Rights[b.Info.ID]; ok {
 		r.Ledger = newLedger()
 	}
@@ -100,15 +94,27 @@
 	}
 	b.GoneAt = now
 	b.Lapsed = !s.well(now)
+	s.Missing[id] = true
 	s.note(EventBackendGone, Field{"backend_server", id}, msField("platform_well_ms", now.Sub(s.Watch.GoodSince)))
 }
 
-// tickBackends forgets backend servers that stayed away, and tells the holders what runs there.
+// tickBackends forgets backend servers that stayed away, and tells the holders what runs on those in use.
 func tickBackends(s *State, now time.Time) {
-	for _, id := range sortedKeys(s.Backends) {
-		b := s.Backends[id]
-		if !b.GoneAt.IsZero() && now.Sub(b.GoneAt) > lapseFor {
+	for _, id := range sortedKeys(s.Missing) {
+		b, ok := s.Backends[id]
+		if !ok || b.GoneAt.IsZero() {
+			delete(s.Missing, id)
+			continue
+		}
+		if now.Sub(b.GoneAt) > lapseFor {
+			delete(s.Missing, id)
 			forgetBackend(s, now, b)
+		}
+	}
+	for _, id := range sortedKeys(s.InUse) {
+		b, ok := s.Backends[id]
+		if !ok || b.Running == 0 && now.Sub(b.UsedAt) > partsKept {
+			delete(s.InUse, id)
 			continue
 		}
 		if s.isEngine(b) && now.Sub(b.TouchedAt) >= usageEvery && (b.Running > 0 || b.UsedAt.After(b.TouchedAt)) {
@@ -122,6 +128,10 @@
 const partsKept = 20 * time.Second
 
 func trimParts(now time.Time, b *Backend) {
+	if now.Sub(b.TrimmedAt) < partsKept/4 {
+		return
+	}
+	b.TrimmedAt = now
 	for id, at := range b.Parts {
 		if now.Sub(at) > partsKept {
 			delete(b.Parts, id)
@@ -203,10 +213,7 @@
 // mostlyEjected reports whether half of the backend servers of the service are left alone already.
 func (s *State) mostlyEjected(now time.Time, b *Backend) bool {
 	all, ejected := 0, 0
-	for _, other := range s.Backends {
-		if other.Info.Service != b.Info.Service {
-			continue
-		}
+	for _, other := range s.serviceBackends(b.Info.Service) {
 		all++
 		if now.Before(other.EjectedUntil) {
 			ejected++
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -90,6 +90,7 @@
 	c := d.Catalogue
 	docs := &s.Documents
 	docs.Catalogue = c
+	s.backendsChanged()
 	clear(docs.Keys)
 	clear(docs.Accounts)
 	clear(docs.Services)
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -21,19 +21,6 @@
 	return ok && !h.Record.Leaving && now.Sub(h.HeardAt) < s.suspectAfter()
 }
 
-// aliveHosts returns the hosts in use, this one among them, sorted by name.
-func (s *State) aliveHosts(now time.Time) []string {
-	return s.selectHosts(func(id string) bool { return s.alive(now, id) })
-}
-
-// memberHosts returns all hosts that have been heard of lately, whether they are in use or not.
-func (s *State) memberHosts(now time.Time) []string {
-	return s.selectHosts(func(id string) bool {
-		h, ok := s.Hosts[id]
-		return id == s.Self.HostID || ok && now.Sub(h.HeardAt) < forgetAfter && !h.Record.Leaving
-	})
-}
-
 func (s *State) selectHosts(match func(id string) bool) []string {
 	var ids []string
 	for id := range s.Hosts {
@@ -90,6 +77,8 @@
 	if known && !s.alive(now, r.ID) && !r.Leaving {
 		s.note(EventHostBack, Field{"peer", r.ID})
 	}
+	s.hostsChanged()
+	s.noteHolds(r)
 	h.Record = r
 	h.HeardAt = now.Add(-r.SilentFor)
 	dropNamesakes(s, r)
@@ -107,6 +96,7 @@
 	for id, h := range s.Hosts {
 		if id != r.ID && h.Record.PeerAddress == r.PeerAddress {
 			delete(s.Hosts, id)
+			s.hostsChanged()
 		}
 	}
 }
@@ -218,6 +208,7 @@
 	for id, h := range s.Hosts {
 		if now.Sub(h.HeardAt) > tombstoneFor {
 			delete(s.Hosts, id)
+			s.hostsChanged()
 			s.note(EventHostGone, Field{"peer", id})
 		}
 	}
--- /dev/null
+++ b/internal/reducer/index.go
@@ -0,0 +1,97 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+)
+
+// Index holds what is derived from the rest of the state and asked for often; it is made anew after a change.
+type Index struct {
+	// Backends is whether Engines and ByService are up to date.
+	Backends  bool
+	Engines   []string
+	ByService map[string][]*Backend
+	// Holders names the host that each backend server's lease was last told of by.
+	Holders map[string]string
+	// HostsAt is the time as of which Alive and Members are up to date.
+	HostsAt time.Time
+	Alive   []string
+	Members []string
+}
+
+// backendsChanged says that a backend server came, went or is of another kind now.
+func (s *State) backendsChanged() { s.Index.Backends = false }
+
+// hostsChanged says that a host was heard of or forgotten.
+func (s *State) hostsChanged() { s.Index.HostsAt = time.Time{} }
+
+func (s *State) indexBackends() {
+	if s.Index.Backends {
+		return
+	}
+	s.Index.Backends = true
+	s.Index.Engines = nil
+	s.Index.ByService = map[string][]*Backend{}
+	for _, id := range sortedKeys(s.Backends) {
+		b := s.Backends[id]
+		s.Index.ByService[b.Info.Service] = append(s.Index.ByService[b.Info.Service], b)
+		if engine := s.engineOf(b); engine != nil && engine.AdapterSlots > 0 {
+			s.Index.Engines = append(s.Index.Engines, id)
+		}
+	}
+}
+
+// engineIDs returns the backend servers that take adapters.
+func (s *State) engineIDs() []string {
+	s.indexBackends()
+	return s.Index.Engines
+}
+
+// serviceBackends returns the backend servers of a service in the order of their ids.
+func (s *State) serviceBackends(service string) []*Backend {
+	s.indexBackends()
+	return s.Index.ByService[service]
+}
+
+func (s *State) indexHosts(now time.Time) {
+	if s.Index.HostsAt.Equal(now) {
+		return
+	}
+	s.Index.HostsAt = now
+	s.Index.Alive = s.selectHosts(func(id string) bool { return s.alive(now, id) })
+	s.Index.Members = s.selectHosts(func(id string) bool {
+		h, ok := s.Hosts[id]
+		return id == s.Self.HostID || ok && now.Sub(h.HeardAt) < forgetAfter && !h.Record.Leaving
+	})
+}
+
+// aliveHosts returns the hosts in use, this one among them, sorted by name.
+func (s *State) aliveHosts(now time.Time) []string {
+	s.indexHosts(now)
+	return s.Index.Alive
+}
+
+// memberHosts returns all hosts that have been heard of lately, whether they are in use or not.
+func (s *State) memberHosts(now time.Time) []string {
+	s.indexHosts(now)
+	return s.Index.Members
+}
+
+// noteHolds takes what a host's newest record says of its leases.
+func (s *State) noteHolds(r HostRecord) {
+	for _, backend := range r.Holds {
+		s.Index.Holders[backend] = r.ID
+	}
+}
+
+// holderOf returns the host that orders a backend server, or "" if none is known.
+func (s *State) holderOf(now time.Time, backend string) string {
+	if s.holds(now, backend) {
+		return s.Self.HostID
+	}
+	id, ok := s.Index.Holders[backend]
+	if !ok || id == s.Self.HostID || !s.alive(now, id) || !slices.Contains(s.Hosts[id].Record.Holds, backend) {
+		return ""
+	}
+	return id
+}
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -32,19 +32,6 @@
 	return ok && now.Before(r.ValidUntil)
 }
 
-// holderOf returns the host that orders a backend server, or "" if none is known.
-func (s *State) holderOf(now time.Time, backend string) string {
-	if s.holds(now, backend) {
-		return s.Self.HostID
-	}
-	for id, h := range s.Hosts {
-		if s.alive(now, id) && slices.Contains(h.Record.Holds, backend) {
-			return id
-		}
-	}
-	return ""
-}
-
 // tickRights seeks, renews and gives up leases.
 func tickRights[P selector.Policy](s *State, now time.Time) {
 	claims := map[string][]Claim{}
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -117,12 +117,11 @@
 // is no other.
 func (s *State) usableBackends(now time.Time, r *Request) []*Backend {
 	var fresh, tried []*Backend
-	for _, id := range sortedKeys(s.Backends) {
-		b := s.Backends[id]
-		if b.Info.Service != r.Service || !s.usable(now, b) || r.Adapter.Model != "" && s.isEngine(b) && !b.holdsModel(r.Adapter.Model) {
+	for _, b := range s.serviceBackends(r.Service) {
+		if !s.usable(now, b) || r.Adapter.Model != "" && s.isEngine(b) && !b.holdsModel(r.Adapter.Model) {
 			continue
 		}
-		if slices.Contains(r.Tried, id) {
+		if slices.Contains(r.Tried, b.Info.ID) {
 			tried = append(tried, b)
 			continue
 		}
@@ -351,18 +350,20 @@
 	}
 }
 
-// wakeLoaded sends the requests whose adapters have come.
+// wakeLoaded places the requests whose adapters have come, or must be asked for again.
 func wakeLoaded[P selector.Policy](s *State, now time.Time) {
-	for _, id := range sortedKeys(s.Backends) {
-		b, ok := s.Backends[id]
-		if !ok {
+	for _, id := range sortedKeys(s.Requests) {
+		r, ok := s.Requests[id]
+		if !ok || r.Phase != PhaseLoading {
 			continue
 		}
-		for _, key := range sortedAdapters(b.Adapters) {
-			p := b.Adapters[key]
-			if p != nil && len(p.Waiting) > 0 && (p.Stage != StageAbsent && !now.Before(p.ReadyAt) || now.Sub(p.AskedAt) >= wantRepeat) {
-				releaseWaiting[P](s, now, p)
-			}
+		b, known := s.Backends[r.Backend]
+		if !known {
+			continue
+		}
+		p, ok := b.Adapters[r.Adapter]
+		if ok && (p.Stage != StageAbsent && !now.Before(p.ReadyAt) || now.Sub(p.AskedAt) >= wantRepeat) {
+			place[P](s, now, r)
 		}
 	}
 }
@@ -401,6 +402,7 @@
 	r.Prefill = s.unkept(now, r, b)
 	r.Offered = true
 	b.UsedAt = now
+	s.InUse[b.Info.ID] = true
 	b.Running++
 	b.Tokens += r.Tokens
 	b.Prefill += r.Prefill
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -22,6 +22,9 @@
 	Granted  []TokenGrant
 	Services map[string]*Service
 	Backends map[string]*Backend
+	// Missing holds the backend servers whose entries vanished, and InUse those that requests were sent to lately.
+	Missing  map[string]bool
+	InUse    map[string]bool
 	Rights   map[string]*Right
 	Promises map[string]*Promise
 	Requests map[string]*Request
@@ -30,6 +33,7 @@
 	Ready    bool
 	Draining Draining
 	Counters Counters
+	Index    Index
 
 	effects []Effect
 	outbox  map[string][]Message
@@ -189,6 +193,8 @@
 	// UsedAt is when a request was last sent here, and TouchedAt when the use was last told.
 	UsedAt    time.Time
 	TouchedAt time.Time
+	// TrimmedAt is when old prompt parts were last forgotten.
+	TrimmedAt time.Time
 	Latency   time.Duration
 }
 
@@ -410,6 +416,9 @@
 		Keepers:   map[string]*Keeper{},
 		Services:  map[string]*Service{},
 		Backends:  map[string]*Backend{},
+		Missing:   map[string]bool{},
+		InUse:     map[string]bool{},
+		Index:     Index{Holders: map[string]string{}},
 		Rights:    map[string]*Right{},
 		Promises:  map[string]*Promise{},
 		Requests:  map[string]*Request{},
