--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -55,7 +55,7 @@
 }
 
 func newDaemon(file string, settings configurer.Settings) *daemon {
-	incarnation := uint64(time.Now().UnixNano())
+	incarnation := reducer.NewIncarnation(settings.HostID, time.Now())
 	record := &recorder.Recorder{
 		Out: os.Stdout, Host: settings.HostID, Level: log.ParseLevel(settings.LogLevel), BytesPerSecond: settings.LogBytesPerSecond,
 	}
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -187,7 +187,7 @@
 	h.StartedAt = w.Now
 	h.DisturbedAt = w.Now
 	self := reducer.Self{
-		HostID: h.ID, Incarnation: uint64(w.Now.UnixNano()), Address: h.ID, PeerAddress: "peer-" + h.ID, FailureDomain: h.Domain,
+		HostID: h.ID, Incarnation: reducer.NewIncarnation(h.ID, w.Now), Address: h.ID, PeerAddress: "peer-" + h.ID, FailureDomain: h.Domain,
 		Region: "region", StartedAt: w.Now, StartedUnixMs: w.Now.UnixMilli() + w.random.Int64N(2*skewMs) - skewMs,
 		Seeds: []string{"peer-host-00", "peer-host-01", "peer-host-02"},
 	}
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -79,15 +79,49 @@
 	}
 	s.hostsChanged()
 	s.noteHolds(r)
+	if h.Record.Incarnation != r.Incarnation {
+		delete(s.Index.Incarnations, h.Record.Incarnation)
+		s.Index.Incarnations[r.Incarnation] = r.ID
+	}
+	if !h.Record.tellsTheSame(r) {
+		h.ChangedAt = now
+	}
 	h.Record = r
 	h.HeardAt = now.Add(-r.SilentFor)
 	dropNamesakes(s, r)
 }
 
+// tellsTheSame reports whether two records of a host differ in their beats alone.
+func (r HostRecord) tellsTheSame(other HostRecord) bool {
+	return r.Incarnation == other.Incarnation && r.Ready == other.Ready && r.Leaving == other.Leaving &&
+		r.PeerAddress == other.PeerAddress && r.Address == other.Address && slices.Equal(r.Holds, other.Holds)
+}
+
+// learnBeats takes newer signs of life of hosts whose records are known.
+func learnBeats(s *State, now time.Time, m HostBeats) {
+	for _, b := range m.Beats {
+		h, ok := s.Hosts[s.Index.Incarnations[b.Incarnation]]
+		if !ok || h.Record.Incarnation != b.Incarnation || b.Beat <= h.Record.Beat {
+			continue
+		}
+		h.Record.Beat = b.Beat
+		h.HeardAt = now.Add(-b.SilentFor)
+		s.hostsChanged()
+	}
+}
+
+// incarnationBits is the part of an incarnation that tells hosts apart.
+const incarnationBits = 20
+
+// NewIncarnation returns an incarnation that no other host has, and that grows with the time of day.
+func NewIncarnation(host string, at time.Time) uint64 {
+	return uint64(at.UnixNano())>>incarnationBits<<incarnationBits | hasher.Key(host)&(1<<incarnationBits-1)
+}
+
 // outliveFormer makes this incarnation newer than one of the same host that ran before.
 func outliveFormer(s *State, r HostRecord) {
 	if r.Incarnation > s.Self.Incarnation {
-		s.Self.Incarnation = r.Incarnation + 1
+		s.Self.Incarnation = r.Incarnation + 1<<incarnationBits
 	}
 }
 
@@ -96,6 +130,8 @@
 	for id, h := range s.Hosts {
 		if id != r.ID && h.Record.PeerAddress == r.PeerAddress {
 			delete(s.Hosts, id)
+			delete(s.Index.Incarnations, h.Record.Incarnation)
+			delete(s.Index.Incarnations, h.Record.Incarnation)
 			s.hostsChanged()
 		}
 	}
@@ -116,9 +152,10 @@
 	s.Gossip.NextAt = now.Add(gossipEvery)
 	s.Gossip.Beat++
 	records := s.gossipTable(now)
+	brief := s.briefTable(now, records)
 	for _, id := range s.gossipTargets(now) {
-		for _, r := range records {
-			s.send(id, r)
+		for _, m := range brief {
+			s.send(id, m)
 		}
 	}
 	askSeeds(s, now, records)
@@ -170,6 +207,40 @@
 	return records
 }
 
+// briefTable returns the table with beats in place of records that have not changed lately, but for some at each round, so that
+// a host which missed a change learns of it.
+func (s *State) briefTable(now time.Time, records []HostRecord) []Message {
+	var messages []Message
+	var beats HostBeats
+	for i, r := range records {
+		changed := i == 0 && s.selfChanged(now, r)
+		if h, ok := s.Hosts[r.ID]; ok {
+			changed = now.Sub(h.ChangedAt) < tellChangesFor
+		}
+		if changed || s.random()%wholeRecordEvery == 0 {
+			messages = append(messages, r)
+			continue
+		}
+		beats.Beats = append(beats.Beats, HostBeat{Incarnation: r.Incarnation, Beat: r.Beat, SilentFor: r.SilentFor})
+	}
+	return append(messages, beats)
+}
+
+// selfChanged reports whether this host's own record changed lately.
+func (s *State) selfChanged(now time.Time, r HostRecord) bool {
+	if !s.Gossip.Told.tellsTheSame(r) {
+		s.Gossip.Told = r
+		s.Gossip.ToldAt = now
+	}
+	return now.Sub(s.Gossip.ToldAt) < tellChangesFor
+}
+
+// tellChangesFor is how long a changed record is told whole at each round; later it is one time in wholeRecordEvery.
+const (
+	tellChangesFor   = 1500 * time.Millisecond
+	wholeRecordEvery = 8
+)
+
 // askSeeds sends the table to a seed that no known host has as its address, more often while this host knows nobody.
 func askSeeds(s *State, now time.Time, records []HostRecord) {
 	if now.Before(s.Gossip.SeedAt) {
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -13,6 +13,8 @@
 	ByService map[string][]*Backend
 	// Holders names the host that each backend server's lease was last told of by.
 	Holders map[string]string
+	// Incarnations names the host of each incarnation that is known.
+	Incarnations map[uint64]string
 	// HostsAt is the time as of which Alive and Members are up to date.
 	HostsAt time.Time
 	Alive   []string
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -70,9 +70,12 @@
 		r = &Right{Backed: map[string]time.Duration{}, SoughtAt: s.age(now), Ledger: newLedger()}
 		s.Rights[backend] = r
 	}
-	if now.Sub(r.AskedAt) < leaseRenewEvery {
+	// Renewals leave with the rounds of gossip, whose envelopes they share in a small fleet.
+	round := s.Gossip.Beat%leaseRounds == 0 && r.AskedBeat != s.Gossip.Beat
+	if !round && now.Sub(r.AskedAt) < leaseRounds*gossipEvery+leaseMargin {
 		return
 	}
+	r.AskedBeat = s.Gossip.Beat
 	r.AskedAt = now
 	claimRight(s, now, backend, r, claims)
 }
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -44,11 +44,12 @@
 
 // Times and bounds of the leases to order backend servers.
 const (
-	voters          = 7
-	largeQuorum     = 5
-	leaseFor        = 1600 * time.Millisecond
-	leaseRenewEvery = 400 * time.Millisecond
-	leaseMargin     = 200 * time.Millisecond
+	voters      = 7
+	largeQuorum = 5
+	leaseFor    = 1600 * time.Millisecond
+	// leaseRounds is the number of rounds of gossip between two renewals.
+	leaseRounds = 2
+	leaseMargin = 200 * time.Millisecond
 	// claimAfter is the age from which a host seeks leases: by then it has heard of the others.
 	claimAfter = 2 * time.Second
 	// termEpochMs is the time of day that terms count from, and termStepMs the time in which the first term of a host grows by one.
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -21,6 +21,18 @@
 	Holds []string
 }
 
+// HostBeats tells of hosts whose records the receiver is likely to know.
+type HostBeats struct {
+	Beats []HostBeat
+}
+
+// HostBeat is the newest sign of life of one incarnation of a host.
+type HostBeat struct {
+	Incarnation uint64
+	Beat        uint64
+	SilentFor   time.Duration
+}
+
 // Summary tells how new the sender's documents are.
 type Summary struct {
 	Revision int64
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -72,6 +72,8 @@
 	switch m := message.(type) {
 	case HostRecord:
 		learnHost(s, now, m)
+	case HostBeats:
+		learnBeats(s, now, m)
 	case Summary:
 		receiveSummary(s, now, e.From, m)
 	case LeaseRequest:
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -60,6 +60,8 @@
 	Record HostRecord
 	// HeardAt is when the host's beat last grew.
 	HeardAt time.Time
+	// ChangedAt is when the host's record last told something else than a new beat.
+	ChangedAt time.Time
 	// FailedAt is when an envelope to the host last could not be delivered.
 	FailedAt time.Time
 	// Revision is the newest revision that the host has told of.
@@ -73,6 +75,9 @@
 	Beat   uint64
 	NextAt time.Time
 	SeedAt time.Time
+	// Told is what this host last told of itself, and ToldAt when that last changed.
+	Told   HostRecord
+	ToldAt time.Time
 }
 
 // Documents is what has been published, as far as this host has read it.
@@ -231,6 +236,8 @@
 	ValidUntil time.Time
 	HeldSince  time.Time
 	AskedAt    time.Time
+	// AskedBeat is this host's beat at the last request.
+	AskedBeat uint64
 	// HeldBefore is set when a voter remembers this host as a holder that another one followed.
 	HeldBefore bool
 	Ledger     Ledger
@@ -418,7 +425,7 @@
 		Backends:  map[string]*Backend{},
 		Missing:   map[string]bool{},
 		InUse:     map[string]bool{},
-		Index:     Index{Holders: map[string]string{}},
+		Index:     Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}},
 		Rights:    map[string]*Right{},
 		Promises:  map[string]*Promise{},
 		Requests:  map[string]*Request{},
--- a/internal/translator/parts.go
+++ b/internal/translator/parts.go
@@ -1,6 +1,8 @@
 package translator
 
 import (
+	"time"
+
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
@@ -21,6 +23,24 @@
 	}
 }
 
+func beatsWire(m reducer.HostBeats) *peerv1.HostBeats {
+	w := &peerv1.HostBeats{}
+	for _, b := range m.Beats {
+		w.Beats = append(w.Beats, &peerv1.HostBeat{Incarnation: b.Incarnation, Beat: b.Beat, SilentForMs: uint64(b.SilentFor.Milliseconds())})
+	}
+	return w
+}
+
+func hostBeats(w *peerv1.HostBeats) reducer.HostBeats {
+	m := reducer.HostBeats{}
+	for _, b := range w.GetBeats() {
+		m.Beats = append(m.Beats, reducer.HostBeat{
+			Incarnation: b.GetIncarnation(), Beat: b.GetBeat(), SilentFor: time.Duration(b.GetSilentForMs()) * time.Millisecond,
+		})
+	}
+	return m
+}
+
 func leaseRequestWire(m reducer.LeaseRequest) *peerv1.LeaseRequest {
 	w := &peerv1.LeaseRequest{SentAtUs: m.SentAt.Microseconds()}
 	for _, c := range m.Claims {
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -33,6 +33,8 @@
 	switch v := m.(type) {
 	case reducer.HostRecord:
 		return &peerv1.Message{Kind: &peerv1.Message_HostRecord{HostRecord: hostWire(v)}}
+	case reducer.HostBeats:
+		return &peerv1.Message{Kind: &peerv1.Message_HostBeats{HostBeats: beatsWire(v)}}
 	case reducer.Summary:
 		return &peerv1.Message{Kind: &peerv1.Message_Summary{Summary: &peerv1.Summary{
 			Revision: v.Revision, ConfirmedAgeUs: v.ConfirmedAge.Microseconds(),
@@ -75,6 +77,8 @@
 	switch v := w.GetKind().(type) {
 	case *peerv1.Message_HostRecord:
 		return hostRecord(v.HostRecord)
+	case *peerv1.Message_HostBeats:
+		return hostBeats(v.HostBeats)
 	case *peerv1.Message_Summary:
 		return reducer.Summary{Revision: v.Summary.GetRevision(), ConfirmedAge: micros(v.Summary.GetConfirmedAgeUs())}
 	case *peerv1.Message_LeaseRequest:
