--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/redwingpick/redwingpick/internal/executor"
 	"github.com/redwingpick/redwingpick/internal/listener"
 	"github.com/redwingpick/redwingpick/internal/messenger"
+	"github.com/redwingpick/redwingpick/internal/meter"
 	"github.com/redwingpick/redwingpick/internal/recorder"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -36,6 +37,8 @@
 	heapPercent = 70
 	// lastWords is the time left to the last answers after the drain.
 	lastWords = 700 * time.Millisecond
+	// lookAtSettings is the time between two looks at the settings file, which may change without a signal.
+	lookAtSettings = 2 * time.Second
 )
 
 var errStopped = errors.New("stopped before the drain was done")
@@ -75,14 +78,15 @@
 		Replies:     &executor.Replies{},
 		MailboxSize: settings.MailboxSize,
 	}
+	latencies := &meter.Latencies{}
 	return &daemon{
 		file:      file,
 		settings:  settings,
 		recorder:  record,
 		control:   control,
-		callers:   &listener.Callers[policy, platform.Codec, platform.Codec]{Address: settings.Address, Control: control},
+		callers:   &listener.Callers[policy, platform.Codec, platform.Codec]{Address: settings.Address, Control: control, Latencies: latencies},
 		peers:     &listener.Peers[policy, platform.Codec]{HostID: settings.HostID, Incarnation: incarnation, Control: control},
-		operators: &listener.Operators[policy, platform.Codec]{Control: control},
+		operators: &listener.Operators[policy, platform.Codec]{Control: control, Latencies: latencies},
 	}
 }
 
@@ -123,7 +127,7 @@
 	}
 	go d.control.Run(ctx)
 	d.recorder.Record(recorder.EventStarted, reducer.Field{Name: "address", Value: d.settings.Address})
-	d.awaitStop(signals)
+	d.awaitStop(ctx, signals)
 	err = d.drain(ctx, signals)
 	stopServing()
 	d.recorder.Record(recorder.EventStopped, reducer.Field{Name: "cut_requests", Value: fmt.Sprint(d.callers.Running())})
@@ -139,18 +143,37 @@
 	return settings
 }
 
-// awaitStop returns at a signal to stop and reads the settings again at each SIGHUP before.
-func (d *daemon) awaitStop(signals <-chan os.Signal) {
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			return
+// awaitStop returns at a signal to stop; before, it reads the settings again at each SIGHUP and when their file has changed.
+func (d *daemon) awaitStop(ctx context.Context, signals <-chan os.Signal) {
+	look := time.NewTicker(lookAtSettings)
+	defer look.Stop()
+	changed := d.settingsTime()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+		case <-look.C:
+			if now := d.settingsTime(); now.Equal(changed) {
+				continue
+			}
 		}
-		d.reload()
+		changed = d.settingsTime()
+		d.reload(ctx)
+	}
+}
+
+func (d *daemon) settingsTime() time.Time {
+	info, err := os.Stat(d.file)
+	if err != nil {
+		return time.Time{}
 	}
+	return info.ModTime()
 }
 
-// reload reads the settings again; those that a running host can follow are the log's.
-func (d *daemon) reload() {
+// reload reads the settings again; those that a running host can follow are the bounds, the seeds and the log's.
+func (d *daemon) reload(ctx context.Context) {
 	settings, err := configurer.Read(d.file)
 	if err != nil {
 		d.recorder.Record(recorder.EventSettingsBad, reducer.Field{Name: "error", Value: err.Error()})
@@ -158,6 +181,7 @@
 	}
 	d.recorder.Record(recorder.EventReloaded, reducer.Field{Name: "changed", Value: fmt.Sprint(!reflect.DeepEqual(settings, d.settings))})
 	d.recorder.Adjust(log.ParseLevel(settings.LogLevel), settings.LogBytesPerSecond)
+	d.control.Report(ctx, reducer.SettingsRead{Limits: limits(settings.Bounds), Seeds: settings.Seeds})
 	d.settings = settings
 }
 
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -17,6 +17,7 @@
 	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
+	"github.com/redwingpick/redwingpick/internal/meter"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/internal/tracer"
@@ -46,6 +47,8 @@
 	Address string
 	Control *executor.Control[P, C, *Sink]
 	Front   F
+	// Latencies takes the time of each request by its outcome.
+	Latencies *meter.Latencies
 
 	sequence atomic.Uint64
 	running  atomic.Int64
@@ -119,6 +122,7 @@
 	defer c.running.Add(-1)
 	arrived := clocker.Now()
 	sink := &Sink{writer: w, leaving: c.Control.Leaving()}
+	defer func() { c.Latencies.Record(sink.outcome(), clocker.Now().Sub(arrived)) }()
 	event, call, ok := c.Front.Request(r)
 	if !ok {
 		sink.Refuse(reducer.Refuse{Reason: reducer.ReasonBadRequest})
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/redwingpick/redwingpick/internal/executor"
+	"github.com/redwingpick/redwingpick/internal/meter"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
@@ -16,6 +17,8 @@
 // Operators serves operators and monitoring; its exported fields are set before Handler.
 type Operators[P selector.Policy, C executor.Codec] struct {
 	Control *executor.Control[P, C, *Sink]
+	// Latencies holds the times of requests by outcome.
+	Latencies *meter.Latencies
 
 	sequence atomic.Uint64
 }
@@ -58,6 +61,7 @@
 		delete(counters, "refused_by_reason")
 		counters["control_busy_ns_total"] = o.Control.Busy().Nanoseconds()
 		counters["invariants_broken_total"] = o.Control.Broken()
+		counters["request_latency_by_outcome"] = o.Latencies.Summaries()
 		counters["goroutines_waiting"] = o.Control.Replies.Count()
 		return counters
 	}))
--- /dev/null
+++ b/internal/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter keeps latency histograms for monitoring.
+package meter
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -68,6 +68,7 @@
 	{reducer.EventRequestRefused, log.WarnLevel, false, "request refused", "This host answered itself; reason says why and last_failure what came before.", "See docs/OPERATIONS.md."},
 	{reducer.EventRequestRetried, log.WarnLevel, false, "attempt failed", "An attempt at a backend server failed; what follows is in the next line of the request.", "See docs/OPERATIONS.md."},
 	{reducer.EventOverRate, log.WarnLevel, false, "account over its rate", "The host's part of the account's rate did not hold the request's cost; the next line of the host refuses it.", "Raise the account's rate if the use is meant."},
+	{reducer.EventRequestWaits, log.InfoLevel, true, "request waits", "The request waits at a backend server for its adapter; stage and holder are what the host believed.", "None."},
 	{reducer.EventRequestLeft, log.InfoLevel, false, "caller left", "The caller closed its connection before the answer was complete.", "None."},
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -152,6 +152,12 @@
 	Documents []cataloguer.Document
 }
 
+// SettingsRead brings the settings that a running host can follow.
+type SettingsRead struct {
+	Limits Limits
+	Seeds  []string
+}
+
 // StatusAsked says that an operator asks for the state of this host.
 type StatusAsked struct {
 	ReplyID string
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -86,11 +86,10 @@
 	wantsTried = 3
 	usageEvery = 400 * time.Millisecond
 	// quietFor is how long an adapter stays after it came or was asked for, so that the requests for it can arrive.
-	quietFor     = 60 * time.Millisecond
-	askersKept   = 15 * time.Second
-	reportEvery  = 700 * time.Millisecond
-	orderTimeout = time.Second
-	usesDecay    = 20 * time.Second
+	quietFor    = 60 * time.Millisecond
+	askersKept  = 15 * time.Second
+	reportEvery = 700 * time.Millisecond
+	usesDecay   = 20 * time.Second
 )
 
 // Bounds on requests.
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -31,6 +31,7 @@
 	EventRequestEnded     = 203
 	EventRequestRefused   = 204
 	EventRequestRetried   = 205
+	EventRequestWaits     = 206
 	EventRequestLeft      = 207
 	EventOverRate         = 208
 )
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -298,6 +298,8 @@
 		r.Backend = b.Info.ID
 		p.Waiting = append(p.Waiting, r.ID)
 		s.Counters.LoadStalls++
+		s.note(EventRequestWaits, s.requestFields(now, r, Field{"stage", p.Stage.String()}, msField("known_age_ms", now.Sub(p.KnownAt)),
+			msField("ready_in_ms", p.ReadyAt.Sub(now)), Field{"holder", s.holderOf(now, b.Info.ID)}, intField("free_places", b.Others.Free))...)
 	}
 	if p.Stage != StageAbsent && p.fresh(now, r.Version) && now.Before(p.ReadyAt) {
 		s.wakeAt(p.ReadyAt)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -35,6 +35,8 @@
 		updatesAsked(s, e)
 	case UpdatesRead:
 		updatesRead[P](s, now, e)
+	case SettingsRead:
+		s.Limits, s.Self.Seeds = e.Limits, e.Seeds
 	case StatusAsked:
 		status(s, now, e)
 	case DrainRequested:
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -5,7 +5,6 @@
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/limiter"
-	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
@@ -226,87 +225,6 @@
 	Changed bool
 }
 
-// Right is this host's lease to order one backend server, and what it knows as its holder.
-type Right struct {
-	Term  int64
-	Fence int64
-	// SoughtAt is the time since the start at which this host began to ask; older replies do not count.
-	SoughtAt   time.Duration
-	Backed     map[string]time.Duration
-	ValidUntil time.Time
-	HeldSince  time.Time
-	AskedAt    time.Time
-	// AskedBeat is this host's beat at the last request.
-	AskedBeat uint64
-	// HeldBefore is set when a voter remembers this host as a holder that another one followed.
-	HeldBefore bool
-	Ledger     Ledger
-}
-
-// Ledger is the holder's account of the adapters on one backend server.
-type Ledger struct {
-	// ReadAt is when the backend server's report was read; nothing is ordered before.
-	ReadAt  time.Time
-	AskedAt time.Time
-	// Ordering is set while an order has no answer yet.
-	Ordering bool
-	RetryAt  time.Time
-	Entries  map[AdapterKey]*Entry
-	// Recent holds when adapters were last dropped; these load fast.
-	Recent map[AdapterKey]time.Time
-	Wants  []Want
-	Uses   map[string]*HostUse
-	// Doubtful is set when an order may or may not have been taken.
-	Doubtful bool
-}
-
-// Entry is one adapter that takes a place on the backend server.
-type Entry struct {
-	Stage     Stage
-	Version   int64
-	OrderedAt time.Time
-	ReadyAt   time.Time
-	Use       selector.Use
-	// Proven is set once an answer or a report has shown the adapter to be resident.
-	Proven bool
-	// Overran is set once a load was not over at the expected time.
-	Overran bool
-	// Recent is set for a load of an adapter that the backend server had at hand.
-	Recent bool
-	// AskedAt is when a host last asked for the adapter.
-	AskedAt time.Time
-	// Askers are the hosts that are told when the adapter comes or goes.
-	Askers map[string]time.Time
-}
-
-// Want is an adapter that somebody waits for.
-type Want struct {
-	Adapter AdapterKey
-	Version int64
-	Since   time.Time
-	Askers  map[string]time.Time
-}
-
-// HostUse is what one host has told of its requests on a backend server.
-type HostUse struct {
-	Running int
-	Tokens  int
-	Prefill int
-	// Adapters counts the running requests of each adapter in use.
-	Adapters map[AdapterKey]int
-	At       time.Time
-}
-
-// Promise is the backing that this host, as a voter, has given a host.
-type Promise struct {
-	Holder      string
-	Incarnation uint64
-	Until       time.Time
-	Term        int64
-	// Formers are the hosts that were backed before the holder.
-	Formers map[string]bool
-}
-
 // Phase tells how far a request has come.
 type Phase uint8
 
@@ -386,31 +304,6 @@
 	Done   bool
 }
 
-// Counters counts what happened since the start; the executor publishes them.
-type Counters struct {
-	Ticks             uint64              `json:"ticks_total"`
-	RequestsArrived   uint64              `json:"requests_arrived_total"`
-	RequestsDone      uint64              `json:"requests_done_total"`
-	RequestsFailed    uint64              `json:"requests_failed_total"`
-	RequestsAbandoned uint64              `json:"requests_abandoned_total"`
-	Dispatches        uint64              `json:"dispatches_total"`
-	Retries           uint64              `json:"retries_total"`
-	Resumes           uint64              `json:"resumes_total"`
-	LoadStalls        uint64              `json:"load_stalls_total"`
-	LoadStallMillis   uint64              `json:"load_stall_ms_total"`
-	Loads             uint64              `json:"loads_total"`
-	ModelLoads        uint64              `json:"model_loads_total"`
-	Unloads           uint64              `json:"unloads_total"`
-	LeasesTaken       uint64              `json:"leases_taken_total"`
-	LeasesLost        uint64              `json:"leases_lost_total"`
-	EffectsExpired    uint64              `json:"effects_expired_total"`
-	DocumentsRefused  uint64              `json:"documents_refused_total"`
-	PlatformReads     uint64              `json:"platform_reads_total"`
-	Ejections         uint64              `json:"ejections_total"`
-	ForeignAnswers    uint64              `json:"foreign_answers_total"`
-	RefusedByReason   [ReasonCount]uint64 `json:"refused_by_reason"`
-}
-
 // NewState returns the state of a host that has just started.
 func NewState(self Self, limits Limits, seed uint64) *State {
 	return &State{
--- /dev/null
+++ b/internal/reducer/usage.go
@@ -0,0 +1,102 @@
+package reducer
+
+import "time"
+
+// receiveUsage notes what a host has running on a backend server and tells it what the others have.
+func receiveUsage(s *State, now time.Time, from string, m Usage) {
+	r, ok := s.Rights[m.Backend]
+	if !ok || !s.holds(now, m.Backend) {
+		return
+	}
+	l := &r.Ledger
+	u, ok := l.Uses[from]
+	if !ok {
+		u = &HostUse{Adapters: map[AdapterKey]int{}}
+		l.Uses[from] = u
+	}
+	u.Running, u.Tokens, u.Prefill, u.At = m.Running, m.Tokens, m.Prefill, now
+	freed := false
+	for _, a := range m.Adapters {
+		u.Adapters[a.Adapter] = a.Running
+		r.prove(s, m.Backend, a)
+		if a.Running == 0 {
+			delete(u.Adapters, a.Adapter)
+			freed = true
+		}
+		if e, ok := l.Entries[a.Adapter]; ok {
+			e.Use.Add(now, float64(a.Count), usesDecay)
+			e.Askers[from] = now
+		}
+	}
+	load := BackendLoad{Backend: m.Backend, Free: l.free(s, now, m.Backend)}
+	for host, u := range l.Uses {
+		if host != from && now.Sub(u.At) < 3*usageEvery {
+			load.Running += u.Running
+			load.Tokens += u.Tokens
+			load.Prefill += u.Prefill
+		}
+	}
+	if freed {
+		nextOrder(s, now, m.Backend, r)
+	}
+	if from == s.Self.HostID {
+		receiveLoad(s, now, load)
+		return
+	}
+	s.send(from, load)
+}
+
+// prove notes that an answer has shown an adapter to be resident, and what its load took at most.
+func (r *Right) prove(s *State, backend string, a AdapterUse) {
+	e, ok := r.Ledger.Entries[a.Adapter]
+	if !ok || e.Proven || !a.Served || e.Stage == StageUnloading {
+		return
+	}
+	e.Proven = true
+	e.Stage = StageReady
+	b, ok := s.Backends[backend]
+	if !ok || e.Recent || e.Overran {
+		return
+	}
+	v := s.service(b.Info.Service)
+	v.LoadTime = time.Duration(float64(v.LoadTime) * loadInTime)
+	if v.LeastLoad == 0 || v.LoadTime < v.LeastLoad {
+		v.LeastLoad = v.LoadTime
+	}
+}
+
+// loadOverran takes that an adapter was not there when its load was expected to be over: it is expected again after a part of
+// the time that it has taken so far.
+func (s *State) loadOverran(now time.Time, backend string, e *Entry) {
+	if now.Before(e.ReadyAt) {
+		return
+	}
+	taken := now.Sub(e.OrderedAt)
+	e.ReadyAt = now.Add(max(taken/overrunShare, retryPause))
+	e.Stage = StageLoading
+	b, ok := s.Backends[backend]
+	if !ok || e.Recent {
+		return
+	}
+	e.Overran = true
+	v := s.service(b.Info.Service)
+	v.LoadTime = min(time.Duration(float64(v.LoadTime)*loadLate), loadTimeMost)
+}
+
+// transitLimit is the number of adapters that may be on their way to one backend server: fewer while loads slow each other down.
+func (v *Service) transitLimit() int {
+	switch {
+	case v.LeastLoad == 0 || float64(v.LoadTime) < slightlySlow*float64(v.LeastLoad):
+		return transitMost
+	case float64(v.LoadTime) < clearlySlow*float64(v.LeastLoad):
+		return transitMost / 2
+	}
+	return 1
+}
+
+func receiveLoad(s *State, now time.Time, m BackendLoad) {
+	if b, ok := s.Backends[m.Backend]; ok {
+		b.Others = m
+		b.OthersAt = now
+	}
+}
