Reset connections of calls that are given up, and let no message that was held up undo a later one

Now such connections are reset. Leases had the same hole for releases and requests that arrive late.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -122,7 +122,10 @@
 		c.pool.drop(conn)
 		return Result{Outcome: reducer.OutcomeNotSent}, false
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		resetOnClose(conn.Conn)
+		_ = conn.Close()
+	})
 	defer stop()
 	now := time.Now()
 	_ = conn.SetDeadline(now.Add(left + lastRead))
@@ -301,6 +304,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.result.Outcome = reducer.OutcomeSilent
 	}
+	resetOnClose(x.conn.Conn)
 	x.client.pool.drop(x.conn)
 }
 
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -246,3 +247,17 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+func TestOrderThatIsGivenUpCannotArriveLater(t *testing.T) {
+	UseTransport()
+	ended := make(chan error, 1)
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	event, inTime := (&Client[codec, *sink]{}).Order(context.Background(), reducer.OrderAdapter{Address: address, NotAfter: clocker.Now().Add(time.Second)})
+	assert.Assert(t, inTime)
+	assert.Equal(t, event.Result, reducer.OrderUnknown)
+	assert.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
--- a/internal/reducer/holding.go
+++ b/internal/reducer/holding.go
@@ -83,6 +83,8 @@
 	Incarnation uint64
 	Until       time.Time
 	Term        int64
+	// SentAt is the holder's time at its last request that was backed; older messages do not count.
+	SentAt time.Duration
 	// Formers are the hosts that were backed before the holder.
 	Formers map[string]bool
 }
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -107,7 +107,7 @@
 			claims[id] = append(claims[id], claim)
 			continue
 		}
-		vote := s.vote(now, s.Self.HostID, s.Self.Incarnation, claim)
+		vote := s.vote(now, s.Self.HostID, s.Self.Incarnation, sent, claim)
 		takeVote(s, now, s.Self.HostID, sent, vote)
 	}
 }
@@ -116,13 +116,13 @@
 func voteOn(s *State, now time.Time, e PeerReceived, m LeaseRequest) {
 	reply := LeaseReply{SentAt: m.SentAt}
 	for _, c := range m.Claims {
-		reply.Votes = append(reply.Votes, s.vote(now, e.From, e.Incarnation, c))
+		reply.Votes = append(reply.Votes, s.vote(now, e.From, e.Incarnation, m.SentAt, c))
 	}
 	s.send(e.From, reply)
 }
 
 // vote backs a claim unless another host was promised the backend server, or this host may have forgotten such a promise.
-func (s *State) vote(now time.Time, from string, incarnation uint64, c Claim) Vote {
+func (s *State) vote(now time.Time, from string, incarnation uint64, sent time.Duration, c Claim) Vote {
 	p, ok := s.Promises[c.Backend]
 	if !ok {
 		p = &Promise{}
@@ -131,14 +131,20 @@
 	free := p.Holder == "" || p.Holder == from || !now.Before(p.Until)
 	forgetful := s.age(now) < s.promiseFor() && p.Holder == ""
 	stale := c.Term < p.Term || c.Term == p.Term && p.Holder != "" && p.Holder != from
-	if !free || stale || forgetful && !c.Valid {
+	outdated := p.newer(from, incarnation, sent)
+	if !free || stale || outdated || forgetful && !c.Valid {
 		return Vote{Backend: c.Backend, Term: p.Term}
 	}
 	p.follow(from)
-	p.Incarnation, p.Until, p.Term = incarnation, now.Add(s.promiseFor()), c.Term
+	p.Incarnation, p.SentAt, p.Until, p.Term = incarnation, sent, now.Add(s.promiseFor()), c.Term
 	return Vote{Backend: c.Backend, Backed: true, Term: c.Term, HeldBefore: p.Formers[from]}
 }
 
+// newer reports whether the voter has backed a later request of the same host; a message that a partition held up does not count.
+func (p *Promise) newer(from string, incarnation uint64, sent time.Duration) bool {
+	return p.Holder == from && (incarnation < p.Incarnation || incarnation == p.Incarnation && sent < p.SentAt)
+}
+
 // follow makes a host the holder and remembers the one before.
 func (p *Promise) follow(holder string) {
 	if p.Holder == holder {
@@ -244,14 +250,14 @@
 
 func (s *State) releaseVotes(now time.Time, backends []string) {
 	for _, id := range s.memberHosts(now) {
-		s.send(id, LeaseRelease{Backends: backends})
+		s.send(id, LeaseRelease{SentAt: s.age(now), Backends: backends})
 	}
-	releasePromises(s, now, s.Self.HostID, LeaseRelease{Backends: backends})
+	releasePromises(s, now, s.Self.HostID, s.Self.Incarnation, LeaseRelease{SentAt: s.age(now), Backends: backends})
 }
 
-func releasePromises(s *State, now time.Time, from string, m LeaseRelease) {
+func releasePromises(s *State, now time.Time, from string, incarnation uint64, m LeaseRelease) {
 	for _, id := range m.Backends {
-		if p, ok := s.Promises[id]; ok && p.Holder == from {
+		if p, ok := s.Promises[id]; ok && p.Holder == from && !p.newer(from, incarnation, m.SentAt) {
 			p.Until = now
 		}
 	}
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -73,6 +73,7 @@
 
 // LeaseRelease gives up claims.
 type LeaseRelease struct {
+	SentAt   time.Duration
 	Backends []string
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -83,7 +83,7 @@
 	case LeaseReply:
 		countVotes(s, now, e.From, m)
 	case LeaseRelease:
-		releasePromises(s, now, e.From, m)
+		releasePromises(s, now, e.From, e.Incarnation, m)
 	case AdapterWant:
 		receiveWant[P](s, now, e.From, m)
 	case AdapterPlace:
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -279,3 +279,23 @@
 	_, sent := find[Dispatch](f.generate("1", ""))
 	assert.Assert(t, !sent, "nothing is sent where the model is not")
 }
+
+func TestReleaseThatWasHeldUpDoesNotFreeALaterPromise(t *testing.T) {
+	f := newFixture(t)
+	claim := func(from string, sent time.Duration) bool {
+		m := LeaseRequest{SentAt: sent, Claims: []Claim{{Backend: "e1", Term: 5}}}
+		effects := f.reduce(PeerReceived{From: from, Incarnation: 1, Messages: []Message{HostRecord{ID: from, Incarnation: 1, Beat: 1, PeerAddress: from}, m}})
+		for _, reply := range must[SendPeer](f.t, effects).Messages {
+			if v, ok := reply.(LeaseReply); ok {
+				return v.Votes[0].Backed
+			}
+		}
+		return false
+	}
+	assert.Assert(t, claim("host-b", 10*time.Second))
+	f.reduce(PeerReceived{From: "host-b", Incarnation: 1, Messages: []Message{LeaseRelease{SentAt: 9 * time.Second, Backends: []string{"e1"}}}})
+	assert.Assert(t, !claim("host-c", time.Second), "the promise to host-b stands")
+	assert.Assert(t, !claim("host-b", 8*time.Second), "an older request does not count")
+	f.reduce(PeerReceived{From: "host-b", Incarnation: 1, Messages: []Message{LeaseRelease{SentAt: 11 * time.Second, Backends: []string{"e1"}}}})
+	assert.Assert(t, !claim("host-c", 2*time.Second), "the term must grow with the holder")
+}
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -44,7 +44,7 @@
 	case reducer.LeaseReply:
 		return &peerv1.Message{Kind: &peerv1.Message_LeaseReply{LeaseReply: leaseReplyWire(v)}}
 	case reducer.LeaseRelease:
-		return &peerv1.Message{Kind: &peerv1.Message_LeaseRelease{LeaseRelease: &peerv1.LeaseRelease{Backends: v.Backends}}}
+		return &peerv1.Message{Kind: &peerv1.Message_LeaseRelease{LeaseRelease: &peerv1.LeaseRelease{SentAtUs: v.SentAt.Microseconds(), Backends: v.Backends}}}
 	case reducer.AdapterWant:
 		return &peerv1.Message{Kind: &peerv1.Message_AdapterWant{AdapterWant: &peerv1.AdapterWant{
 			Backend: v.Backend, Adapter: adapterWire(v.Adapter), Version: v.Version, Missed: v.Missed,
@@ -86,7 +86,7 @@
 	case *peerv1.Message_LeaseReply:
 		return leaseReply(v.LeaseReply)
 	case *peerv1.Message_LeaseRelease:
-		return reducer.LeaseRelease{Backends: v.LeaseRelease.GetBackends()}
+		return reducer.LeaseRelease{SentAt: micros(v.LeaseRelease.GetSentAtUs()), Backends: v.LeaseRelease.GetBackends()}
 	case *peerv1.Message_AdapterWant:
 		return reducer.AdapterWant{
 			Backend: v.AdapterWant.GetBackend(), Adapter: adapter(v.AdapterWant.GetAdapter()), Version: v.AdapterWant.GetVersion(),
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -18,7 +17,6 @@
 const (
 	// answerTimeout bounds a call beyond the time for which it may wait.
 	answerTimeout = time.Second
-	dialTimeout   = 400 * time.Millisecond
 	// maxAnswer is the largest answer in bytes that is read.
 	maxAnswer = 32 << 20
 )
@@ -40,13 +38,6 @@
 	Recorder *recorder.Recorder
 }
 
-// UseTransport sets the process-wide HTTP client, which httpc uses, to one that follows no redirect and asks no proxy.
-func UseTransport() {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	http.DefaultClient.Transport = &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
-	http.DefaultClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-}
-
 // Watch waits for changes after a revision.
 func (w *Watcher[C]) Watch(ctx context.Context, now time.Time, order reducer.WatchPlatform) reducer.PlatformRead {
 	event := reducer.PlatformRead{AskedAt: now}
