--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -18,7 +18,7 @@
 	}
 	service, ok := s.Documents.Services[r.Service]
 	if !ok {
-		refuse(s, now, r, ReasonNoBackend, refusedRetryWait)
+		s.refuseWaiting(now, r, ReasonNoBackend)
 		return
 	}
 	candidates := s.candidates(now, r, service)
@@ -65,7 +65,7 @@
 	s.refuseWaiting(now, r, ReasonNoBackend)
 }
 
-// refuseWaiting ends a request that has waited for long enough.
+// refuseWaiting ends a request that nothing takes, with a promise that it has not run unless an earlier attempt may have.
 func (s *State) refuseWaiting(now time.Time, r *Request, reason Reason) {
 	if r.Ran > 0 {
 		refuse(s, now, r, ReasonBroken, 0)
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -299,3 +299,13 @@
 	f.reduce(PeerReceived{From: "host-b", Incarnation: 1, Messages: []Message{LeaseRelease{SentAt: 11 * time.Second, Backends: []string{"e1"}}}})
 	assert.Assert(t, !claim("host-c", 2*time.Second), "the term must grow with the holder")
 }
+
+func TestRefusalAfterAnAttemptThatMayHaveRunPromisesNothing(t *testing.T) {
+	f := newFixture(t)
+	first := must[Dispatch](t, f.arrive("1", "/safe/x", "secret"))
+	second := must[Dispatch](t, f.reduce(DispatchEnded{ID: "1", Backend: first.Backend, Attempt: 1, Outcome: OutcomeBroken}))
+	f.state.Services["desk"].Retries.Level = 0
+	refusal := must[Refuse](t, f.reduce(DispatchEnded{ID: "1", Backend: second.Backend, Attempt: 2, Outcome: OutcomeFull}))
+	assert.Assert(t, refusal.MayHaveRun)
+	assert.Equal(t, refusal.Reason, ReasonBroken)
+}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -307,7 +307,7 @@
 		return
 	}
 	if e.Outcome.NotRun() {
-		refuse(s, now, r, reasonOf(e.Outcome), refusedRetryWait)
+		s.refuseWaiting(now, r, reasonOf(e.Outcome))
 		return
 	}
 	refuse(s, now, r, ReasonBroken, 0)
