--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -47,8 +47,8 @@
 			{Name: plainService, MaxConnections: 96},
 		},
 		Accounts: []cataloguer.Account{
-			{Name: "large", Keys: []string{"key-large"}, Priority: -1, Rate: 100_000, Burst: 100_000, ByTokens: true, PlainTokens: 200},
-			{Name: "small", Keys: []string{"key-small"}, Priority: -1, Rate: 40_000, Burst: 40_000, ByTokens: true, PlainTokens: 200},
+			{Name: "large", Keys: []string{"key-large"}, Priority: -1, Rate: largeRate * w.scale(), Burst: largeRate * w.scale(), ByTokens: true, PlainTokens: 200},
+			{Name: "small", Keys: []string{"key-small"}, Priority: -1, Rate: smallRate * w.scale(), Burst: smallRate * w.scale(), ByTokens: true, PlainTokens: 200},
 		},
 	}
 	for i := range extra {
@@ -60,6 +60,16 @@
 	return c
 }
 
+// scale makes the accounts' rates grow with the fleet.
+func (w *World[P]) scale() float64 { return max(float64(w.Options.Hosts)/usualHosts, 1) }
+
+// Rates of the accounts in tokens a second, in a fleet of usualHosts.
+const (
+	largeRate  = 100_000
+	smallRate  = 40_000
+	usualHosts = 6
+)
+
 func extraPrefix(i int) string { return "/extra-" + string(rune('a'+i%26)) + "/" }
 
 func (w *World[P]) publishCatalogue() {
@@ -157,7 +167,7 @@
 			w.after(w.delay(), func() { w.post(h, incarnation, ended) })
 			return
 		}
-		r.ran(&w.Checks, w.Now)
+		r.ran(&w.Checks, w.scale(), w.Now)
 		w.answer(h, b, r, e, first, key)
 	})
 }
--- a/internal/exerciser/callers.go
+++ b/internal/exerciser/callers.go
@@ -94,9 +94,9 @@
 	e.OutputTokens = 20 + w.random.IntN(200)
 }
 
-func (r *Request) ran(c *Checks, now time.Time) {
+func (r *Request) ran(c *Checks, scale float64, now time.Time) {
 	r.runs++
-	c.used(now, r)
+	c.used(now, scale, r)
 	if r.once && r.runs > 1 {
 		c.fail(now, "at_most_once", r.event.ID)
 	}
--- a/internal/exerciser/capacity_test.go
+++ b/internal/exerciser/capacity_test.go
@@ -40,6 +40,14 @@
 		t.Logf("%6d %8d %12.1f %12.0f %12.0f %12.1f %10.1f %9d %d", hosts, o.Engines, float64(w.Envelopes)/each, float64(w.EnvelopeBytes)/each,
 			float64(w.Busy.Microseconds())/each, float64(after.HeapAlloc-before.HeapAlloc)/float64(hosts)/(1<<20), float64(w.PlatformCalls)/measured,
 			refused, len(w.Checks.Violations))
+		t.Logf("refused by reason: %v of %d sent", w.Callers.Refused, w.Callers.Sent)
+		known := 0
+		for id := range w.Hosts[0].State.Backends {
+			if w.Hosts[0].State.Index.Holders[id] != "" {
+				known++
+			}
+		}
+		t.Logf("holders known to the first host: %d; hosts in use: %d", known, len(w.Hosts[0].State.Index.Alive))
 		runtime.KeepAlive(w)
 	}
 }
--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -89,7 +89,7 @@
 )
 
 // used checks an account's use over all hosts in a sliding window.
-func (c *Checks) used(now time.Time, r *Request) {
+func (c *Checks) used(now time.Time, scale float64, r *Request) {
 	if c.uses == nil {
 		c.uses = map[string][]use{}
 	}
@@ -106,7 +106,7 @@
 	for _, u := range uses {
 		sum += u.tokens
 	}
-	rate := map[string]float64{"large": 100_000, "small": 40_000}[r.account]
+	rate := map[string]float64{"large": largeRate, "small": smallRate}[r.account] * scale
 	if bound := (rate*quotaWindow.Seconds()+rate)*(1+quotaOvershoot) + quotaSlack; sum > bound {
 		c.fail(now, "quota", fmt.Sprintf("%s used %.0f of %.0f", r.account, sum, bound))
 	}
--- a/internal/listener/sink.go
+++ b/internal/listener/sink.go
@@ -47,8 +47,12 @@
 	return nil
 }
 
-// Whole sends a complete answer.
+// Whole sends a complete answer, or breaks off one that has begun, which it cannot follow.
 func (s *Sink) Whole(answer dispatcher.Answer) error {
+	if s.began {
+		s.Abort()
+		return nil
+	}
 	s.copyHeader(answer.Header)
 	s.result = "whole_" + strconv.Itoa(answer.Status)
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
--- /dev/null
+++ b/internal/listener/sink_test.go
@@ -0,0 +1,44 @@
+package listener
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/dispatcher"
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+func TestWholeAnswerCannotFollowAStreamThatHasBegun(t *testing.T) {
+	w := httptest.NewRecorder()
+	s := &Sink{writer: w}
+	s.Begin(http.StatusOK, http.Header{"Server": {"one"}})
+	assert.NilError(t, s.Write([]byte("id: 1\n\n")))
+	assert.NilError(t, s.Whole(dispatcher.Answer{Status: 500, Body: []byte("failed")}))
+	assert.Equal(t, w.Body.String(), "id: 1\n\n")
+	assert.Assert(t, s.aborted)
+}
+
+func TestRefusalsTellTheTruthInTheirStatus(t *testing.T) {
+	for _, c := range []struct {
+		refusal reducer.Refuse
+		status  int
+	}{
+		{reducer.Refuse{Reason: reducer.ReasonNoRoute}, 404}, {reducer.Refuse{Reason: reducer.ReasonNoKey}, 401},
+		{reducer.Refuse{Reason: reducer.ReasonOverRate, RetryAfter: 1500 * time.Millisecond}, 429}, {reducer.Refuse{Reason: reducer.ReasonFull}, 503},
+		{reducer.Refuse{Reason: reducer.ReasonTimeout}, 503}, {reducer.Refuse{Reason: reducer.ReasonTimeout, MayHaveRun: true}, 504},
+		{reducer.Refuse{Reason: reducer.ReasonBroken, MayHaveRun: true}, 502}, {reducer.Refuse{Reason: reducer.ReasonNoCatalogue}, 503},
+	} {
+		w := httptest.NewRecorder()
+		s := &Sink{writer: w, leaving: true}
+		s.Refuse(c.refusal)
+		assert.Equal(t, w.Code, c.status, "%v", c.refusal.Reason)
+		assert.Equal(t, w.Header().Get("Connection"), "close")
+		if c.refusal.RetryAfter > 0 {
+			assert.Equal(t, w.Header().Get("Retry-After"), "1.500")
+		}
+	}
+}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -95,7 +95,7 @@
 	b.GoneAt = now
 	b.Lapsed = !s.well(now)
 	s.Missing[id] = true
-	s.note(EventBackendGone, Field{"backend_server", id}, msField("platform_well_ms", now.Sub(s.Watch.GoodSince)))
+	s.note(EventBackendGone, Field{"backend_server", id}, ageField("platform_well_ms", now, s.Watch.GoodSince))
 }
 
 // tickBackends forgets backend servers that stayed away, and tells the holders what runs on those in use.
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -9,7 +9,11 @@
 
 // suspectAfter is how long a host may be silent before it is not used.
 func (s *State) suspectAfter() time.Duration {
-	return time.Duration(float64(s.Limits.ContactFor) * suspectShare)
+	share := suspectShare
+	if len(s.Hosts) >= smallFleet {
+		share = suspectShareLarge
+	}
+	return time.Duration(float64(s.Limits.ContactFor) * share)
 }
 
 // alive reports whether a host is heard of and not leaving; this host always is unless it leaves.
@@ -104,9 +108,12 @@
 		if !ok || h.Record.Incarnation != b.Incarnation || b.Beat <= h.Record.Beat {
 			continue
 		}
+		silent := !s.reachable(now, h.Record.ID)
 		h.Record.Beat = b.Beat
 		h.HeardAt = now.Add(-b.SilentFor)
-		s.hostsChanged()
+		if silent {
+			s.hostsChanged()
+		}
 	}
 }
 
@@ -149,7 +156,7 @@
 	if now.Before(s.Gossip.NextAt) {
 		return
 	}
-	s.Gossip.NextAt = now.Add(gossipEvery)
+	s.Gossip.NextAt = now.Add(s.gossipPause())
 	s.Gossip.Beat++
 	records := s.gossipTable(now)
 	brief := s.briefTable(now, records)
@@ -166,7 +173,7 @@
 	live := s.selectHosts(func(id string) bool { return id != s.Self.HostID && s.reachable(now, id) })
 	if len(live) >= smallFleet {
 		s.shuffle(live)
-		live = live[:gossipPeers]
+		live = live[:s.gossipPeers()]
 	}
 	silent := s.selectHosts(func(id string) bool { return id != s.Self.HostID && !s.reachable(now, id) })
 	if len(silent) > 0 {
@@ -175,6 +182,22 @@
 	return live
 }
 
+// gossipPeers is the number of hosts that are told at each round, and gossipPause the time between rounds, so that the bytes that
+// a host sends grow no faster than the table itself.
+func (s *State) gossipPeers() int {
+	if len(s.Hosts) >= largeFleet {
+		return 1
+	}
+	return 2
+}
+
+func (s *State) gossipPause() time.Duration {
+	if len(s.Hosts) >= largeFleet {
+		return gossipEvery * 3 / 2
+	}
+	return gossipEvery
+}
+
 // reachable reports whether a host is heard of, whether it is leaving or not.
 func (s *State) reachable(now time.Time, id string) bool {
 	h, ok := s.Hosts[id]
@@ -217,7 +240,7 @@
 		if h, ok := s.Hosts[r.ID]; ok {
 			changed = now.Sub(h.ChangedAt) < tellChangesFor
 		}
-		if changed || s.random()%wholeRecordEvery == 0 {
+		if changed || s.random()%uint64(max(wholeRecordEvery, len(records)/2)) == 0 {
 			messages = append(messages, r)
 			continue
 		}
@@ -235,7 +258,8 @@
 	return now.Sub(s.Gossip.ToldAt) < tellChangesFor
 }
 
-// tellChangesFor is how long a changed record is told whole at each round; later it is one time in wholeRecordEvery.
+// tellChangesFor is how long a changed record is told whole at each round; later it is one time in wholeRecordEvery, or
+// less often in a large fleet.
 const (
 	tellChangesFor   = 1500 * time.Millisecond
 	wholeRecordEvery = 8
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -56,7 +56,7 @@
 }
 
 func (s *State) indexHosts(now time.Time) {
-	if s.Index.HostsAt.Equal(now) {
+	if age := now.Sub(s.Index.HostsAt); !s.Index.HostsAt.IsZero() && age >= 0 && age < hostsIndexFor {
 		return
 	}
 	s.Index.HostsAt = now
@@ -67,6 +67,9 @@
 	})
 }
 
+// hostsIndexFor is how long a host that falls silent may still be counted as in use.
+const hostsIndexFor = 50 * time.Millisecond
+
 // aliveHosts returns the hosts in use, this one among them, sorted by name.
 func (s *State) aliveHosts(now time.Time) []string {
 	s.indexHosts(now)
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -29,17 +29,20 @@
 // Times of the protocol between hosts.
 const (
 	gossipEvery = 300 * time.Millisecond
-	// gossipPeers is the number of hosts that are told at each round in a fleet with more hosts than smallFleet.
-	gossipPeers = 3
-	smallFleet  = 8
-	// gossipRecords bounds the host records of one envelope.
-	gossipRecords = 30
+	// smallFleet is the number of other hosts from which a round of gossip goes to some of them only, and largeFleet that from which
+	// rounds are fewer.
+	smallFleet = 8
+	largeFleet = 120
+	// gossipRecords bounds the hosts of one envelope.
+	gossipRecords = 400
 	// forgetAfter is how long a host that is gone is still counted among the voters.
 	forgetAfter = 10 * time.Second
 	// tombstoneFor is how long the record of a host that is gone is kept, so that old news does not bring it back.
 	tombstoneFor = time.Minute
 	// suspectShare is the part of ContactFor after which a silent host is not used.
 	suspectShare = 0.6
+	// suspectShareLarge is the same for fleets in which news takes several rounds.
+	suspectShareLarge = 1.2
 )
 
 // Times and bounds of the leases to order backend servers.
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -44,6 +44,14 @@
 	return Field{name, strconv.FormatFloat(value, 'g', 6, 64)}
 }
 
+// ageField tells how long ago something was; it is left out if that was never.
+func ageField(name string, now, at time.Time) Field {
+	if at.IsZero() {
+		return Field{Name: name}
+	}
+	return msField(name, now.Sub(at))
+}
+
 func msField(name string, value time.Duration) Field {
 	return Field{name, strconv.FormatInt(value.Milliseconds(), 10)}
 }
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -28,7 +28,7 @@
 		b := s.Backends[candidates[i].Backend]
 		if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
 			if s.awaitAdapter(now, r, b) {
-				if r.Phase != PhaseLoading && r.tooLate(now, candidates[i].Delay) {
+				if r.Phase != PhaseLoading && r.Attempt == 0 && r.tooLate(now, candidates[i].Delay) {
 					s.refuseWaiting(now, r, ReasonNotLoaded)
 					return
 				}
@@ -298,8 +298,8 @@
 		r.Backend = b.Info.ID
 		p.Waiting = append(p.Waiting, r.ID)
 		s.Counters.LoadStalls++
-		s.note(EventRequestWaits, s.requestFields(now, r, Field{"stage", p.Stage.String()}, msField("known_age_ms", now.Sub(p.KnownAt)),
-			msField("ready_in_ms", p.ReadyAt.Sub(now)), Field{"holder", s.holderOf(now, b.Info.ID)}, intField("free_places", b.Others.Free))...)
+		s.note(EventRequestWaits, s.requestFields(now, r, Field{"stage", p.Stage.String()}, ageField("known_age_ms", now, p.KnownAt),
+			ageField("asked_age_ms", now, p.AskedAt), Field{"holder", s.holderOf(now, b.Info.ID)}, intField("free_places", b.Others.Free))...)
 	}
 	if p.Stage != StageAbsent && p.fresh(now, r.Version) && now.Before(p.ReadyAt) {
 		s.wakeAt(p.ReadyAt)
@@ -402,7 +402,6 @@
 	r.Attempt++
 	r.SentAt = now
 	r.Prefill = s.unkept(now, r, b)
-	r.Offered = true
 	b.UsedAt = now
 	s.InUse[b.Info.ID] = true
 	b.Running++
@@ -419,7 +418,7 @@
 	}
 	s.Counters.Dispatches++
 	s.note(EventRequestSent, s.requestFields(now, r, intField("running", b.Running), intField("others_running", b.Others.Running),
-		intField("prefill_tokens", r.Prefill), msField("confirmed_age_ms", now.Sub(s.Watch.ConfirmedAt)))...)
+		intField("prefill_tokens", r.Prefill), ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))...)
 	s.emit(Dispatch{
 		ID: r.ID, Attempt: r.Attempt, Backend: b.Info.ID, Address: b.Info.Address, Account: r.Account, Priority: -1,
 		Version: r.Version, Stream: r.Route.Repeat == cataloguer.RepeatStream, Resumable: r.Route.Resumable,
@@ -451,6 +450,10 @@
 	if !s.mayRepeat(r) || r.Ran+1 >= r.Route.MaxAttempts {
 		return 0
 	}
+	if r.Route.Repeat == cataloguer.RepeatStream {
+		// A prompt is read before the first piece; giving up a backend server that only has much to read would waste that.
+		return 2*r.Route.Target + silentLatencies*b.Latency
+	}
 	return max(r.Route.Target/2, silentLatencies*b.Latency)
 }
 
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -188,6 +188,7 @@
 	if !e.Outcome.NotRun() {
 		r.Ran++
 	}
+	r.Delivered = r.Delivered || e.Delivered
 	if e.Outcome == OutcomeDone {
 		s.Counters.RequestsDone++
 		s.note(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
@@ -300,7 +301,7 @@
 // giveUp ends a request with the best true answer: the backend server's own failure, or this host's.
 func (s *State) giveUp(now time.Time, r *Request, e DispatchEnded) {
 	s.Counters.RequestsFailed++
-	if e.Outcome == OutcomeFailed {
+	if e.Outcome == OutcomeFailed && !r.Delivered {
 		s.note(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
 		s.emit(Deliver{ID: r.ID})
 		s.endRequest(now, r)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -276,8 +276,8 @@
 	// Prefill is the part of the prompt that counts at the backend server until the answer begins.
 	Prefill int
 	Resumed bool
-	// Offered is set once the request has been sent to a backend server.
-	Offered bool
+	// Delivered is set once a piece of an answer has gone to the caller: no other answer can follow, only the rest of it.
+	Delivered bool
 }
 
 // Watch is the state of reading the platform and the peers' documents.
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -45,7 +45,7 @@
 	if e.Failed {
 		s.Watch.Failures++
 		if s.Watch.Failures == 1 {
-			s.note(EventPlatformLost, msField("confirmed_age_ms", now.Sub(s.Watch.ConfirmedAt)))
+			s.note(EventPlatformLost, ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))
 		}
 		s.Watch.NextAt = now.Add(s.jitter(platformPause << min(s.Watch.Failures-1, platformDoublings)))
 		return
