--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 REVIVE := github.com/mgechev/revive@v1.17.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build demo test lint bench generate soak fuzz
+.PHONY: build demo test lint bench generate soak fuzz capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -35,3 +35,6 @@
 fuzz:
 	go test ./platform -run '^$$' -fuzz FuzzDocument -fuzztime 30s
 	go test ./platform -run '^$$' -fuzz FuzzPage -fuzztime 30s
+
+capacity:
+	go test ./internal/exerciser -run TestCapacity -capacity -v -timeout 20m
--- a/cmd/redwingpick-standin/main.go
+++ b/cmd/redwingpick-standin/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -17,15 +18,22 @@
 const portsPerHost = 5
 
 func main() {
+	root := &cobra.Command{Use: "redwingpick-standin", Short: "Play the users' platform and its callers", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(newPlay(), newAsk())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "redwingpick-standin:", err)
+		os.Exit(2)
+	}
+}
+
+func newPlay() *cobra.Command {
 	var dir string
 	var hosts, engines, desks, firstPort int
 	command := &cobra.Command{
-		Use:           "redwingpick-standin --dir DIR",
-		Short:         "Play the users' platform on this machine",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE:          func(*cobra.Command, []string) error { return play(dir, hosts, engines, desks, firstPort) },
+		Use:   "play --dir DIR",
+		Short: "Serve the store, engines and plain services, and write settings for hosts before them",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return play(dir, hosts, engines, desks, firstPort) },
 	}
 	command.Flags().StringVar(&dir, "dir", "", "folder for the hosts' settings files")
 	command.Flags().IntVar(&hosts, "hosts", 3, "number of hosts")
@@ -33,10 +41,27 @@
 	command.Flags().IntVar(&desks, "desks", 2, "number of servers of the plain service")
 	command.Flags().IntVar(&firstPort, "first-port", 21000, "first of the hosts' ports")
 	_ = command.MarkFlagRequired("dir")
-	if err := command.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "redwingpick-standin:", err)
-		os.Exit(2)
+	return command
+}
+
+func newAsk() *cobra.Command {
+	var call standin.Call
+	command := &cobra.Command{
+		Use:   "ask ADDRESS",
+		Short: "Send one request to a host; print the status and the number of events",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			result := call.Send(http.DefaultClient, args[0])
+			fmt.Println(result.Status, strings.Count(result.Body, "id: "))
+			return result.Err
+		},
 	}
+	command.Flags().StringVar(&call.ID, "id", "", "id of the request")
+	command.Flags().StringVar(&call.Route, "route", "safe", "first part of the path")
+	command.Flags().StringVar(&call.Key, "key", "", "key that is shown")
+	command.Flags().StringVar(&call.Model, "model", "", "model and adapter, as MODEL/ADAPTER")
+	command.Flags().StringVar(&call.Tokens, "tokens", "200,10", "prompt tokens and output tokens")
+	return command
 }
 
 func play(dir string, hosts, engines, desks, firstPort int) error {
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -100,7 +100,7 @@
 	}
 	t.Cleanup(f.stop)
 	for _, h := range f.hosts {
-		f.eventually("readiness of "+h.name, 10*time.Second, func() bool { return status("http://"+h.readiness+"/redwingpick/readiness") == 200 })
+		f.eventually("readiness of "+h.name, 10*time.Second, func() bool { return status("http://"+h.readiness+standin.ReadinessPath) == 200 })
 	}
 	f.eventually("leases", 12*time.Second, func() bool { return f.held() == 3 })
 	// A new holder orders nothing before it has read a report that its predecessor cannot have outdated.
@@ -179,43 +179,9 @@
 	return string(body), err
 }
 
-// call is one request of a caller.
-type call struct{ id, route, key, model, tokens, body string }
-
-type result struct {
-	status int
-	body   string
-	err    error
-	header http.Header
-}
-
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
-func (f *fleet) send(h *host, c call) result {
-	ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+"/"+c.route+"/x", strings.NewReader(c.body))
-	if err != nil {
-		return result{err: err}
-	}
-	request.Host = standin.Host
-	request.Header.Set("Request-Id", c.id)
-	request.Header.Set("Deadline-Remaining", "8000")
-	if c.key != "" {
-		request.Header.Set("Authorization", "Token "+c.key)
-	}
-	if c.model != "" {
-		request.Header.Set("Model", c.model)
-		request.Header.Set("Token-Count", c.tokens)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return result{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return result{status: response.StatusCode, body: string(body), err: err, header: response.Header}
-}
+func (f *fleet) send(h *host, c standin.Call) standin.Result { return c.Send(client, h.address) }
 
 // whole reports whether a stream has all its events, each once and in order.
 func whole(body string, events int) bool {
@@ -226,8 +192,8 @@
 	return body == want.String()
 }
 
-func generation(id, route, adapter string, events int) call {
-	return call{id: id, route: route, key: standin.KeyLarge, model: standin.ModelName + "/" + adapter, tokens: fmt.Sprintf("500,%d", events)}
+func generation(id, route, adapter string, events int) standin.Call {
+	return standin.Call{ID: id, Route: route, Key: standin.KeyLarge, Model: standin.ModelName + "/" + adapter, Tokens: fmt.Sprintf("500,%d", events)}
 }
 
 func TestFleetServes(t *testing.T) {
@@ -236,16 +202,16 @@
 	for i := range 60 {
 		group.Go(func() {
 			r := f.send(f.hosts[i%3], generation(fmt.Sprintf("g%d", i), "stream", fmt.Sprintf("a%d", i%9), 10))
-			assert.Check(t, r.status == 200 && whole(r.body, 10), "g%d: %d %q %v", i, r.status, r.body, r.err)
-			assert.Check(t, r.header.Get("Server-Seal") != "")
-			plain := f.send(f.hosts[i%3], call{id: fmt.Sprintf("p%d", i), route: "once", key: standin.KeyLarge, body: "order"})
-			assert.Check(t, plain.status == 200 && plain.body == "done order", "p%d: %d %q", i, plain.status, plain.body)
+			assert.Check(t, r.Status == 200 && whole(r.Body, 10), "g%d: %d %q %v", i, r.Status, r.Body, r.Err)
+			assert.Check(t, r.Sealed)
+			plain := f.send(f.hosts[i%3], standin.Call{ID: fmt.Sprintf("p%d", i), Route: "once", Key: standin.KeyLarge, Body: "order"})
+			assert.Check(t, plain.Status == 200 && plain.Body == "done order", "p%d: %d %q", i, plain.Status, plain.Body)
 		})
 	}
 	group.Wait()
-	assert.Equal(t, f.send(f.hosts[0], call{id: "k", route: "safe", key: "no-such-key"}).status, http.StatusUnauthorized)
-	assert.Equal(t, f.send(f.hosts[1], call{id: "n", route: "nowhere", key: standin.KeyLarge}).status, http.StatusNotFound)
-	assert.Equal(t, f.send(f.hosts[2], call{id: "b", route: "once", key: standin.KeyLarge, body: strings.Repeat("x", 70_000)}).status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, f.send(f.hosts[0], standin.Call{ID: "k", Route: "safe", Key: "no-such-key"}).Status, http.StatusUnauthorized)
+	assert.Equal(t, f.send(f.hosts[1], standin.Call{ID: "n", Route: "nowhere", Key: standin.KeyLarge}).Status, http.StatusNotFound)
+	assert.Equal(t, f.send(f.hosts[2], standin.Call{ID: "b", Route: "once", Key: standin.KeyLarge, Body: strings.Repeat("x", 70_000)}).Status, http.StatusRequestEntityTooLarge)
 	for _, s := range f.platform.Servers {
 		seen := s.Seen()
 		assert.Equal(t, seen.Keys, 0, "a key was shown to %s", s.ID)
@@ -260,13 +226,13 @@
 	f := newFleet(t, 3)
 	served := 0
 	for i := range 90 {
-		r := f.send(f.hosts[i%3], call{id: fmt.Sprintf("q%d", i), route: "safe", key: standin.KeySmall})
-		if r.status == 200 {
+		r := f.send(f.hosts[i%3], standin.Call{ID: fmt.Sprintf("q%d", i), Route: "safe", Key: standin.KeySmall})
+		if r.Status == 200 {
 			served++
 			continue
 		}
-		assert.Equal(t, r.status, http.StatusTooManyRequests)
-		assert.Assert(t, r.header.Get("Retry-After") != "")
+		assert.Equal(t, r.Status, http.StatusTooManyRequests)
+		assert.Assert(t, r.RetryAfter != "")
 	}
 	// (100 x 8 + 100) x 1.25 + 2,000 tokens in a window, 200 a request.
 	assert.Assert(t, served > 0 && served <= 15, "%d served", served)
@@ -277,17 +243,17 @@
 	f.platform.Configure(1)
 	time.Sleep(2 * time.Second)
 	for i, h := range f.hosts {
-		assert.Equal(t, f.send(h, call{id: fmt.Sprintf("c%d", i), route: "extra-0", key: standin.KeyLarge}).status, 200, h.name)
+		assert.Equal(t, f.send(h, standin.Call{ID: fmt.Sprintf("c%d", i), Route: "extra-0", Key: standin.KeyLarge}).Status, 200, h.name)
 	}
 	f.platform.Store.SetDown(true)
 	time.Sleep(3 * time.Second)
 	for i, h := range f.hosts {
-		assert.Equal(t, f.send(h, call{id: fmt.Sprintf("d%d", i), route: "safe", key: standin.KeyLarge}).status, 200, h.name)
+		assert.Equal(t, f.send(h, standin.Call{ID: fmt.Sprintf("d%d", i), Route: "safe", Key: standin.KeyLarge}).Status, 200, h.name)
 	}
 	f.platform.Store.SetDown(false)
 	f.platform.Configure(2)
 	f.eventually("the newest configuration", 5*time.Second, func() bool {
-		return f.send(f.hosts[2], call{id: "e", route: "extra-1", key: standin.KeyLarge}).status == 200
+		return f.send(f.hosts[2], standin.Call{ID: "e", Route: "extra-1", Key: standin.KeyLarge}).Status == 200
 	})
 }
 
@@ -297,12 +263,12 @@
 	for i := range 12 {
 		group.Go(func() {
 			r := f.send(f.hosts[0], generation(fmt.Sprintf("s%d", i), "stream", fmt.Sprintf("a%d", i%3), 250))
-			assert.Check(t, r.status == 200 && whole(r.body, 250), "s%d: %d, %d bytes, %v", i, r.status, len(r.body), r.err)
+			assert.Check(t, r.Status == 200 && whole(r.Body, 250), "s%d: %d, %d bytes, %v", i, r.Status, len(r.Body), r.Err)
 		})
 	}
 	time.Sleep(500 * time.Millisecond)
 	assert.NilError(t, f.hosts[0].command.Process.Signal(syscall.SIGTERM))
-	f.eventually("the end of readiness", time.Second, func() bool { return status("http://"+f.hosts[0].readiness+"/redwingpick/readiness") != 200 })
+	f.eventually("the end of readiness", time.Second, func() bool { return status("http://"+f.hosts[0].readiness+standin.ReadinessPath) != 200 })
 	group.Wait()
 	select {
 	case err := <-f.hosts[0].done:
@@ -315,7 +281,7 @@
 func TestKilledHostLeavesTheDirectoryAndComesBack(t *testing.T) {
 	f := newFleet(t, 3)
 	named := func() bool {
-		text, err := get("http://" + f.hosts[1].directory + "/redwingpick/resolution?name=" + standin.Host + "&region=region&zone=zone-0")
+		text, err := get("http://" + f.hosts[1].directory + standin.DirectoryPath)
 		return err == nil && strings.Contains(text, f.hosts[0].address)
 	}
 	assert.Assert(t, named())
@@ -327,7 +293,7 @@
 
 func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
 	f := newFleet(t, 2)
-	done := make(chan result, 1)
+	done := make(chan standin.Result, 1)
 	go func() { done <- f.send(f.hosts[0], generation("r", "resumable", "a1", 300)) }()
 	var runner string
 	f.eventually("a run", 3*time.Second, func() bool {
@@ -341,7 +307,7 @@
 	time.Sleep(300 * time.Millisecond)
 	f.platform.Crash(runner)
 	r := <-done
-	assert.Assert(t, r.status == 200 && whole(r.body, 300), "%d, %d bytes, %v", r.status, len(r.body), r.err)
+	assert.Assert(t, r.Status == 200 && whole(r.Body, 300), "%d, %d bytes, %v", r.Status, len(r.Body), r.Err)
 }
 
 func TestAnswerIsNotEndedWhenTheCallerClosesItsSendingSide(t *testing.T) {
@@ -349,11 +315,11 @@
 	conn, err := net.Dial("tcp", f.hosts[0].address)
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
-	_, err = fmt.Fprintf(conn, "POST /stream/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: half\r\nDeadline-Remaining: 8000\r\nAuthorization: Token %s\r\n"+
-		"Model: %s/a1\r\nToken-Count: 500,300\r\nContent-Length: 0\r\n\r\n", standin.Host, standin.KeyLarge, standin.ModelName)
+	request, err := generation("half", "stream", "a1", 300).Request(context.Background(), f.hosts[0].address)
 	assert.NilError(t, err)
+	assert.NilError(t, request.Write(conn))
 	reader := bufio.NewReader(conn)
-	response, err := http.ReadResponse(reader, nil)
+	response, err := http.ReadResponse(reader, request)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, 200)
 	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
@@ -367,7 +333,7 @@
 	time.Sleep(2 * time.Second)
 	before := len(f.platform.Server("desk-0").Seen().Runs)
 	for i := range 20 {
-		assert.Equal(t, f.send(f.hosts[i%2], call{id: fmt.Sprintf("l%d", i), route: "safe", key: standin.KeyLarge}).status, 200)
+		assert.Equal(t, f.send(f.hosts[i%2], standin.Call{ID: fmt.Sprintf("l%d", i), Route: "safe", Key: standin.KeyLarge}).Status, 200)
 	}
 	assert.Equal(t, len(f.platform.Server("desk-0").Seen().Runs), before)
 }
@@ -388,5 +354,5 @@
 		}
 		return false
 	})
-	assert.Equal(t, f.send(f.hosts[0], call{id: "h", route: "safe", key: standin.KeyLarge}).status, 200)
+	assert.Equal(t, f.send(f.hosts[0], standin.Call{ID: "h", Route: "safe", Key: standin.KeyLarge}).Status, 200)
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -251,7 +251,7 @@
 func TestOrderThatIsGivenUpCannotArriveLater(t *testing.T) {
 	UseTransport()
 	ended := make(chan error, 1)
-	address := script(t, func(c net.Conn, r *bufio.Reader) {
+	address := script(t, func(_ net.Conn, r *bufio.Reader) {
 		readRequest(r)
 		_, err := r.ReadByte()
 		ended <- err
--- a/internal/exerciser/carrier.go
+++ b/internal/exerciser/carrier.go
@@ -46,10 +46,7 @@
 func (w *World[P]) sendPeer(h *Host, e reducer.SendPeer) {
 	w.count(h, e)
 	to := w.host(e.Address)
-	incarnation := h.Incarnation
-	failed := func() { w.post(h, incarnation, reducer.PeerFailed{To: e.To, Address: e.Address}) }
 	if to == nil || !to.Up || !w.connected(h.ID, to.ID) || w.random.Float64() < w.Options.DropShare {
-		w.after(peerTimeout, failed)
 		return
 	}
 	event := reducer.PeerReceived{From: h.ID, Incarnation: h.State.Self.Incarnation, Messages: e.Messages, ReplyID: h.ID}
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -32,7 +32,7 @@
 // Client sends to other hosts; its exported fields are set before its first use.
 type Client[C translator.DocumentCodec] struct {
 	HostID string
-	// Incarnation returns this host's incarnation.
+	// Incarnation is this process, as told to peers.
 	Incarnation uint64
 	Codec       C
 	// Results takes the envelopes that come back in answers.
@@ -126,11 +126,8 @@
 	defer cancel()
 	request := connect.NewRequest(translator.Envelope(c.HostID, c.Incarnation, envelope.Messages))
 	response, err := peer.Exchange(limited, request)
-	if err != nil {
-		c.report(ctx, reducer.PeerFailed{To: envelope.To, Address: envelope.Address})
-		return
-	}
-	if response.Msg.GetEnvelope() != nil {
+	// What an envelope that is lost would have said is said again at the next round.
+	if err == nil && response.Msg.GetEnvelope() != nil {
 		c.report(ctx, translator.Received(response.Msg.GetEnvelope()))
 	}
 }
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -51,6 +51,7 @@
 	{reducer.EventDomainWithdrawn, log.InfoLevel, false, "failure domain withdrawn", "Backend servers of the domain get nothing new until withdrawn is false.", "None."},
 	{reducer.EventHostJoined, log.InfoLevel, false, "host joined", "Another host was heard of for the first time.", "None."},
 	{reducer.EventHostBack, log.InfoLevel, false, "host back", "A silent host was heard of again.", "None."},
+	{reducer.EventHostSilent, log.WarnLevel, false, "host silent", "A host has not been heard of for long enough not to be used.", "None, unless it lasts."},
 	{reducer.EventHostGone, log.InfoLevel, false, "host forgotten", "A host has been silent for long.", "None."},
 	{reducer.EventDrainStarted, log.InfoLevel, false, "drain started", "The host leaves: it is no longer named to callers.", "None."},
 	{reducer.EventDrainDone, log.InfoLevel, false, "drain done", "The host may end; requests counts those that are left.", "None."},
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -21,12 +21,6 @@
 	ReplyID string
 }
 
-// PeerFailed says that an envelope could not be delivered to an address.
-type PeerFailed struct {
-	To      string
-	Address string
-}
-
 // RequestArrived says that a caller asks for work.
 type RequestArrived struct {
 	// ID is unique on this host; CallerID is what the caller named the request.
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -78,9 +78,6 @@
 	if known && (r.Incarnation < h.Record.Incarnation || r.Incarnation == h.Record.Incarnation && r.Beat <= h.Record.Beat) {
 		return
 	}
-	if known && !s.alive(now, r.ID) && !r.Leaving {
-		s.note(EventHostBack, Field{"peer", r.ID})
-	}
 	s.hostsChanged()
 	s.noteHolds(r)
 	if h.Record.Incarnation != r.Incarnation {
@@ -144,12 +141,6 @@
 	}
 }
 
-func peerFailed(s *State, now time.Time, e PeerFailed) {
-	if h, ok := s.Hosts[e.To]; ok {
-		h.FailedAt = now
-	}
-}
-
 // tickGossip tells other hosts about hosts, and asks the seeds while few hosts are known.
 func tickGossip(s *State, now time.Time) {
 	forgetHosts(s, now)
@@ -300,7 +291,12 @@
 }
 
 func forgetHosts(s *State, now time.Time) {
-	for id, h := range s.Hosts {
+	for _, id := range sortedKeys(s.Hosts) {
+		h := s.Hosts[id]
+		if silent := !s.reachable(now, id); silent != h.Silent {
+			h.Silent = silent
+			s.noteSilence(now, id, h)
+		}
 		if now.Sub(h.HeardAt) > tombstoneFor {
 			delete(s.Hosts, id)
 			s.hostsChanged()
@@ -309,6 +305,15 @@
 	}
 }
 
+// noteSilence notes that a host has fallen silent, or is heard of again.
+func (s *State) noteSilence(now time.Time, id string, h *Host) {
+	number := EventHostBack
+	if h.Silent {
+		number = EventHostSilent
+	}
+	s.note(number, Field{"peer", id}, ageField("heard_age_ms", now, h.HeardAt), boolField("leaving", h.Record.Leaving))
+}
+
 // locate names the hosts that callers may use.
 func locate(s *State, now time.Time, e LocateAsked) {
 	answer := LocateAnswer{ReplyID: e.ReplyID, ValidFor: min(s.Limits.DirectoryFor, directoryFor)}
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -16,6 +16,7 @@
 	EventHostJoined       = 111
 	EventHostBack         = 112
 	EventHostGone         = 113
+	EventHostSilent       = 114
 	EventDrainStarted     = 121
 	EventDrainDone        = 122
 	EventLeaseTaken       = 131
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -13,8 +13,6 @@
 		tick[P](s, now)
 	case PeerReceived:
 		receive[P](s, now, e)
-	case PeerFailed:
-		peerFailed(s, now, e)
 	case RequestArrived:
 		arrive[P](s, now, e)
 	case RequestAbandoned:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -13,7 +13,7 @@
 	s.Counters.RequestsArrived++
 	r := &Request{
 		ID: e.ID, CallerID: e.CallerID, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
-		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts, Resumed: e.ResumeAfter != "",
+		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts,
 		Phase: PhaseQueued, WaitSince: now,
 	}
 	if s.Documents.Catalogue == nil {
@@ -282,6 +282,9 @@
 		r.Tried = append(r.Tried, e.Backend)
 	}
 	s.Counters.Retries++
+	if r.Delivered {
+		s.Counters.Resumes++
+	}
 	if e.Outcome == OutcomeFull {
 		r.RetryAt = now.Add(s.jitter(retryPause))
 		s.wakeAt(r.RetryAt)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -61,12 +61,10 @@
 	HeardAt time.Time
 	// ChangedAt is when the host's record last told something else than a new beat.
 	ChangedAt time.Time
-	// FailedAt is when an envelope to the host last could not be delivered.
-	FailedAt time.Time
+	// Silent is set once the host has been noted as silent.
+	Silent bool
 	// Revision is the newest revision that the host has told of.
 	Revision int64
-	// LeaseReplyAt is when the host last answered a request for votes.
-	LeaseReplyAt time.Time
 }
 
 // Gossip is the state of telling other hosts about hosts.
@@ -275,7 +273,6 @@
 	LastWhy   Reason
 	// Prefill is the part of the prompt that counts at the backend server until the answer begins.
 	Prefill int
-	Resumed bool
 	// Delivered is set once a piece of an answer has gone to the caller: no other answer can follow, only the rest of it.
 	Delivered bool
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,7 @@
 trap cleanup EXIT
 
 first=$((20000 + RANDOM % 10000))
-bin/redwingpick-standin --dir "$work" --first-port "$first" >"$work/standin.log" &
+bin/redwingpick-standin play --dir "$work" --first-port "$first" >"$work/standin.log" &
 pids+=($!)
 for _ in $(seq 50); do [[ -s "$work/standin.log" ]] && break; sleep 0.1; done
 hosts=()
@@ -32,9 +32,9 @@
 done
 sleep 2
 
-ask() { # host id route key model tokens
-  curl -sN -o "$work/body" -w '%{http_code}' -X POST "http://$(address "$1" 0)/$3/x" -H "Host: calls.example" -H "Request-Id: $2" \
-    -H "Deadline-Remaining: 8000" -H "Authorization: Token $4" ${5:+-H "Model: $5" -H "Token-Count: ${6:-200,10}"} -d order || true
+ask() { # host id route key [model [tokens]]: prints the status
+  bin/redwingpick-standin ask "$(address "$1" 0)" --id "$2" --route "$3" --key "$4" ${5:+--model "$5" --tokens "${6:-200,10}"} 2>/dev/null |
+    cut -d' ' -f1
 }
 row() { # name wanted got
   printf '%-34s %-6s\n' "$1" "$3"
@@ -50,8 +50,8 @@
 
 echo "stopping host-0 under twelve generations"
 for i in $(seq 12); do
-  curl -sN -X POST "http://$(address 0 0)/stream/x" -H "Host: calls.example" -H "Request-Id: s$i" -H "Deadline-Remaining: 8000" \
-    -H "Authorization: Token example-key-large" -H "Model: model/a$((i % 3))" -H "Token-Count: 200,250" -d x >"$work/s$i" &
+  bin/redwingpick-standin ask "$(address 0 0)" --id "s$i" --route stream --key example-key-large --model "model/a$((i % 3))" \
+    --tokens 200,250 >"$work/s$i" 2>&1 &
   streams[i]=$!
 done
 sleep 0.6
@@ -59,7 +59,7 @@
 whole=0
 for i in $(seq 12); do
   wait "${streams[i]}" || true
-  [[ "$(grep -c '^id:' "$work/s$i")" == 250 ]] && whole=$((whole + 1))
+  [[ "$(cat "$work/s$i")" == "200 250" ]] && whole=$((whole + 1))
 done
 row "whole answers of 12" 12 "$whole"
 wait "${hosts[0]}" && code=0 || code=$?
