--- a/internal/reducer/holding.go
+++ b/internal/reducer/holding.go
@@ -16,8 +16,6 @@
 	ValidUntil time.Time
 	HeldSince  time.Time
 	AskedAt    time.Time
-	// AskedBeat is this host's beat at the last request.
-	AskedBeat uint64
 	// HeldBefore is set when a voter remembers this host as a holder that another one followed.
 	HeldBefore bool
 	Ledger     Ledger
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -143,10 +143,10 @@
 
 // tickGossip tells other hosts about hosts, and asks the seeds while few hosts are known.
 func tickGossip(s *State, now time.Time) {
-	forgetHosts(s, now)
 	if now.Before(s.Gossip.NextAt) {
 		return
 	}
+	forgetHosts(s, now)
 	s.Gossip.NextAt = now.Add(s.gossipPause())
 	s.Gossip.Beat++
 	records := s.gossipTable(now)
@@ -164,7 +164,7 @@
 	live := s.selectHosts(func(id string) bool { return id != s.Self.HostID && s.reachable(now, id) })
 	if len(live) >= smallFleet {
 		s.shuffle(live)
-		live = live[:s.gossipPeers()]
+		live = live[:gossipPeers]
 	}
 	silent := s.selectHosts(func(id string) bool { return id != s.Self.HostID && !s.reachable(now, id) })
 	if len(silent) > 0 {
@@ -173,14 +173,7 @@
 	return live
 }
 
-// gossipPeers is the number of hosts that are told at each round, and gossipPause the time between rounds, so that the bytes that
-// a host sends grow no faster than the table itself.
-func (s *State) gossipPeers() int {
-	if len(s.Hosts) >= largeFleet {
-		return 1
-	}
-	return 2
-}
+// gossipPause is the time between rounds of gossip, which is longer in a large fleet.
 
 func (s *State) gossipPause() time.Duration {
 	if len(s.Hosts) >= largeFleet {
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
-	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
 // promiseFor is how long a voter backs a holder after a request: at least the holder's lease, and so long that a host which is
@@ -32,8 +31,20 @@
 	return ok && now.Before(r.ValidUntil)
 }
 
-// tickRights seeks, renews and gives up leases.
-func tickRights[P selector.Policy](s *State, now time.Time) {
+// tickRights seeks, renews and gives up leases at each round of gossip, and gives the orders that are due.
+func tickRights(s *State, now time.Time) {
+	if s.Gossip.ClaimedBeat != s.Gossip.Beat {
+		s.Gossip.ClaimedBeat = s.Gossip.Beat
+		tickClaims(s, now)
+	}
+	for _, id := range sortedKeys(s.Rights) {
+		if s.holds(now, id) {
+			tickLedger(s, now, id, s.Rights[id])
+		}
+	}
+}
+
+func tickClaims(s *State, now time.Time) {
 	claims := map[string][]Claim{}
 	for _, id := range s.engineIDs() {
 		tickRight(s, now, id, claims)
@@ -47,11 +58,6 @@
 	for _, host := range sortedKeys(claims) {
 		s.send(host, LeaseRequest{SentAt: sent, Claims: claims[host]})
 	}
-	for _, id := range sortedKeys(s.Rights) {
-		if s.holds(now, id) {
-			tickLedger(s, now, id, s.Rights[id])
-		}
-	}
 }
 
 func tickRight(s *State, now time.Time, backend string, claims map[string][]Claim) {
@@ -70,12 +76,10 @@
 		r = &Right{Backed: map[string]time.Duration{}, SoughtAt: s.age(now), Ledger: newLedger()}
 		s.Rights[backend] = r
 	}
-	// Renewals leave with the rounds of gossip, whose envelopes they share in a small fleet.
-	round := s.Gossip.Beat%leaseRounds == 0 && r.AskedBeat != s.Gossip.Beat
-	if !round && now.Sub(r.AskedAt) < leaseRounds*gossipEvery+leaseMargin {
+	// Renewals leave with every second round of gossip, whose envelopes they share in a small fleet.
+	if s.Gossip.Beat%leaseRounds != 0 && !r.AskedAt.IsZero() {
 		return
 	}
-	r.AskedBeat = s.Gossip.Beat
 	r.AskedAt = now
 	claimRight(s, now, backend, r, claims)
 }
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -13,7 +13,10 @@
 
 // tickLedger reads the backend server's report when that is due and gives the next order.
 func tickLedger(s *State, now time.Time, backend string, r *Right) {
-	b := s.Backends[backend]
+	b, ok := s.Backends[backend]
+	if !ok {
+		return
+	}
 	settleEntries(s, now, backend, r)
 	if r.reportDue(now) {
 		r.Ledger.AskedAt = now
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -32,7 +32,9 @@
 	// smallFleet is the number of other hosts from which a round of gossip goes to some of them only, and largeFleet that from which
 	// rounds are fewer.
 	smallFleet = 8
-	largeFleet = 120
+	// gossipPeers is the number of hosts that are told at each round in a fleet that is not small.
+	gossipPeers = 2
+	largeFleet  = 120
 	// gossipRecords bounds the hosts of one envelope.
 	gossipRecords = 400
 	// forgetAfter is how long a host that is gone is still counted among the voters.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -50,7 +50,7 @@
 	s.Counters.Ticks++
 	tickRequests[P](s, now)
 	tickGossip(s, now)
-	tickRights[P](s, now)
+	tickRights(s, now)
 	tickBackends(s, now)
 	tickAccounts[P](s, now)
 	tickWatch(s, now)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -72,6 +72,8 @@
 	Beat   uint64
 	NextAt time.Time
 	SeedAt time.Time
+	// ClaimedBeat is the beat at which leases were last seen to.
+	ClaimedBeat uint64
 	// Told is what this host last told of itself, and ToldAt when that last changed.
 	Told   HostRecord
 	ToldAt time.Time
