--- /dev/null
+++ b/internal/translator/translator_test.go
@@ -0,0 +1,56 @@
+package translator
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
+	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+)
+
+func TestEveryMessageComesBackAsItWasSent(t *testing.T) {
+	key := reducer.AdapterKey{Model: "m", Adapter: "a"}
+	messages := []reducer.Message{
+		reducer.HostRecord{
+			ID: "h", Incarnation: 7, Beat: 9, Address: "a", PeerAddress: "p", FailureDomain: "d", Ready: true, Leaving: true,
+			SilentFor: time.Second, Holds: []string{"b"},
+		},
+		reducer.HostBeats{Beats: []reducer.HostBeat{{Incarnation: 7, Beat: 9, SilentFor: 20 * time.Millisecond}}},
+		reducer.Summary{Revision: 4, ConfirmedAge: -time.Microsecond},
+		reducer.LeaseRequest{SentAt: time.Second, Claims: []reducer.Claim{{Backend: "b", Term: 3, Valid: true}}},
+		reducer.LeaseReply{SentAt: time.Second, Votes: []reducer.Vote{{Backend: "b", Backed: true, Term: 3, HeldBefore: true}}},
+		reducer.LeaseRelease{SentAt: time.Second, Backends: []string{"b"}},
+		reducer.AdapterWant{Backend: "b", Adapter: key, Version: 2, Missed: true},
+		reducer.AdapterPlace{Backend: "b", Adapter: key, Version: 2, Stage: reducer.StageReady, ReadyIn: time.Millisecond},
+		reducer.Usage{Backend: "b", Running: 1, Tokens: 2, Prefill: 3, Adapters: []reducer.AdapterUse{{Adapter: key, Count: 1, Running: 2, Served: true}}},
+		reducer.BackendLoad{Backend: "b", Running: 1, Tokens: 2, Prefill: 3, Free: 4},
+		reducer.TokenRequest{Account: "a", Sequence: 5, Needed: 1.5, Wanted: 2.5, Returned: 3.5, Spent: []float64{1, 2}},
+		reducer.TokenGrant{Account: "a", Sequence: 5, Tokens: 1.5, Wait: time.Second},
+	}
+	data, err := proto.Marshal(Envelope("h", 7, messages))
+	assert.NilError(t, err)
+	var envelope peerv1.ExchangeRequest
+	assert.NilError(t, proto.Unmarshal(data, &envelope))
+	assert.DeepEqual(t, Received(&envelope), reducer.PeerReceived{From: "h", Incarnation: 7, Messages: messages})
+}
+
+func TestUnknownStageDoesNotServe(t *testing.T) {
+	assert.Equal(t, stage(99), reducer.StageAbsent)
+}
+
+// plain takes documents as they come.
+type plain struct{}
+
+func (plain) Document(key string, revision int64, gone bool, raw []byte) cataloguer.Document {
+	return cataloguer.Document{Key: key, Revision: revision, Gone: gone, Raw: raw}
+}
+
+func TestDocumentsComeBackAsTheyWerePublished(t *testing.T) {
+	documents := []cataloguer.Document{{Key: "a", Revision: 3, Raw: []byte("x")}, {Key: "b", Revision: 4, Gone: true}}
+	event := UpdatesEvent(plain{}, "h", Updates(reducer.UpdatesAnswer{Revision: 9, Whole: true, Documents: documents}))
+	assert.DeepEqual(t, event, reducer.UpdatesRead{From: "h", Revision: 9, Whole: true, Documents: documents})
+}
--- a/internal/waiter/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package waiter waits without spinning.
-package waiter
