--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -47,20 +47,33 @@
 	return w, struck
 }
 
+// failedSeeds once broke a rule; the causes stand in the commits and in docs/PROOFS.md.
+var failedSeeds = []uint64{2, 6, 8, 16, 22, 24, 32, 35, 36, 44, 53, 55, 5072}
+
+func TestSeedsThatOnceFailed(t *testing.T) {
+	for _, seed := range failedSeeds {
+		playSeed(t, seed)
+	}
+}
+
 func TestSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
-			t.Parallel()
-			w, struck := run(options(seed))
-			t.Logf("seed %d: %d sent, %d refused or failed by reason %v", seed, w.Callers.Sent, len(w.Callers.Refused), w.Callers.Refused)
-			if len(w.Checks.Violations) > 0 {
-				shown := w.Checks.Violations[:min(len(w.Checks.Violations), 10)]
-				t.Errorf("seed %d:\n%s\ntroubles:\n%s", seed, strings.Join(shown, "\n"), strings.Join(struck, "\n"))
-			}
-		})
+		playSeed(t, seed)
 	}
 }
 
+func playSeed(t *testing.T, seed uint64) {
+	t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+		t.Parallel()
+		w, struck := run(options(seed))
+		t.Logf("seed %d: %d sent, %d refused or failed by reason %v", seed, w.Callers.Sent, len(w.Callers.Refused), w.Callers.Refused)
+		if len(w.Checks.Violations) > 0 {
+			shown := w.Checks.Violations[:min(len(w.Checks.Violations), 10)]
+			t.Errorf("seed %d:\n%s\ntroubles:\n%s", seed, strings.Join(shown, "\n"), strings.Join(struck, "\n"))
+		}
+	})
+}
+
 func TestCalmFleetServesAndBreaksNothing(t *testing.T) {
 	w := New[selector.Expected](options(7))
 	w.Run(8 * time.Second)
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -190,7 +190,7 @@
 func nextOrder(s *State, now time.Time, backend string, r *Right) {
 	l := &r.Ledger
 	b, ok := s.Backends[backend]
-	if !ok || l.ReadAt.IsZero() || l.Ordering || now.Before(l.RetryAt) || b.Info.Leaving || !s.usable(now, b) {
+	if !ok || !s.holds(now, backend) || l.ReadAt.IsZero() || l.Ordering || now.Before(l.RetryAt) || b.Info.Leaving || !s.usable(now, b) {
 		return
 	}
 	if model, missing := s.missingModel(b); missing {
