Drop hosts in one place, use the library to compare, and remove flags and parameters that nothing needs

A request is charged once, on arrival, so the flags against a second time were dead; the index of incarnations kept hosts that had been forgotten.

--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -22,22 +21,17 @@
 
 // charge spends a request's cost from the tokens that this host has been granted.
 //
-// Without enough of them the request waits for the answer of the account's keeper; known tells that there is an answer.
+// Without enough of them the request waits for the answer of the account's keeper.
 func charge(s *State, now time.Time, r *Request, account cataloguer.Account) (taken bool) {
-	if !account.Limited() || r.Charged {
+	if !account.Limited() {
 		return true
 	}
 	a := s.account(now, account.Name)
-	if !r.Counted {
-		r.Counted = true
-		a.Demand.Add(now, r.Cost, demandHalfLife)
-	}
+	a.Demand.Add(now, r.Cost, demandHalfLife)
 	if a.spend(s, now, r) {
 		return true
 	}
-	if !slices.Contains(a.Waiting, r.ID) {
-		a.Waiting = append(a.Waiting, r.ID)
-	}
+	a.Waiting = append(a.Waiting, r.ID)
 	askTokens(s, now, account.Name, a)
 	return false
 }
@@ -50,7 +44,6 @@
 	a.Level -= r.Cost
 	a.Spent.Length = s.Limits.QuotaWindow
 	a.Spent.Add(now, 0, r.Cost)
-	r.Charged = true
 	return true
 }
 
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -34,7 +34,7 @@
 	b, known := s.Backends[info.ID]
 	if !known || b.Info.Born != info.Born || b.Info.Address != info.Address {
 		if known {
-			forgetBackend(s, now, b)
+			forgetBackend(s, b)
 		}
 		b = newBackend(s, now, info)
 		s.note(EventBackendJoined, Field{"backend_server", info.ID}, Field{"service", info.Service},
@@ -69,7 +69,7 @@
 }
 
 // forgetBackend drops an incarnation of a backend server and what this host knew of it.
-func forgetBackend(s *State, _ time.Time, b *Backend) {
+func forgetBackend(s *State, b *Backend) {
 	delete(s.Backends, b.Info.ID)
 	s.backendsChanged()
 	if r, ok := s.Rights[b.Info.ID]; ok {
@@ -108,7 +108,7 @@
 		}
 		if now.Sub(b.GoneAt) > lapseFor {
 			delete(s.Missing, id)
-			forgetBackend(s, now, b)
+			forgetBackend(s, b)
 		}
 	}
 	for _, id := range sortedKeys(s.InUse) {
@@ -168,7 +168,7 @@
 }
 
 // markAbsent notes that an adapter is not, or no longer, on a backend server.
-func markAbsent(_ *State, now time.Time, b *Backend, key AdapterKey) {
+func markAbsent(now time.Time, b *Backend, key AdapterKey) {
 	if p, ok := b.Adapters[key]; ok && len(p.Waiting) == 0 && p.Running == 0 {
 		delete(b.Adapters, key)
 		return
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -118,7 +118,7 @@
 	for _, id := range sortedKeys(s.Backends) {
 		b := s.Backends[id]
 		if p, ok := b.Adapters[key]; ok && p.Version < v.Version {
-			markAbsent(s, now, b, key)
+			markAbsent(now, b, key)
 		}
 	}
 }
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -133,14 +133,17 @@
 func dropNamesakes(s *State, r HostRecord) {
 	for id, h := range s.Hosts {
 		if id != r.ID && h.Record.PeerAddress == r.PeerAddress {
-			delete(s.Hosts, id)
-			delete(s.Index.Incarnations, h.Record.Incarnation)
-			delete(s.Index.Incarnations, h.Record.Incarnation)
-			s.hostsChanged()
+			s.dropHost(id, h)
 		}
 	}
 }
 
+func (s *State) dropHost(id string, h *Host) {
+	delete(s.Hosts, id)
+	delete(s.Index.Incarnations, h.Record.Incarnation)
+	s.hostsChanged()
+}
+
 // tickGossip tells other hosts about hosts, and asks the seeds while few hosts are known.
 func tickGossip(s *State, now time.Time) {
 	if now.Before(s.Gossip.NextAt) {
@@ -174,7 +177,6 @@
 }
 
 // gossipPause is the time between rounds of gossip, which is longer in a large fleet.
-
 func (s *State) gossipPause() time.Duration {
 	if len(s.Hosts) >= largeFleet {
 		return gossipEvery * 3 / 2
@@ -291,8 +293,7 @@
 			s.noteSilence(now, id, h)
 		}
 		if now.Sub(h.HeardAt) > tombstoneFor {
-			delete(s.Hosts, id)
-			s.hostsChanged()
+			s.dropHost(id, h)
 			s.note(EventHostGone, Field{"peer", id})
 		}
 	}
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -63,7 +63,7 @@
 func tickRight(s *State, now time.Time, backend string, claims map[string][]Claim) {
 	r, ok := s.Rights[backend]
 	if ok && !r.HeldSince.IsZero() && !now.Before(r.ValidUntil) {
-		loseRight(s, now, backend, r)
+		loseRight(s, backend, r)
 		return
 	}
 	if !ok || r.HeldSince.IsZero() {
@@ -227,7 +227,7 @@
 	s.note(EventLeaseTaken, Field{"backend_server", backend}, intField("term", int(r.Term)))
 }
 
-func loseRight(s *State, _ time.Time, backend string, r *Right) {
+func loseRight(s *State, backend string, r *Right) {
 	s.Counters.LeasesLost++
 	s.note(EventLeaseLost, Field{"backend_server", backend}, intField("term", int(r.Term)))
 	delete(s.Rights, backend)
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -64,36 +65,20 @@
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b AdapterKey) int {
-		if a.Model != b.Model {
-			return compare(a.Model, b.Model)
-		}
-		return compare(a.Adapter, b.Adapter)
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	return keys
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-// wantAdapter sends a want to the host that orders the backend server and reports whether one is known.
-func wantAdapter[P selector.Policy](s *State, now time.Time, want AdapterWant) bool {
-	holder := s.holderOf(now, want.Backend)
-	if holder == "" {
-		return false
-	}
-	if holder == s.Self.HostID {
+// wantAdapter sends a want to the host that orders the backend server, if one is known.
+func wantAdapter[P selector.Policy](s *State, now time.Time, want AdapterWant) {
+	switch holder := s.holderOf(now, want.Backend); holder {
+	case "":
+	case s.Self.HostID:
 		receiveWant[P](s, now, holder, want)
-		return true
+	default:
+		s.send(holder, want)
 	}
-	s.send(holder, want)
-	return true
 }
 
 // receiveWant answers with the adapter's place, or queues the want until a load can be ordered.
@@ -116,7 +101,8 @@
 	queueWant(r, now, from, m)
 	nextOrder(s, now, m.Backend, r)
 	if !r.Ledger.comes(m.Adapter) && r.Ledger.free(s, now, m.Backend) < 0 {
-		tellFull[P](s, now, from, m)
+		// The adapter has to wait for a place.
+		sendPlace[P](s, now, from, AdapterPlace{Backend: m.Backend, Adapter: m.Adapter, Stage: StageAbsent})
 	}
 }
 
@@ -141,16 +127,6 @@
 	return free
 }
 
-// tellFull tells a host that the adapter has to wait for a place.
-func tellFull[P selector.Policy](s *State, now time.Time, to string, m AdapterWant) {
-	place := AdapterPlace{Backend: m.Backend, Adapter: m.Adapter, Stage: StageAbsent}
-	if to == s.Self.HostID {
-		receivePlace[P](s, now, place)
-		return
-	}
-	s.send(to, place)
-}
-
 // serves reports whether the entry will serve requests that need at least the given version.
 func (e *Entry) serves(version int64) bool {
 	return (e.Stage == StageReady || e.Stage == StageLoading) && e.Version >= version
@@ -172,7 +148,11 @@
 
 // tellPlace tells one host how far an adapter is resident.
 func tellPlace[P selector.Policy](s *State, now time.Time, to, backend string, key AdapterKey, e *Entry) {
-	place := e.place(now, backend, key)
+	sendPlace[P](s, now, to, e.place(now, backend, key))
+}
+
+// sendPlace tells a host of a place, or takes it in where that is this host.
+func sendPlace[P selector.Policy](s *State, now time.Time, to string, place AdapterPlace) {
 	if to == s.Self.HostID {
 		receivePlace[P](s, now, place)
 		return
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -45,7 +45,7 @@
 			s.send(host, e.place(now, b.Info.ID, key))
 		}
 	}
-	markAbsent(s, now, b, key)
+	markAbsent(now, b, key)
 	s.emitOrder(now, b, r, key, 0, true)
 }
 
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -327,7 +327,7 @@
 		return
 	}
 	if m.Stage == StageUnloading {
-		markAbsent(s, now, b, m.Adapter)
+		markAbsent(now, b, m.Adapter)
 		return
 	}
 	p := b.place(m.Adapter)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -252,7 +252,7 @@
 func (s *State) adapterMissing(now time.Time, b *Backend, r *Request) {
 	p := b.place(r.Adapter)
 	missed := p.Stage != StageAbsent && !p.Proven && now.Sub(p.ReadyAt) < loadOverrun
-	markAbsent(s, now, b, r.Adapter)
+	markAbsent(now, b, r.Adapter)
 	p = b.place(r.Adapter)
 	p.KnownAt = now
 	p.Missed = missed
@@ -273,7 +273,7 @@
 		s.giveUp(now, r, e)
 		return
 	}
-	if e.Outcome != OutcomeNotSent && !s.spendRetry(now, r.Service) {
+	if e.Outcome != OutcomeNotSent && !s.spendRetry(r.Service) {
 		r.LastWhy = ReasonRetriesSpent
 		s.giveUp(now, r, e)
 		return
@@ -338,7 +338,7 @@
 	b.Level = min(b.Level+s.Limits.RetryRatio, burst)
 }
 
-func (s *State) spendRetry(_ time.Time, service string) bool {
+func (s *State) spendRetry(service string) bool {
 	b := &s.service(service).Retries
 	if b.Level < 1 {
 		return false
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -256,8 +256,6 @@
 	PromptTokens int
 	// Cost is what the request counts against its account's rate.
 	Cost      float64
-	Counted   bool
-	Charged   bool
 	Parts     []Part
 	Priority  int
 	ArrivedAt time.Time
