Follow a request's id into the logs of the hosts that were asked on its account

Cause: explain read one host's lines only, so that a refusal for want of an adapter or of tokens ended at the name of another host, and refusals that the listener gives itself (no id, body too large, mailbox full) left no line at all. Change: wants and token requests carry the request's id and age; the holder (154) and the keeper (209) note what they decided. explain places lines by the request's age, so that clocks may differ, and shows each such host's lines about the same backend server, adapter and account. Latencies are counted by kind, service and outcome; queues, budgets and ages are in the metrics.

--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -76,17 +76,17 @@
 		},
 		Recorder:    record,
 		Replies:     &executor.Replies{},
+		Latencies:   &meter.Latencies{},
 		MailboxSize: settings.MailboxSize,
 	}
-	latencies := &meter.Latencies{}
 	return &daemon{
 		file:      file,
 		settings:  settings,
 		recorder:  record,
 		control:   control,
-		callers:   &listener.Callers[policy, platform.Codec, platform.Codec]{Address: settings.Address, Control: control, Latencies: latencies},
+		callers:   &listener.Callers[policy, platform.Codec, platform.Codec]{Address: settings.Address, Control: control},
 		peers:     &listener.Peers[policy, platform.Codec]{HostID: settings.HostID, Incarnation: incarnation, Control: control},
-		operators: &listener.Operators[policy, platform.Codec]{Control: control, Latencies: latencies},
+		operators: &listener.Operators[policy, platform.Codec]{Control: control},
 	}
 }
 
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -24,15 +24,15 @@
 	"github.com/redwingpick/redwingpick/platform/standin"
 )
 
-var daemon string
+var daemon, command string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "redwingpick")
 	if err != nil {
 		panic(err)
 	}
-	daemon = filepath.Join(dir, "redwingpickd")
-	if out, err := exec.Command("go", "build", "-o", daemon, "../cmd/redwingpickd").CombinedOutput(); err != nil {
+	daemon, command = filepath.Join(dir, "redwingpickd"), filepath.Join(dir, "redwingpick")
+	if out, err := exec.Command("go", "build", "-o", dir, "../cmd/redwingpickd", "../cmd/redwingpick").CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -44,6 +44,28 @@
 	assert.Assert(t, strings.Contains(text, "request r1: refused: broken"), text)
 }
 
+// The clock of host b is an hour ahead.
+const logB = `{"time":3601042,"level":"info","event":154,"host":"b","request":"r2","age_ms":"2","peer":"a","backend_server":"e1","adapter":"x","comes":"false","free_places":"0","wants":"1","in_transit":"2","message":"adapter wanted"}
+{"time":3601000,"level":"info","event":151,"host":"b","backend_server":"e1","adapter":"x","message":"order sent"}
+{"time":3601000,"level":"info","event":151,"host":"b","backend_server":"e1","adapter":"y","message":"order sent"}
+{"time":3699000,"level":"info","event":151,"host":"b","backend_server":"e1","adapter":"x","message":"order sent"}
+{"time":1040,"level":"info","event":206,"host":"a","request":"r2","age_ms":"1","backend_server":"e1","adapter":"x","message":"request waits"}
+{"time":1340,"level":"warn","event":204,"host":"a","request":"r2","age_ms":"301","backend_server":"e1","adapter":"x","reason":"not_loaded","message":"request refused"}
+`
+
+func TestExplainPutsHostsWhoseClocksDifferOnOneTimeline(t *testing.T) {
+	out, err := run(t, logB, "explain", "r2", "-", "--output", "json")
+	assert.NilError(t, err)
+	var e Explanation
+	assert.NilError(t, json.Unmarshal([]byte(out), &e))
+	assert.Equal(t, e.Outcome, "refused: not_loaded")
+	assert.Assert(t, strings.Contains(e.Cause, "b, which orders e1, had 0 free places"), e.Cause)
+	assert.Equal(t, len(e.Lines), 3)
+	assert.Equal(t, e.Lines[1].Host, "b")
+	assert.Equal(t, len(e.Nearby), 1, "the holder's line about the same adapter, and none from after the end")
+	assert.Equal(t, e.Nearby[0].AgeMs, int64(-40))
+}
+
 func TestExplainOfAnUnknownRequestIsAnError(t *testing.T) {
 	_, err := run(t, logA, "explain", "r9", "-")
 	assert.Assert(t, errors.Is(err, ErrNotFound), "%v", err)
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -35,7 +37,7 @@
 	Outcome string `json:"outcome"`
 	Cause   string `json:"cause"`
 	Lines   []Line `json:"lines"`
-	// Nearby are the lines of the same host or backend server shortly before the end, which tell what was believed then.
+	// Nearby are other lines of the hosts that had to do with the request shortly before its end, which tell what was believed then.
 	Nearby []Line `json:"nearby"`
 	// Unreadable is the number of lines that could not be read.
 	Unreadable int `json:"unreadable_lines"`
@@ -132,24 +134,28 @@
 }
 
 // Explain puts the lines of a request on one timeline and tells how it ended and what decided that.
+//
+// The timeline is the request's own age, which the hosts that are asked on its account are told, so that their clocks may differ.
 func Explain(request string, lines []rawLine) (Explanation, error) {
 	e := Explanation{Request: request}
-	var last rawLine
+	clocks := map[string]int64{}
 	for _, l := range lines {
 		if l.Fields["request"] != request {
 			continue
 		}
-		e.Lines = append(e.Lines, newLine(l))
-		if l.Time >= last.Time {
-			last = l
+		line := newLine(l)
+		e.Lines = append(e.Lines, line)
+		if _, known := clocks[line.Host]; !known {
+			clocks[line.Host] = l.Time - line.AgeMs
 		}
 	}
 	if len(e.Lines) == 0 {
 		return e, merry.Wrap(ErrNotFound, merry.WithMessagef("no line of the logs names request %s", request))
 	}
-	sort.SliceStable(e.Lines, func(i, j int) bool { return e.Lines[i].AgeMs < e.Lines[j].AgeMs })
-	e.Nearby = nearby(lines, last)
-	e.Outcome, e.Cause = conclude(e.Lines)
+	last := lastLine(e.Lines)
+	sort.SliceStable(e.Lines, func(i, j int) bool { return before(e.Lines[i], e.Lines[j], last.Host) })
+	e.Nearby = nearby(lines, e.Lines, last, clocks)
+	e.Outcome, e.Cause = conclude(e.Lines, last)
 	return e, nil
 }
 
@@ -158,52 +164,85 @@
 	return Line{AgeMs: age, Host: l.Fields["host"], Event: l.Event, Message: l.Fields["message"], Fields: l.Fields}
 }
 
+// lastLine returns the line that ended the request, or the latest one.
+func lastLine(lines []Line) Line {
+	for _, l := range lines {
+		switch l.Event {
+		case reducer.EventRequestEnded, reducer.EventRequestRefused, reducer.EventRequestLeft:
+			return l
+		}
+	}
+	return slices.MaxFunc(lines, func(a, b Line) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+}
+
+// before orders lines by the request's age; at the same age the host that serves the request comes before those that it asks.
+func before(a, b Line, serving string) bool {
+	if a.AgeMs != b.AgeMs {
+		return a.AgeMs < b.AgeMs
+	}
+	return a.Host == serving && b.Host != serving
+}
+
 // nearbyMs is the time before the last line of a request from which other lines are shown.
 const nearbyMs = 5000
 
-// nearby returns the lines of the host that served the request, by that host's own clock, which tell of its backend server, its
-// account or its dependencies.
-func nearby(lines []rawLine, last rawLine) []Line {
+// nearby returns what the hosts that had to do with the request noted before its end about its backend servers, its account and,
+// at the host that served it, the host's dependencies; clocks holds each host's time of the request's arrival.
+func nearby(all []rawLine, request []Line, last Line, clocks map[string]int64) []Line {
+	backends := map[string]bool{}
+	accounts := map[string]bool{}
+	adapters := map[string]bool{}
+	for _, l := range request {
+		backends[l.Fields["backend_server"]] = true
+		accounts[l.Fields["account"]] = true
+		adapters[l.Fields["adapter"]] = true
+	}
 	var found []Line
-	for _, l := range lines {
-		if l.Fields["request"] != "" || l.Fields["host"] != last.Fields["host"] || l.Time < last.Time-nearbyMs || l.Time > last.Time {
+	for _, l := range all {
+		line := newLine(l)
+		arrived, known := clocks[line.Host]
+		line.AgeMs = l.Time - arrived
+		if !known || l.Fields["request"] != "" || line.AgeMs < last.AgeMs-nearbyMs || line.AgeMs > last.AgeMs {
 			continue
 		}
-		about := l.Fields["backend_server"]
-		account := l.Fields["account"]
-		if about != "" && about != last.Fields["backend_server"] || account != "" && account != last.Fields["account"] {
+		backend, account, adapter := l.Fields["backend_server"], l.Fields["account"], l.Fields["adapter"]
+		elsewhere := line.Host != last.Host
+		if backend != "" && !backends[backend] || account != "" && !accounts[account] || elsewhere && (backend+account == "" || adapter != "" && !adapters[adapter]) {
 			continue
 		}
-		line := newLine(l)
-		line.AgeMs = newLine(last).AgeMs + l.Time - last.Time
 		found = append(found, line)
 	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].AgeMs < found[j].AgeMs })
 	return found
 }
 
 // conclude tells how a request ended and which decision led there.
-func conclude(lines []Line) (outcome, cause string) {
-	last := lines[len(lines)-1]
-	failed := ""
+func conclude(lines []Line, last Line) (outcome, cause string) {
+	failed, asked := "", ""
 	waited := int64(0)
 	for _, l := range lines {
-		if l.Event == reducer.EventRequestRetried {
+		switch l.Event {
+		case reducer.EventRequestRetried:
 			failed = fmt.Sprintf("; attempt %s at %s failed: %s, status %s", l.Fields["attempt"], l.Fields["backend_server"], l.Fields["outcome"], l.Fields["status"])
-		}
-		if l.Event == reducer.EventRequestSent {
+		case reducer.EventRequestSent:
 			waited = l.AgeMs
+		case reducer.EventAdapterWanted:
+			asked = fmt.Sprintf("; %s, which orders %s, had %s free places, %s adapters wanted and %s loading", l.Host, l.Fields["backend_server"],
+				l.Fields["free_places"], l.Fields["wants"], l.Fields["in_transit"])
+		case reducer.EventTokensShort:
+			asked = fmt.Sprintf("; %s, which keeps the account, had %s of %s left and needed %s", l.Host, l.Fields["left"], l.Fields["allowed"], l.Fields["needed"])
 		}
 	}
 	switch last.Event {
 	case reducer.EventRequestEnded:
 		return "answered with status " + last.Fields["status"],
-			fmt.Sprintf("sent to %s after %d ms, which took %s ms%s", last.Fields["backend_server"], waited, last.Fields["took_ms"], failed)
+			fmt.Sprintf("sent to %s after %d ms, which took %s ms%s%s", last.Fields["backend_server"], waited, last.Fields["took_ms"], failed, asked)
 	case reducer.EventRequestRefused:
-		return "refused: " + last.Fields["reason"], reasons[last.Fields["reason"]] + failed
+		return "refused: " + last.Fields["reason"], reasons[last.Fields["reason"]] + failed + asked
 	case reducer.EventRequestLeft:
-		return "left by its caller", fmt.Sprintf("the caller closed after %d ms; it was last at %q%s", last.AgeMs, last.Fields["backend_server"], failed)
+		return "left by its caller", fmt.Sprintf("the caller closed after %d ms; it was last at %q%s%s", last.AgeMs, last.Fields["backend_server"], failed, asked)
 	}
-	return "not ended in these logs", "the last line is event " + strconv.Itoa(last.Event) + failed
+	return "not ended in these logs", "the last line is event " + strconv.Itoa(last.Event) + failed + asked
 }
 
 var reasons = map[string]string{
@@ -217,6 +256,9 @@
 	"timeout":           "the route's timeout or the caller's time was over",
 	"broken":            "a backend server broke off and the request may not run again",
 	"retries_spent":     "the service's budget for repeats was spent",
+	"mailbox_full":      "the control goroutine of the host was behind and took no more requests",
+	"bad_request":       "the request could not be read: it lacked an id or its body did not come whole",
+	"too_large":         "the body was larger than the configuration allows",
 }
 
 func (o *options) printExplanation(e Explanation) {
@@ -225,7 +267,7 @@
 		o.printf("%8d ms  %-22s %3d %-16s %s\n", l.AgeMs, l.Host, l.Event, l.Message, details(l))
 	}
 	if len(e.Nearby) > 0 {
-		o.printf("what the host noted about the same backend server, account and dependencies before:\n")
+		o.printf("what these hosts noted about its backend servers, account and dependencies before:\n")
 	}
 	for _, l := range e.Nearby {
 		o.printf("%8d ms  %-22s %3d %-16s %s\n", l.AgeMs, l.Host, l.Event, l.Message, details(l))
--- a/internal/executor/control.go
+++ b/internal/executor/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/redwingpick/redwingpick/internal/asserter"
 	"github.com/redwingpick/redwingpick/internal/clocker"
+	"github.com/redwingpick/redwingpick/internal/meter"
 	"github.com/redwingpick/redwingpick/internal/recorder"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -23,10 +24,12 @@
 
 // Control owns the state of the host; its exported fields are set before Run.
 type Control[P selector.Policy, C Codec, S Sink] struct {
-	State       *reducer.State
-	Worker      *Worker[C, S]
-	Recorder    *recorder.Recorder
-	Replies     *Replies
+	State    *reducer.State
+	Worker   *Worker[C, S]
+	Recorder *recorder.Recorder
+	Replies  *Replies
+	// Latencies takes the time of each request by kind, service and outcome.
+	Latencies   *meter.Latencies
 	MailboxSize int
 
 	arrivals chan reducer.Event
@@ -125,6 +128,9 @@
 // Drained is closed when a leaving host may end.
 func (c *Control[P, C, S]) Drained() <-chan struct{} { return c.drained }
 
+// Waiting returns how many arrivals of callers and how many results wait for the control goroutine.
+func (c *Control[P, C, S]) Waiting() (arrivals, results int) { return len(c.arrivals), len(c.results) }
+
 // Busy returns the time that the control goroutine has spent reducing.
 func (c *Control[P, C, S]) Busy() time.Duration { return time.Duration(c.busy.Load()) }
 
@@ -186,6 +192,8 @@
 		c.Replies.Deliver(e.ReplyID, e)
 	case reducer.Note:
 		c.Recorder.Record(e.Number, e.Fields...)
+	case reducer.RequestMeasured:
+		c.Latencies.Record(e.Kind+"/"+e.Service+"/"+e.Outcome, e.Took)
 	case reducer.CallerLimits:
 		c.callers.Store(&e.Limits)
 	case reducer.WakeAt:
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -17,7 +17,6 @@
 	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
-	"github.com/redwingpick/redwingpick/internal/meter"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/internal/tracer"
@@ -47,8 +46,6 @@
 	Address string
 	Control *executor.Control[P, C, *Sink]
 	Front   F
-	// Latencies takes the time of each request by its outcome.
-	Latencies *meter.Latencies
 
 	sequence atomic.Uint64
 	running  atomic.Int64
@@ -122,17 +119,17 @@
 	defer c.running.Add(-1)
 	arrived := clocker.Now()
 	sink := &Sink{writer: w, leaving: c.Control.Leaving()}
-	defer func() { c.Latencies.Record(sink.outcome(), clocker.Now().Sub(arrived)) }()
 	event, call, ok := c.Front.Request(r)
-	if !ok {
-		sink.Refuse(reducer.Refuse{Reason: reducer.ReasonBadRequest})
-		return
+	reason := reducer.ReasonBadRequest
+	if ok {
+		reason = c.readBody(w, r, &call)
 	}
-	if reason := c.readBody(w, r, &call); reason != reducer.ReasonNone {
+	if reason != reducer.ReasonNone {
 		sink.Refuse(reducer.Refuse{Reason: reason})
+		c.Control.Post(reducer.RequestTurnedAway{CallerID: event.CallerID, Connection: r.RemoteAddr, At: arrived, Reason: reason})
 		return
 	}
-	event.At = arrived
+	event.At, event.Connection = arrived, r.RemoteAddr
 	event.ID = strconv.FormatUint(c.sequence.Add(1), 36)
 	ctx, span := tracer.Hop(tracer.Extract(r.Context(), r.Header), "host", attribute.String("request", event.CallerID))
 	defer span.End()
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -9,7 +10,6 @@
 	"sync/atomic"
 
 	"github.com/redwingpick/redwingpick/internal/executor"
-	"github.com/redwingpick/redwingpick/internal/meter"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
@@ -17,8 +17,6 @@
 // Operators serves operators and monitoring; its exported fields are set before Handler.
 type Operators[P selector.Policy, C executor.Codec] struct {
 	Control *executor.Control[P, C, *Sink]
-	// Latencies holds the times of requests by outcome.
-	Latencies *meter.Latencies
 
 	sequence atomic.Uint64
 }
@@ -36,14 +34,20 @@
 }
 
 func (o *Operators[P, C]) status(w http.ResponseWriter, r *http.Request) {
-	id := fmt.Sprintf("status-%d", o.sequence.Add(1))
-	answer, ok := ask(r.Context(), o.Control, id, reducer.StatusAsked{ReplyID: id}).(reducer.StatusAnswer)
+	status, ok := o.ask(r.Context())
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer.Status)
+	_ = json.NewEncoder(w).Encode(status)
+}
+
+// ask returns the state of the host; ok is false if the control goroutine does not answer in time.
+func (o *Operators[P, C]) ask(ctx context.Context) (status reducer.Status, ok bool) {
+	id := fmt.Sprintf("status-%d", o.sequence.Add(1))
+	answer, ok := ask(ctx, o.Control, id, reducer.StatusAsked{ReplyID: id}).(reducer.StatusAnswer)
+	return answer.Status, ok
 }
 
 // publish makes the counters visible under one expvar name, with units in the names.
@@ -61,8 +65,13 @@
 		delete(counters, "refused_by_reason")
 		counters["control_busy_ns_total"] = o.Control.Busy().Nanoseconds()
 		counters["invariants_broken_total"] = o.Control.Broken()
-		counters["request_latency_by_outcome"] = o.Latencies.Summaries()
+		counters["request_latency_by_kind_service_outcome"] = o.Control.Latencies.Summaries()
+		counters["arrivals_waiting"], counters["results_waiting"] = o.Control.Waiting()
+		counters["log_lines_left_out_total"] = o.Control.Recorder.LeftOut()
 		counters["goroutines_waiting"] = o.Control.Replies.Count()
+		if state, ok := o.ask(context.Background()); ok {
+			counters["state"] = state.Gauges
+		}
 		return counters
 	}))
 }
--- a/internal/listener/sink.go
+++ b/internal/listener/sink.go
@@ -15,8 +15,6 @@
 	leaving bool
 	began   bool
 	aborted bool
-	// result names how the answer ended in the metrics.
-	result string
 }
 
 // connectionHeaders concern one connection and are not handed on.
@@ -30,7 +28,6 @@
 		return
 	}
 	s.copyHeader(header)
-	s.result = "stream_" + strconv.Itoa(status)
 	s.writer.WriteHeader(status)
 	s.flush()
 }
@@ -54,7 +51,6 @@
 		return nil
 	}
 	s.copyHeader(answer.Header)
-	s.result = "whole_" + strconv.Itoa(answer.Status)
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	s.writer.WriteHeader(answer.Status)
 	_, err := s.writer.Write(answer.Body)
@@ -68,7 +64,6 @@
 		return
 	}
 	s.began = true
-	s.result = "refused_" + refusal.Reason.String()
 	header := s.writer.Header()
 	s.closeIfLeaving()
 	if refusal.RetryAfter > 0 {
@@ -84,17 +79,6 @@
 // Abort breaks the answer off: a caller of which one direction is lost may still read, and must not see an end.
 func (s *Sink) Abort() { s.aborted = true }
 
-// outcome names how the answer ended.
-func (s *Sink) outcome() string {
-	switch {
-	case s.aborted:
-		return "broken_off"
-	case s.result == "":
-		return "none"
-	}
-	return s.result
-}
-
 // statusOf returns the status code of a refusal; those that promise that a request has not run are kept for such requests.
 func statusOf(refusal reducer.Refuse) int {
 	switch refusal.Reason {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -12,7 +12,7 @@
 	longest = int64(5 * time.Minute / time.Microsecond)
 	digits  = 2
 	// maxSeries bounds the histograms; further names are counted under Other.
-	maxSeries = 64
+	maxSeries = 128
 )
 
 // Other is the name under which times are counted once there are too many names.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -36,6 +36,7 @@
 	second   int64
 	spent    int
 	leftOut  int
+	dropped  uint64
 	flushing bool
 }
 
@@ -53,6 +54,7 @@
 	r.turnSecond()
 	if !r.room(entry.Routine) {
 		r.leftOut++
+		r.dropped++
 		return
 	}
 	r.write(entry, fields)
@@ -74,6 +76,13 @@
 	}
 }
 
+// LeftOut returns how many lines have been left out since the start.
+func (r *Recorder) LeftOut() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.dropped
+}
+
 func (r *Recorder) room(routine bool) bool {
 	if len(r.pending) > maxBuffered {
 		return false
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -64,15 +64,22 @@
 		return
 	}
 	need := a.Extra
+	var origin Origin
 	for _, id := range a.Waiting {
-		if r, ok := s.Requests[id]; ok {
-			need += r.Cost
+		r, ok := s.Requests[id]
+		if !ok {
+			continue
+		}
+		need += r.Cost
+		if origin.Request == "" {
+			origin = r.origin(now)
 		}
 	}
 	a.AskedAt = now
 	a.Sequence++
 	request := TokenRequest{
 		Account: name, Sequence: a.Sequence, Needed: max(need-a.Level, 0), Wanted: a.Demand.At(now, demandHalfLife) * reserveFor.Seconds(), Spent: a.spentParts(now),
+		Origin: origin,
 	}
 	s.wakeAt(now.Add(grantTimeout))
 	s.sendKeeper(now, request)
@@ -141,6 +148,8 @@
 	k.Window.Add(now, 0, grant.Tokens)
 	if grant.Tokens < m.Needed {
 		grant.Wait = max(k.Window.Wait(now, p.Allowed*s.reached(now)-m.Needed), shortestWait)
+		s.note(EventTokensShort, m.Origin.fields(Field{"account", m.Account}, Field{"peer", from}, floatField("needed", m.Needed), floatField("left", left),
+			floatField("allowed", p.Allowed), floatField("reached_share", s.reached(now)), msField("window_ms", p.Window), msField("wait_ms", grant.Wait))...)
 	}
 	return grant, true
 }
@@ -211,7 +220,7 @@
 			continue
 		}
 		a.Refused++
-		s.note(EventOverRate, Field{"account", r.Account}, floatField("cost", r.Cost), floatField("level", a.Level), msField("wait_ms", wait))
+		s.note(EventOverRate, r.origin(now).fields(Field{"account", r.Account}, floatField("cost", r.Cost), floatField("level", a.Level), msField("wait_ms", wait))...)
 		refuse(s, now, r, ReasonOverRate, max(wait, refusedRetryWait))
 	}
 }
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -144,6 +144,14 @@
 	At time.Time
 }
 
+// RequestMeasured tells how long a request took from its arrival to its end.
+type RequestMeasured struct {
+	Kind    string
+	Service string
+	Outcome string
+	Took    time.Duration
+}
+
 // Note records a numbered event.
 type Note struct {
 	Number int
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -26,6 +26,8 @@
 	// ID is unique on this host; CallerID is what the caller named the request.
 	ID       string
 	CallerID string
+	// Connection names the caller's connection.
+	Connection string
 	// At is when the request reached this host; its time left counts from then.
 	At       time.Time
 	HostName string
@@ -49,6 +51,14 @@
 	Tokens int
 }
 
+// RequestTurnedAway says that a request was refused before it could be decided on.
+type RequestTurnedAway struct {
+	CallerID   string
+	Connection string
+	At         time.Time
+	Reason     Reason
+}
+
 // RequestAbandoned says that the caller of a request is gone.
 type RequestAbandoned struct {
 	ID string
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -100,12 +100,21 @@
 	}
 	queueWant(r, now, from, m)
 	nextOrder(s, now, m.Backend, r)
+	noteWant(s, now, from, m, r)
 	if !r.Ledger.comes(m.Adapter) && r.Ledger.free(s, now, m.Backend) < 0 {
 		// The adapter has to wait for a place.
 		sendPlace[P](s, now, from, AdapterPlace{Backend: m.Backend, Adapter: m.Adapter, Stage: StageAbsent})
 	}
 }
 
+// noteWant tells what became of a want that the ledger could not serve at once.
+func noteWant(s *State, now time.Time, from string, m AdapterWant, r *Right) {
+	l := &r.Ledger
+	s.note(EventAdapterWanted, m.Origin.fields(Field{"peer", from}, Field{"backend_server", m.Backend}, Field{"adapter", m.Adapter.Adapter},
+		boolField("comes", l.comes(m.Adapter)), intField("free_places", l.free(s, now, m.Backend)), intField("wants", len(l.Wants)),
+		intField("in_transit", l.inTransit()), ageField("report_age_ms", now, l.ReadAt), msField("held_ms", now.Sub(r.HeldSince)))...)
+}
+
 // comes reports whether an adapter is resident or on its way.
 func (l *Ledger) comes(key AdapterKey) bool {
 	e, ok := l.Entries[key]
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -84,6 +84,14 @@
 	Version int64
 	// Missed is set when the adapter was not there at the time that the holder told.
 	Missed bool
+	Origin Origin
+}
+
+// Origin is the request for which something is asked, so that the log of the host that answers names it too.
+type Origin struct {
+	// Request is what the caller named the request, and Age the request's age when it was asked for.
+	Request string
+	Age     time.Duration
 }
 
 // AdapterPlace tells how far an adapter is resident on a backend server.
@@ -136,6 +144,8 @@
 	Returned float64
 	// Spent is what the sender charged in the window, in equal parts of it, the newest first.
 	Spent []float64
+	// Origin is the first request that waits.
+	Origin Origin
 }
 
 // TokenGrant answers a TokenRequest; Wait is the time until the keeper has what was needed, if it had not.
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -28,6 +28,7 @@
 	EventOrdered          = 151
 	EventOrderFailed      = 152
 	EventAdapterPlaced    = 153
+	EventAdapterWanted    = 154
 	EventRequestSent      = 202
 	EventRequestEnded     = 203
 	EventRequestRefused   = 204
@@ -35,6 +36,7 @@
 	EventRequestWaits     = 206
 	EventRequestLeft      = 207
 	EventOverRate         = 208
+	EventTokensShort      = 209
 )
 
 func boolField(name string, value bool) Field { return Field{name, strconv.FormatBool(value)} }
@@ -56,3 +58,16 @@
 func msField(name string, value time.Duration) Field {
 	return Field{name, strconv.FormatInt(value.Milliseconds(), 10)}
 }
+
+// fields are the fields of a line about something that another host asked for the origin.
+func (o Origin) fields(more ...Field) []Field {
+	if o.Request == "" {
+		return more
+	}
+	return append([]Field{{"request", o.Request}, msField("age_ms", o.Age)}, more...)
+}
+
+// origin names a request to the hosts that are asked for something on its account.
+func (r *Request) origin(now time.Time) Origin {
+	return Origin{Request: r.CallerID, Age: now.Sub(r.ArrivedAt)}
+}
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -312,7 +312,7 @@
 	p.AskedAt = now
 	missed := p.Missed
 	p.Missed = false
-	wantAdapter[P](s, now, AdapterWant{Backend: b.Info.ID, Adapter: r.Adapter, Version: r.Version, Missed: missed})
+	wantAdapter[P](s, now, AdapterWant{Backend: b.Info.ID, Adapter: r.Adapter, Version: r.Version, Missed: missed, Origin: r.origin(now)})
 }
 
 // receivePlace takes the holder's word on an adapter's place and sends what waits for it.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -15,6 +15,8 @@
 		receive[P](s, now, e)
 	case RequestArrived:
 		arrive[P](s, now, e)
+	case RequestTurnedAway:
+		turnedAway(s, now, e)
 	case RequestAbandoned:
 		abandon(s, now, e)
 	case AnswerBegan:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -12,7 +13,7 @@
 func arrive[P selector.Policy](s *State, now time.Time, e RequestArrived) {
 	s.Counters.RequestsArrived++
 	r := &Request{
-		ID: e.ID, CallerID: e.CallerID, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
+		ID: e.ID, CallerID: e.CallerID, Connection: e.Connection, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
 		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts,
 		Phase: PhaseQueued, WaitSince: now,
 	}
@@ -85,18 +86,32 @@
 	s.note(EventRequestRefused, s.requestFields(now, r, Field{"reason", reason.String()}, boolField("may_have_run", r.Ran > 0),
 		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastWhy.String()})...)
 	s.emit(Refuse{ID: r.ID, Reason: reason, MayHaveRun: r.Ran > 0, RetryAfter: retryAfter})
-	s.endRequest(now, r)
+	s.endRequest(now, r, "refused_"+reason.String())
 }
 
 // requestFields are the fields that each line of a request bears.
 func (s *State) requestFields(now time.Time, r *Request, more ...Field) []Field {
-	fields := []Field{{"request", r.CallerID}, {"route", r.Route.Name}, msField("age_ms", now.Sub(r.ArrivedAt)), {"backend_server", r.Backend},
+	fields := []Field{{"request", r.CallerID}, {"connection", r.Connection}, {"route", r.Route.Name}, msField("age_ms", now.Sub(r.ArrivedAt)), {"backend_server", r.Backend},
 		{"adapter", r.Adapter.Adapter}, {"account", r.Account}, intField("attempt", r.Attempt)}
 	return append(fields, more...)
 }
 
-// endRequest forgets a request and takes it out of everything that counts it.
-func (s *State) endRequest(now time.Time, r *Request) {
+// turnedAway counts and notes a request that was refused before it came to this state.
+func turnedAway(s *State, now time.Time, e RequestTurnedAway) {
+	s.Counters.RefusedByReason[e.Reason]++
+	r := &Request{CallerID: e.CallerID, Connection: e.Connection, ArrivedAt: e.At}
+	s.note(EventRequestRefused, s.requestFields(now, r, Field{"reason", e.Reason.String()}, boolField("may_have_run", false))...)
+	s.measure(now, r, "refused_"+e.Reason.String())
+}
+
+// measure tells how long a request took, by what bounds the number of names.
+func (s *State) measure(now time.Time, r *Request, outcome string) {
+	s.emit(RequestMeasured{Kind: r.Route.Repeat.String(), Service: r.Service, Outcome: outcome, Took: now.Sub(r.ArrivedAt)})
+}
+
+// endRequest forgets a request, takes it out of everything that counts it and measures it under its outcome.
+func (s *State) endRequest(now time.Time, r *Request, outcome string) {
+	s.measure(now, r, outcome)
 	s.leaveBackend(now, r)
 	s.stopWaiting(r)
 	delete(s.Requests, r.ID)
@@ -121,7 +136,7 @@
 	}
 	s.Counters.RequestsAbandoned++
 	s.note(EventRequestLeft, s.requestFields(now, r)...)
-	s.endRequest(now, r)
+	s.endRequest(now, r, "caller_left")
 }
 
 // answerBegan notes the first piece of an answer.
@@ -192,7 +207,7 @@
 	if e.Outcome == OutcomeDone {
 		s.Counters.RequestsDone++
 		s.note(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
-		s.endRequest(now, r)
+		s.endRequest(now, r, "answered_"+strconv.Itoa(e.Status))
 		return
 	}
 	s.note(EventRequestRetried, s.requestFields(now, r, Field{"outcome", e.Outcome.String()}, intField("status", e.Status),
@@ -307,7 +322,7 @@
 	if e.Outcome == OutcomeFailed && !r.Delivered {
 		s.note(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
 		s.emit(Deliver{ID: r.ID})
-		s.endRequest(now, r)
+		s.endRequest(now, r, "answered_"+strconv.Itoa(e.Status))
 		return
 	}
 	if e.Outcome.NotRun() {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -244,13 +244,14 @@
 
 // Request is one request that this host handles.
 type Request struct {
-	ID       string
-	CallerID string
-	Account  string
-	Route    cataloguer.Route
-	Service  string
-	Adapter  AdapterKey
-	Version  int64
+	ID         string
+	CallerID   string
+	Connection string
+	Account    string
+	Route      cataloguer.Route
+	Service    string
+	Adapter    AdapterKey
+	Version    int64
 	// Tokens and PromptTokens are the stated size.
 	Tokens       int
 	PromptTokens int
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -17,6 +17,36 @@
 	Backends           []BackendStatus `json:"backend_servers"`
 	Accounts           []AccountStatus `json:"accounts"`
 	RequestsInProgress int             `json:"requests_in_progress"`
+	Gauges             Gauges          `json:"gauges"`
+}
+
+// Gauges are the queues, budgets and ages of a host at one moment; their number does not grow with the fleet.
+type Gauges struct {
+	RequestsWaitingForTokens  int `json:"requests_waiting_for_tokens"`
+	RequestsWaitingForRoom    int `json:"requests_waiting_for_room"`
+	RequestsWaitingForAdapter int `json:"requests_waiting_for_adapter"`
+	RequestsAtBackends        int `json:"requests_at_backend_servers"`
+	// ConfirmedAgeMs is the age of the last word that nothing newer was published.
+	ConfirmedAgeMs int64 `json:"confirmed_age_ms"`
+	// HeardAgeMostMs is the longest time for which a host in use has been silent.
+	HeardAgeMostMs int64 `json:"heard_age_most_ms"`
+	// ReportAgeMostMs is the age of the oldest report by which this host orders a backend server.
+	ReportAgeMostMs int64 `json:"report_age_most_ms"`
+	HostsInUse      int   `json:"hosts_in_use"`
+	HostsMembers    int   `json:"hosts_members"`
+	BackendsUsable  int   `json:"backend_servers_usable"`
+	BackendsEjected int   `json:"backend_servers_left_alone"`
+	LeasesHeld      int   `json:"leases_held"`
+	AdaptersWanted  int   `json:"adapters_wanted"`
+	AdaptersLoading int   `json:"adapters_loading"`
+	// RetryTokens is what each service's budget for repeats holds at this host.
+	RetryTokens map[string]float64 `json:"retry_tokens"`
+	// LoadExpectedMs is the expected time of a load from the store, by service.
+	LoadExpectedMs map[string]int64 `json:"load_expected_ms"`
+	// BudgetsKept is the number of accounts and other budgets that this host has granted from, and BudgetUsedMost the largest
+	// used share of what such a budget allows in its window.
+	BudgetsKept    int     `json:"budgets_kept"`
+	BudgetUsedMost float64 `json:"budget_used_most"`
 }
 
 // HostStatus is another host as this one sees it.
@@ -50,7 +80,7 @@
 	v := Status{
 		Host: s.Self.HostID, Incarnation: s.Self.Incarnation, Ready: s.Ready, Leaving: s.Draining.Active,
 		Revision: s.Documents.Revision, ConfirmedAgeMs: now.Sub(s.Watch.ConfirmedAt).Milliseconds(),
-		Documents: map[string]int{}, RequestsInProgress: len(s.Requests),
+		Documents: map[string]int{}, RequestsInProgress: len(s.Requests), Gauges: gauges(s, now),
 	}
 	if s.Documents.Catalogue != nil {
 		v.CatalogueVersion = s.Documents.Catalogue.Version
@@ -84,3 +114,67 @@
 	}
 	s.emit(StatusAnswer{ReplyID: e.ReplyID, Status: v})
 }
+
+func gauges(s *State, now time.Time) Gauges {
+	g := Gauges{
+		ConfirmedAgeMs: now.Sub(s.Watch.ConfirmedAt).Milliseconds(), HostsInUse: len(s.aliveHosts(now)), HostsMembers: len(s.memberHosts(now)),
+		RetryTokens: map[string]float64{}, LoadExpectedMs: map[string]int64{},
+	}
+	for _, r := range s.Requests {
+		switch r.Phase {
+		case PhaseTokens:
+			g.RequestsWaitingForTokens++
+		case PhaseQueued:
+			g.RequestsWaitingForRoom++
+		case PhaseLoading:
+			g.RequestsWaitingForAdapter++
+		case PhaseRunning, PhaseAnswering:
+			g.RequestsAtBackends++
+		}
+	}
+	for id, h := range s.Hosts {
+		if s.alive(now, id) {
+			g.HeardAgeMostMs = max(g.HeardAgeMostMs, now.Sub(h.HeardAt).Milliseconds())
+		}
+	}
+	for _, b := range s.Backends {
+		if s.usable(now, b) {
+			g.BackendsUsable++
+		}
+		if now.Before(b.EjectedUntil) {
+			g.BackendsEjected++
+		}
+	}
+	for name, v := range s.Services {
+		g.RetryTokens[name] = v.Retries.Level
+		g.LoadExpectedMs[name] = v.LoadTime.Milliseconds()
+	}
+	gaugeLeases(s, now, &g)
+	gaugeBudgets(s, now, &g)
+	return g
+}
+
+func gaugeLeases(s *State, now time.Time, g *Gauges) {
+	for id, r := range s.Rights {
+		if !s.holds(now, id) {
+			continue
+		}
+		g.LeasesHeld++
+		g.AdaptersWanted += len(r.Ledger.Wants)
+		g.AdaptersLoading += r.Ledger.inTransit()
+		if !r.Ledger.ReadAt.IsZero() {
+			g.ReportAgeMostMs = max(g.ReportAgeMostMs, now.Sub(r.Ledger.ReadAt).Milliseconds())
+		}
+	}
+}
+
+func gaugeBudgets(s *State, now time.Time, g *Gauges) {
+	for name, k := range s.Keepers {
+		p, ok := s.pool(name)
+		if !ok || p.Allowed <= 0 {
+			continue
+		}
+		g.BudgetsKept++
+		g.BudgetUsedMost = max(g.BudgetUsedMost, k.Window.Total(now)/p.Allowed)
+	}
+}
--- a/internal/translator/parts.go
+++ b/internal/translator/parts.go
@@ -81,6 +81,17 @@
 	return reducer.AdapterKey{Model: w.GetModel(), Adapter: w.GetAdapter()}
 }
 
+func originWire(o reducer.Origin) *peerv1.Origin {
+	if o.Request == "" {
+		return nil
+	}
+	return &peerv1.Origin{Request: o.Request, AgeMs: uint64(max(o.Age.Milliseconds(), 0))}
+}
+
+func origin(w *peerv1.Origin) reducer.Origin {
+	return reducer.Origin{Request: w.GetRequest(), Age: time.Duration(w.GetAgeMs()) * time.Millisecond}
+}
+
 func usageWire(m reducer.Usage) *peerv1.Usage {
 	w := &peerv1.Usage{Backend: m.Backend, Running: int64(m.Running), Tokens: int64(m.Tokens), Prefill: int64(m.Prefill)}
 	for _, a := range m.Adapters {
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -48,6 +48,7 @@
 	case reducer.AdapterWant:
 		return &peerv1.Message{Kind: &peerv1.Message_AdapterWant{AdapterWant: &peerv1.AdapterWant{
 			Backend: v.Backend, Adapter: adapterWire(v.Adapter), Version: v.Version, Missed: v.Missed,
+			Origin: originWire(v.Origin),
 		}}}
 	case reducer.AdapterPlace:
 		return &peerv1.Message{Kind: &peerv1.Message_AdapterPlace{AdapterPlace: &peerv1.AdapterPlace{
@@ -63,7 +64,7 @@
 	case reducer.TokenRequest:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenRequest{TokenRequest: &peerv1.TokenRequest{
 			Account: v.Account, Sequence: v.Sequence, Needed: v.Needed, Wanted: v.Wanted, Returned: v.Returned,
-			Spent: v.Spent,
+			Spent: v.Spent, Origin: originWire(v.Origin),
 		}}}
 	case reducer.TokenGrant:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenGrant{TokenGrant: &peerv1.TokenGrant{
@@ -90,7 +91,7 @@
 	case *peerv1.Message_AdapterWant:
 		return reducer.AdapterWant{
 			Backend: v.AdapterWant.GetBackend(), Adapter: adapter(v.AdapterWant.GetAdapter()), Version: v.AdapterWant.GetVersion(),
-			Missed: v.AdapterWant.GetMissed(),
+			Missed: v.AdapterWant.GetMissed(), Origin: origin(v.AdapterWant.GetOrigin()),
 		}
 	case *peerv1.Message_AdapterPlace:
 		return reducer.AdapterPlace{
@@ -108,6 +109,7 @@
 		return reducer.TokenRequest{
 			Account: v.TokenRequest.GetAccount(), Sequence: v.TokenRequest.GetSequence(), Needed: v.TokenRequest.GetNeeded(),
 			Wanted: v.TokenRequest.GetWanted(), Returned: v.TokenRequest.GetReturned(), Spent: v.TokenRequest.GetSpent(),
+			Origin: origin(v.TokenRequest.GetOrigin()),
 		}
 	case *peerv1.Message_TokenGrant:
 		return reducer.TokenGrant{
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -24,11 +24,11 @@
 		reducer.LeaseRequest{SentAt: time.Second, Claims: []reducer.Claim{{Backend: "b", Term: 3, Valid: true}}},
 		reducer.LeaseReply{SentAt: time.Second, Votes: []reducer.Vote{{Backend: "b", Backed: true, Term: 3, HeldBefore: true}}},
 		reducer.LeaseRelease{SentAt: time.Second, Backends: []string{"b"}},
-		reducer.AdapterWant{Backend: "b", Adapter: key, Version: 2, Missed: true},
+		reducer.AdapterWant{Backend: "b", Adapter: key, Version: 2, Missed: true, Origin: reducer.Origin{Request: "r", Age: 3 * time.Millisecond}},
 		reducer.AdapterPlace{Backend: "b", Adapter: key, Version: 2, Stage: reducer.StageReady, ReadyIn: time.Millisecond},
 		reducer.Usage{Backend: "b", Running: 1, Tokens: 2, Prefill: 3, Adapters: []reducer.AdapterUse{{Adapter: key, Count: 1, Running: 2, Served: true}}},
 		reducer.BackendLoad{Backend: "b", Running: 1, Tokens: 2, Prefill: 3, Free: 4},
-		reducer.TokenRequest{Account: "a", Sequence: 5, Needed: 1.5, Wanted: 2.5, Returned: 3.5, Spent: []float64{1, 2}},
+		reducer.TokenRequest{Account: "a", Sequence: 5, Needed: 1.5, Wanted: 2.5, Returned: 3.5, Spent: []float64{1, 2}, Origin: reducer.Origin{Request: "r"}},
 		reducer.TokenGrant{Account: "a", Sequence: 5, Tokens: 1.5, Wait: time.Second},
 	}
 	data, err := proto.Marshal(Envelope("h", 7, messages))
--- a/pkg/cataloguer/catalogue.go
+++ b/pkg/cataloguer/catalogue.go
@@ -19,6 +19,11 @@
 	RepeatStream
 )
 
+var repeatNames = [...]string{"unknown", "safe", "unsafe", "stream"}
+
+// String returns the name of the kind in metrics.
+func (r Repeat) String() string { return repeatNames[r] }
+
 // Catalogue is one version of the operators' configuration.
 type Catalogue struct {
 	Version  int64
