Count a caller that leaves as a caller that leaves, not as a broken backend server

Cause: the end-to-end test of explain found it. A caller's leaving cancels the exchange, whose outcome was reported as broken: the log blamed the backend server, three such callers had it left alone for a second, and a resumable stream could be sent elsewhere for nobody. Ruled out: a backend server that breaks off (the stand-in ran on). Change: after an exchange that did not end well, the session looks whether its caller is still there. Test: TestStreamsThatEndEarlyAreExplained failed before on outcome and cause.

--- /dev/null
+++ b/e2e/explain_test.go
@@ -0,0 +1,206 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/commander"
+	"github.com/redwingpick/redwingpick/platform/standin"
+)
+
+// explain asks the command-line client what the logs of all hosts tell of a request, once they have its end.
+func (f *fleet) explain(id string) commander.Explanation {
+	f.t.Helper()
+	args := []string{"explain", id, "--output", "json"}
+	for _, h := range f.hosts {
+		args = append(args, h.log)
+	}
+	var e commander.Explanation
+	f.eventually("the end of "+id+" in the logs", 3*time.Second, func() bool {
+		out, err := exec.Command(command, args...).Output()
+		e = commander.Explanation{}
+		return err == nil && json.Unmarshal(out, &e) == nil && !strings.HasPrefix(e.Outcome, "not ended")
+	})
+	return e
+}
+
+// explained checks that the logs lead from a request's id to one outcome and cause.
+func (f *fleet) explained(id, outcome, cause string) commander.Explanation {
+	f.t.Helper()
+	e := f.explain(id)
+	assert.Check(f.t, e.Outcome == outcome && strings.Contains(e.Cause, cause), "%s: %q because %q; expected %q, %q", id, e.Outcome, e.Cause, outcome, cause)
+	assert.Check(f.t, e.Unreadable == 0)
+	return e
+}
+
+func (f *fleet) behave(service string, manner standin.Manner) {
+	for _, s := range f.platform.Servers {
+		if s.Service == service {
+			s.Behave(manner)
+		}
+	}
+}
+
+func plain(id, route string) standin.Call {
+	return standin.Call{ID: id, Route: route, Key: standin.KeyLarge, Body: "order"}
+}
+
+func TestEachRefusalIsExplained(t *testing.T) {
+	f := newFleet(t, 3)
+	expect := func(c standin.Call, status int, outcome, cause string) {
+		t.Helper()
+		r := f.send(f.hosts[0], c)
+		assert.Check(t, r.Status == status, "%s: %d %q %v", c.ID, r.Status, r.Body, r.Err)
+		f.explained(c.ID, outcome, cause)
+	}
+	expect(plain("served", "once"), http.StatusOK, "answered with status 200", "sent to desk-")
+	expect(plain("route", "nowhere"), http.StatusNotFound, "refused: no_route", "no route")
+	expect(standin.Call{ID: "key", Route: "safe", Key: "no-such-key"}, http.StatusUnauthorized, "refused: no_key", "no client account")
+	large := plain("large", "once")
+	large.Body = strings.Repeat("x", 70_000)
+	expect(large, http.StatusRequestEntityTooLarge, "refused: too_large", "larger than the configuration allows")
+	for _, c := range []struct {
+		manner         standin.Manner
+		route          string
+		status         int
+		outcome, cause string
+	}{
+		{standin.MannerFull, "once", http.StatusServiceUnavailable, "refused: full", "failed: full, status 503"},
+		{standin.MannerFailing, "once", http.StatusInternalServerError, "answered with status 500", "attempt 1 at desk-"},
+		{standin.MannerBreaking, "once", http.StatusBadGateway, "refused: broken", "failed: broken"},
+		{standin.MannerMute, "once", http.StatusGatewayTimeout, "refused: timeout", "the caller's time was over"},
+	} {
+		f.behave(standin.DeskName, c.manner)
+		expect(plain(fmt.Sprintf("manner-%d", c.manner), c.route), c.status, c.outcome, c.cause)
+		f.behave(standin.DeskName, standin.MannerSound)
+		time.Sleep(1500 * time.Millisecond)
+	}
+	f.platform.Leave("desk-0")
+	f.platform.Leave("desk-1")
+	time.Sleep(time.Second)
+	expect(plain("nobody", "once"), http.StatusServiceUnavailable, "refused: no_backend_server", "leaving, withdrawn, cold or left alone")
+}
+
+func TestRequestWithoutItsWholeBodyIsExplained(t *testing.T) {
+	f := newFleet(t, 1)
+	conn, err := net.Dial("tcp", f.hosts[0].address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: half-body\r\nTransfer-Encoding: chunked\r\n\r\nnot a chunk\r\n", standin.Host)
+	assert.NilError(t, err)
+	f.explained("half-body", "refused: bad_request", "could not be read")
+	f.platform.Store.SetDown(true)
+	assert.NilError(t, f.hosts[0].command.Process.Kill())
+	<-f.hosts[0].done
+	f.start(f.hosts[0])
+	f.eventually("an answer of the host that has started again", 5*time.Second, func() bool {
+		return f.send(f.hosts[0], plain("early", "once")).Status == http.StatusServiceUnavailable
+	})
+	f.explained("early", "refused: no_catalogue", "no configuration yet")
+}
+
+func TestBudgetOfAnAccountIsExplainedByItsKeeper(t *testing.T) {
+	f := newFleet(t, 3)
+	refused := map[string]bool{}
+	for i := range 45 {
+		id := fmt.Sprintf("q%d", i)
+		if f.send(f.hosts[i%3], standin.Call{ID: id, Route: "safe", Key: standin.KeySmall}).Status == http.StatusTooManyRequests {
+			refused[id] = true
+		}
+	}
+	assert.Assert(t, len(refused) > 20, "%d refused", len(refused))
+	elsewhere := 0
+	for id := range refused {
+		for _, l := range f.explained(id, "refused: over_rate", "which keeps the account, had").Lines {
+			if l.Host != f.hosts[0].name {
+				elsewhere++
+			}
+		}
+		if len(refused)-elsewhere > 6 {
+			break
+		}
+	}
+}
+
+func TestWaitsForAdaptersAreExplainedByTheHolder(t *testing.T) {
+	f := newFleet(t, 3)
+	late := f.send(f.hosts[1], generation("late", "stream", "first", 5))
+	assert.Equal(t, late.Status, 200)
+	e := f.explained("late", "answered with status 200", "which orders engine-")
+	assert.Assert(t, e.Lines[0].Event == 206, "%+v", e.Lines[0])
+	var group sync.WaitGroup
+	results := make([]standin.Result, 30)
+	for i := range results {
+		group.Go(func() {
+			results[i] = f.send(f.hosts[i%3], generation(fmt.Sprintf("many%d", i), "stream", fmt.Sprintf("b%d", i), 500))
+		})
+	}
+	group.Wait()
+	refused, hosts := 0, map[string]bool{}
+	for i, r := range results {
+		if r.Status == 200 {
+			continue
+		}
+		refused++
+		assert.Equal(t, r.Status, http.StatusServiceUnavailable)
+		for _, l := range f.explained(fmt.Sprintf("many%d", i), "refused: not_loaded", "which orders engine-").Lines {
+			hosts[l.Host] = true
+		}
+	}
+	// 12 places for 30 adapters, each in use for two seconds.
+	assert.Assert(t, refused >= 10 && len(hosts) == 3, "%d refused, lines of %v", refused, hosts)
+}
+
+func TestStreamsThatEndEarlyAreExplained(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, id := range []string{"left-1", "left-2", "left-3"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		request, err := generation(id, "resumable", "a1", 1000).Request(ctx, f.hosts[0].address)
+		assert.NilError(t, err)
+		response, err := client.Do(request)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 200)
+		cancel()
+		_ = response.Body.Close()
+		f.explained(id, "left by its caller", "the caller closed")
+		assert.Equal(t, f.runs(id), 1, "a request ran again for a caller that had left")
+	}
+	logged, err := os.ReadFile(f.hosts[0].log)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(logged), `"event":144,`), "callers that left counted as failures of the backend server")
+	ends := make(chan standin.Result, 2)
+	for _, id := range []string{"stream", "resumable"} {
+		go func() { ends <- f.send(f.hosts[0], generation(id, id, "a1", 400)) }()
+	}
+	f.eventually("two runs", 3*time.Second, func() bool { return f.runs("stream")+f.runs("resumable") == 2 })
+	time.Sleep(300 * time.Millisecond)
+	for _, s := range f.platform.Servers {
+		if s.Seen().Runs["stream"]+s.Seen().Runs["resumable"] > 0 {
+			f.platform.Crash(s.ID)
+		}
+	}
+	<-ends
+	<-ends
+	f.explained("stream", "refused: broken", "failed: broken")
+	e := f.explain("resumable")
+	assert.Assert(t, strings.Contains(e.Cause, "attempt 1 at engine-"), "%s, %s", e.Outcome, e.Cause)
+}
+
+func (f *fleet) runs(id string) int {
+	runs := 0
+	for _, s := range f.platform.Servers {
+		runs += s.Seen().Runs[id]
+	}
+	return runs
+}
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -36,6 +36,9 @@
 	reply := s.Control.Replies.Register(ctx, s.Arrived.ID)
 	defer s.Control.Replies.Forget(s.Arrived.ID, reply)
 	if !s.Control.Post(s.Arrived) {
+		s.Control.Recorder.Record(reducer.EventRequestRefused, reducer.Field{Name: "request", Value: s.Arrived.CallerID},
+			reducer.Field{Name: "connection", Value: s.Arrived.Connection}, reducer.Field{Name: "age_ms", Value: "0"},
+			reducer.Field{Name: "reason", Value: reducer.ReasonMailbox.String()}, reducer.Field{Name: "may_have_run", Value: "false"})
 		s.Sink.Refuse(reducer.Refuse{ID: s.Arrived.ID, Reason: reducer.ReasonMailbox, RetryAfter: mailboxRetry})
 		return
 	}
@@ -46,13 +49,18 @@
 				return
 			}
 		case <-ctx.Done():
-			s.Sink.Abort()
-			s.Control.Report(context.WithoutCancel(ctx), reducer.RequestAbandoned{ID: s.Arrived.ID})
+			s.abandon(ctx)
 			return
 		}
 	}
 }
 
+// abandon ends a request whose caller is gone.
+func (s *Session[P, C, S]) abandon(ctx context.Context) {
+	s.Sink.Abort()
+	s.Control.Report(context.WithoutCancel(ctx), reducer.RequestAbandoned{ID: s.Arrived.ID})
+}
+
 // mailboxRetry is when a caller may come again that met a full mailbox.
 const mailboxRetry = 300 * time.Millisecond
 
@@ -74,6 +82,10 @@
 }
 
 func (s *Session[P, C, S]) dispatch(ctx context.Context, reply *Reply, order reducer.Dispatch) (ended bool) {
+	if ctx.Err() != nil {
+		s.abandon(ctx)
+		return true
+	}
 	start := clocker.Now()
 	traced, span := tracer.Hop(reply.Context, "backend_server", attribute.String("backend_server", order.Backend),
 		attribute.Int("attempt", order.Attempt))
@@ -82,6 +94,11 @@
 	})
 	span.SetAttributes(attribute.String("outcome", result.Outcome.String()))
 	span.End()
+	if result.Outcome != reducer.OutcomeDone && ctx.Err() != nil {
+		// The caller ended the exchange by leaving, so that its outcome tells nothing of the backend server.
+		s.abandon(ctx)
+		return true
+	}
 	if result.Held != nil {
 		s.held = result.Held
 	}
