Take an adapter as proved only in the version, and since the time, of its last order

A report from before a newer version was ordered, or an answer on the older one, proved the new load, so that the adapter was dropped while it was still coming; the engine answers that as done, and the next load was one too many. Ruled out: two holders (one host gave all orders). Change: a report proves only what it shows in the ordered version from after the order; use tells the version that was answered. A request that waits asks for the version declared meanwhile.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -93,6 +93,7 @@
 		b.Info.Slots = w.Options.Spec.Slots
 		b.Info.Models = []cataloguer.Resident{{Model: modelName}}
 		b.Engine = modeler.NewEngine(w.Options.Spec)
+		b.Engine.Newest = w.Checks.newest
 		if known {
 			b.Info.ColdFor = coldFor
 			b.ColdFrom = w.Now
@@ -157,7 +158,8 @@
 		if b.Info.Service != engineService {
 			key = reducer.AdapterKey{}
 		}
-		first, outcome := b.Engine.Begin(w.Now, key, r.event.PromptTokens)
+		first, outcome := b.Engine.Begin(w.Now, key, e.Version, r.event.PromptTokens)
+		w.Checks.repeated(w.Now, w.Options.Limits, b.Info.Service, r)
 		// The pages do not count requests for an adapter that is not there.
 		if outcome != reducer.OutcomeAbsent {
 			w.Checks.arrived(w.Now, w.touched(h), b, h)
@@ -168,6 +170,9 @@
 			return
 		}
 		r.ran(&w.Checks, w.scale(), w.Now)
+		if a, ok := b.Engine.Adapters[key]; ok && w.touched(h) {
+			w.Checks.begun(w.Now, key, a.Version, h)
+		}
 		w.answer(h, b, r, e, first, key)
 	})
 }
--- a/internal/exerciser/callers.go
+++ b/internal/exerciser/callers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // Callers is the modelled traffic.
@@ -35,7 +36,9 @@
 	sentAt  time.Time
 	runs    int
 	attempt int
-	ended   string
+	// arrivals counts how often the request came to a backend server.
+	arrivals int
+	ended    string
 	// notRun is set once the caller has been told that the request has not run.
 	notRun bool
 }
@@ -69,7 +72,51 @@
 		e.Path, r.once = "/stream/x", true
 		w.generation(&e)
 	}
+	service := engineService
+	if e.Adapter == "" {
+		service = plainService
+	}
+	w.Checks.asked[service] = append(w.Checks.asked[service], w.Now)
 	w.deliver(h, r, e)
+	if w.Options.More && w.more.IntN(leavingShare) == 0 {
+		w.leaveEarly(h, r)
+	}
+}
+
+// One caller in leavingShare leaves early, within leavesWithin.
+const (
+	leavingShare = 20
+	leavesWithin = 1500 * time.Millisecond
+	callerLeft   = "caller left"
+)
+
+// leaveEarly makes a caller leave before it has its answer.
+func (w *World[P]) leaveEarly(h *Host, r *Request) {
+	incarnation := h.Incarnation
+	w.after(time.Duration(w.more.Int64N(int64(leavesWithin))), func() {
+		w.awake(h, incarnation, func() {
+			if r.ended == "" {
+				r.ended = callerLeft
+				w.reduce(h, reducer.RequestAbandoned{ID: r.event.ID})
+			}
+		})
+	})
+}
+
+// Declare publishes new versions of much used adapters at random times until the run ends.
+func (w *World[P]) Declare(every time.Duration) {
+	var next func()
+	next = func() {
+		key := reducer.AdapterKey{Model: modelName, Adapter: fmt.Sprintf("a%d", 1+w.more.IntN(6))}
+		w.Checks.newest[key]++
+		w.Checks.declaredAt[key] = w.Now
+		w.Store.Put(cataloguer.Document{
+			Key: "versions/" + key.Adapter, Kind: cataloguer.KindVersion, Raw: []byte(key.Adapter),
+			Version: &cataloguer.AdapterVersion{Model: key.Model, Adapter: key.Adapter, Version: w.Checks.newest[key]},
+		})
+		w.after(time.Duration(w.more.ExpFloat64()*float64(every)), next)
+	}
+	next()
 }
 
 func (w *World[P]) deliver(h *Host, r *Request, e reducer.RequestArrived) {
--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -11,6 +11,12 @@
 type Checks struct {
 	Violations []string
 	uses       map[string][]use
+	// asked and repeats hold, by service, when requests were sent for it and when they arrived there for the second time or later.
+	asked   map[string][]time.Time
+	repeats map[string][]time.Time
+	// newest and declaredAt hold the newest versions of adapters and when they were published.
+	newest     map[reducer.AdapterKey]int64
+	declaredAt map[reducer.AdapterKey]time.Time
 }
 
 // Order is an order as a backend server saw it.
@@ -55,8 +61,11 @@
 	}
 }
 
-// dispatched checks whose account a request is sent for.
+// dispatched checks whose account a request is sent for, and that its caller is still there.
 func (c *Checks) dispatched(now time.Time, r *Request, e reducer.Dispatch) {
+	if r.ended == callerLeft {
+		c.fail(now, "gone", r.event.ID+" was sent for a caller that had left")
+	}
 	if e.Account != r.account {
 		c.fail(now, "own_account", r.event.ID+" was sent for "+e.Account)
 	}
@@ -86,6 +95,8 @@
 	quotaWindow    = 8 * time.Second
 	quotaOvershoot = 0.25
 	quotaSlack     = 110_000
+	versionBound   = 5 * time.Second
+	retryWindow    = 10 * time.Second
 )
 
 // used checks an account's use over all hosts in a sliding window.
@@ -112,6 +123,42 @@
 	}
 }
 
+// repeated checks the repeats of a service, summed over all hosts, in a sliding window against the requests that were sent for it in
+// that window, the one before or the one half a window before.
+func (c *Checks) repeated(now time.Time, limits reducer.Limits, service string, r *Request) {
+	r.arrivals++
+	if r.arrivals == 1 {
+		return
+	}
+	c.repeats[service] = append(c.repeats[service], now)
+	repeats := between(c.repeats[service], now.Add(-retryWindow), now)
+	asked := 0
+	for _, back := range []time.Duration{0, retryWindow / 2, retryWindow} {
+		asked = max(asked, between(c.asked[service], now.Add(-back-retryWindow), now.Add(-back)))
+	}
+	if bound := limits.RetryRatio*float64(asked) + limits.RetrySlack; float64(repeats) > bound {
+		c.fail(now, "retry_budget", fmt.Sprintf("%s got %d repeats where %.0f are allowed", service, repeats, bound))
+	}
+}
+
+func between(times []time.Time, from, to time.Time) int {
+	count := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// begun checks that a request does not begin on an outdated version of its adapter.
+func (c *Checks) begun(now time.Time, key reducer.AdapterKey, version int64, h *Host) {
+	if version < c.newest[key] && now.Sub(c.declaredAt[key]) > versionBound {
+		c.fail(now, "version", fmt.Sprintf("%s let a request for %s begin on version %d, where %d was declared %v before", h.ID, key.Adapter, version,
+			c.newest[key], now.Sub(c.declaredAt[key])))
+	}
+}
+
 // refusedFor checks that nobody is refused a route or a key that has been in force for long.
 func (c *Checks) refusedFor(now time.Time, r *Request, reason reducer.Reason) {
 	if reason == reducer.ReasonNoRoute || reason == reducer.ReasonNoKey {
--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -39,6 +39,9 @@
 	w = New[selector.Expected](o)
 	w.Run(8 * time.Second)
 	w.Traffic(45)
+	if o.More {
+		w.Declare(3 * time.Second)
+	}
 	for range 20 {
 		struck = append(struck, w.Strike())
 		w.Run(3 * time.Second)
@@ -50,22 +53,33 @@
 // failedSeeds once broke a rule; the causes stand in the commits and in docs/PROOFS.md.
 var failedSeeds = []uint64{2, 6, 8, 16, 22, 24, 32, 35, 36, 44, 53, 55, 5072}
 
+// failedMoreSeeds once broke a rule with declared versions and callers that leave.
+var failedMoreSeeds = []uint64{8, 17}
+
 func TestSeedsThatOnceFailed(t *testing.T) {
 	for _, seed := range failedSeeds {
-		playSeed(t, seed)
+		playSeed(t, options(seed))
+	}
+	for _, seed := range failedMoreSeeds {
+		o := options(seed)
+		o.More = true
+		playSeed(t, o)
 	}
 }
 
 func TestSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-		playSeed(t, seed)
+		o := options(seed)
+		o.More = true
+		playSeed(t, o)
 	}
 }
 
-func playSeed(t *testing.T, seed uint64) {
+func playSeed(t *testing.T, o Options) {
+	seed := o.Seed
 	t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
 		t.Parallel()
-		w, struck := run(options(seed))
+		w, struck := run(o)
 		t.Logf("seed %d: %d sent, %d refused or failed by reason %v", seed, w.Callers.Sent, len(w.Callers.Refused), w.Callers.Refused)
 		if len(w.Checks.Violations) > 0 {
 			shown := w.Checks.Violations[:min(len(w.Checks.Violations), 10)]
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -40,6 +40,8 @@
 	Jitter  time.Duration
 	// DropShare is the part of the envelopes between hosts that is lost.
 	DropShare float64
+	// More adds declared versions of adapters and callers that leave, drawn apart from all other luck.
+	More bool
 	// Count makes the run count the bytes of envelopes and the time in Reduce.
 	Count bool
 }
@@ -59,7 +61,9 @@
 	Busy          time.Duration
 	PlatformCalls int
 
-	random   *rand.Rand
+	random *rand.Rand
+	// more is the luck of what Options.More adds.
+	more     *rand.Rand
 	queue    actionQueue
 	sequence uint64
 	cuts     map[[2]string]bool
@@ -133,9 +137,14 @@
 func New[P selector.Policy](o Options) *World[P] {
 	w := &World[P]{
 		Options: o, Now: Start, Backends: map[string]*Backend{}, random: rand.New(rand.NewPCG(o.Seed, 1)),
+		more: rand.New(rand.NewPCG(o.Seed, 2)),
 		cuts: map[[2]string]bool{}, storeCut: map[string]bool{},
 	}
 	w.Callers.requests = map[string]*Request{}
+	w.Checks = Checks{
+		asked: map[string][]time.Time{}, repeats: map[string][]time.Time{}, newest: map[reducer.AdapterKey]int64{},
+		declaredAt: map[reducer.AdapterKey]time.Time{},
+	}
 	for i := range o.Hosts {
 		h := &Host{ID: fmt.Sprintf("host-%02d", i), Domain: w.domain(i)}
 		w.Hosts = append(w.Hosts, h)
--- a/internal/modeler/engine.go
+++ b/internal/modeler/engine.go
@@ -27,6 +27,8 @@
 	Adapters map[reducer.AdapterKey]*Adapter
 	Recent   map[reducer.AdapterKey]bool
 	Running  int
+	// Newest holds the newest declared versions of adapters; a load brings them.
+	Newest map[reducer.AdapterKey]int64
 	// ReadingUntil is when the prompts that are being read will have been read.
 	ReadingUntil time.Time
 	Orders       int64
@@ -37,7 +39,10 @@
 type Adapter struct {
 	ReadyAt time.Time
 	Running int
+	Version int64
 	Leaving bool
+	// Replaced is set while a newer version waits for the end of the requests that run.
+	Replaced bool
 }
 
 type snapshot struct {
@@ -56,7 +61,7 @@
 // Load takes an order to load an adapter; overfull tells that there is no place for it, which ends a real engine.
 func (e *Engine) Load(now time.Time, key reducer.AdapterKey) (result reducer.OrderResult, overfull bool) {
 	if a, ok := e.Adapters[key]; ok && !a.Leaving {
-		return reducer.OrderHolds, false
+		return e.replace(now, key, a), false
 	}
 	if len(e.Adapters) >= e.Spec.AdapterSlots {
 		return reducer.OrderRefused, true
@@ -75,11 +80,33 @@
 		took = e.Spec.RecentLoad
 	}
 	e.Orders++
-	e.Adapters[key] = &Adapter{ReadyAt: now.Add(took)}
+	e.Adapters[key] = &Adapter{ReadyAt: now.Add(took), Version: e.Newest[key]}
 	e.record(now)
 	return reducer.OrderAccepted, false
 }
 
+// replace takes an order to load an adapter that is there, whose version may be an older one.
+func (e *Engine) replace(now time.Time, key reducer.AdapterKey, a *Adapter) reducer.OrderResult {
+	if a.Version >= e.Newest[key] {
+		return reducer.OrderHolds
+	}
+	e.Orders++
+	a.Replaced = true
+	e.bring(now, key, a)
+	return reducer.OrderAccepted
+}
+
+// bring starts the load of a newer version once no request runs on the older one.
+func (e *Engine) bring(now time.Time, key reducer.AdapterKey, a *Adapter) {
+	if !a.Replaced || a.Running > 0 {
+		return
+	}
+	a.Replaced = false
+	a.Version = e.Newest[key]
+	a.ReadyAt = now.Add(e.Spec.LoadTime)
+	e.record(now)
+}
+
 // Unload takes an order to unload an adapter, which leaves once its requests have ended.
 func (e *Engine) Unload(now time.Time, key reducer.AdapterKey) reducer.OrderResult {
 	a, ok := e.Adapters[key]
@@ -97,13 +124,17 @@
 	return reducer.OrderHolds
 }
 
-// Begin takes a request; it returns the time of the first piece of the answer, or why it does not run.
-func (e *Engine) Begin(now time.Time, key reducer.AdapterKey, promptTokens int) (first time.Time, outcome reducer.Outcome) {
+// Begin takes a request that expects a version of its adapter, or any if that is 0; it returns the time of the first piece of
+// the answer, or why the request does not run.
+func (e *Engine) Begin(now time.Time, key reducer.AdapterKey, version int64, promptTokens int) (first time.Time, outcome reducer.Outcome) {
 	if key.Adapter != "" {
 		a, ok := e.Adapters[key]
-		if !ok || a.Leaving || now.Before(a.ReadyAt) {
+		if !ok || a.Leaving || now.Before(a.ReadyAt) || version > 0 && a.Version != version {
 			return time.Time{}, reducer.OutcomeAbsent
 		}
+		if a.Replaced {
+			return time.Time{}, reducer.OutcomeFull
+		}
 	}
 	if e.Running >= e.Spec.Slots+e.Spec.Queue {
 		return time.Time{}, reducer.OutcomeFull
@@ -127,6 +158,7 @@
 		return
 	}
 	a.Running--
+	e.bring(now, key, a)
 	if a.Leaving && a.Running == 0 {
 		delete(e.Adapters, key)
 		e.Recent[key] = true
@@ -152,7 +184,7 @@
 		if now.Before(a.ReadyAt) {
 			stage = reducer.StageLoading
 		}
-		s.adapters = append(s.adapters, reducer.ReportedAdapter{Adapter: key, Stage: stage})
+		s.adapters = append(s.adapters, reducer.ReportedAdapter{Adapter: key, Version: a.Version, Stage: stage})
 	}
 	e.history = append(e.history, s)
 }
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -155,7 +155,7 @@
 		if !p.Changed && (!all || p.Running == 0) {
 			continue
 		}
-		usage.Adapters = append(usage.Adapters, AdapterUse{Adapter: key, Count: p.Count, Running: p.Running, Served: p.Served})
+		usage.Adapters = append(usage.Adapters, AdapterUse{Adapter: key, Count: p.Count, Running: p.Running, Served: p.Served, Version: p.ServedVersion})
 		p.Served = false
 		p.Count = 0
 		p.Changed = false
--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -287,7 +287,7 @@
 		}
 	}
 	for _, key := range sortedAdapters(named) {
-		l.adopt(s, now, b, named[key])
+		l.adopt(s, now, asOf, b, named[key])
 	}
 	l.ReadAt = now
 	l.Doubtful = false
@@ -297,11 +297,14 @@
 // reportLag is the age that a backend server's report may have.
 const reportLag = 600 * time.Millisecond
 
-// adopt adds an adapter that the report names and the ledger lacks.
-func (l *Ledger) adopt(s *State, now time.Time, b *Backend, a ReportedAdapter) {
+// adopt adds an adapter that the report, which shows the time asOf or later, names and the ledger lacks.
+//
+// An adapter that the report shows in the version of the last order, and not from before that, is proved to be there.
+func (l *Ledger) adopt(s *State, now, asOf time.Time, b *Backend, a ReportedAdapter) {
 	key, stage := a.Adapter, a.Stage
 	if e, ok := l.Entries[key]; ok {
-		e.Proven = e.Proven || stage == StageReady && e.Stage != StageUnloading
+		shown := stage == StageReady && a.Version >= e.Version && e.OrderedAt.Before(asOf)
+		e.Proven = e.Proven || shown && e.Stage != StageUnloading
 		return
 	}
 	if dropped, ok := l.Recent[key]; ok && now.Sub(dropped) < reportLag {
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -121,6 +121,8 @@
 	Running int
 	// Served is set once a request for the adapter has been answered, which proves that it is resident.
 	Served bool
+	// Version is the version of the adapter that the answered request asked for.
+	Version int64
 }
 
 // BackendLoad tells what all other hosts have running on a backend server.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -21,6 +21,9 @@
 		s.refuseWaiting(now, r, ReasonNoBackend)
 		return
 	}
+	if r.Ran == 0 {
+		r.Version = max(r.Version, s.Documents.Versions[r.Adapter])
+	}
 	candidates := s.candidates(now, r, service)
 	for len(candidates) > 0 {
 		var policy P
@@ -331,6 +334,7 @@
 		return
 	}
 	p := b.place(m.Adapter)
+	p.Proven = p.Proven && m.Version <= p.Version
 	p.Stage = m.Stage
 	p.Version = m.Version
 	p.KnownAt = now
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -264,6 +264,21 @@
 	assert.Assert(t, !sent, "a request has found that the adapter is not there")
 }
 
+// TestRequestThatWaitsAsksForTheVersionDeclaredMeanwhile covers a request that waits for room while a newer version is declared:
+// it would be refused wherever that version has been loaded.
+func TestRequestThatWaitsAsksForTheVersionDeclaredMeanwhile(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	_, sent := find[Dispatch](f.generate("1", "a1"))
+	assert.Assert(t, !sent, "there is no engine yet")
+	f.publish(cataloguer.Document{
+		Key: "v", Kind: cataloguer.KindVersion, Raw: []byte("v"), Version: &cataloguer.AdapterVersion{Model: "m", Adapter: "a1", Version: 3},
+	})
+	e := engine("e1", "a1")
+	e.Models[0].Adapters[0].Version = 3
+	assert.Equal(t, must[Dispatch](t, f.backend(e)).Version, int64(3))
+}
+
 func TestEmptyEngineIsOrderedItsModelWithinTheBudget(t *testing.T) {
 	f := newFixture(t)
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -43,7 +43,6 @@
 	}
 	r.Deadline = e.At.Add(timeLeft(e, route))
 	r.Service = s.pickService(route)
-	r.Version = s.Documents.Versions[r.Adapter]
 	s.earnRetry(now, r.Service)
 	s.Requests[r.ID] = r
 	if known && !charge(s, now, r, s.Documents.Accounts[name]) {
@@ -153,9 +152,10 @@
 	if p, ok := b.Adapters[r.Adapter]; ok && p.Stage != StageAbsent {
 		p.Stage = StageReady
 		p.KnownAt = now
-		if !p.Proven {
+		if !p.Proven && r.Version >= p.Version {
 			p.Proven = true
 			p.Served = true
+			p.ServedVersion = r.Version
 			s.useChanged(now, b, p, true)
 		}
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -219,6 +219,8 @@
 	Proven bool
 	// Served is set when an answer has proved that the adapter is resident, until the holder has been told.
 	Served bool
+	// ServedVersion is the version that the answered request asked for.
+	ServedVersion int64
 	// Missed is set when the adapter was not there at the time that the holder told, until the holder has been told.
 	Missed bool
 	// Changed is set while the holder has not been told of the present use.
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -49,7 +49,7 @@
 // prove notes that an answer has shown an adapter to be resident, and what its load took at most.
 func (r *Right) prove(s *State, backend string, a AdapterUse) {
 	e, ok := r.Ledger.Entries[a.Adapter]
-	if !ok || e.Proven || !a.Served || e.Stage == StageUnloading {
+	if !ok || e.Proven || !a.Served || a.Version < e.Version || e.Stage == StageUnloading {
 		return
 	}
 	e.Proven = true
