--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 REVIVE := github.com/mgechev/revive@v1.17.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 
-.PHONY: build demo test lint bench generate soak fuzz capacity
+.PHONY: build demo test lint bench generate soak mutate fuzz capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,6 +32,9 @@
 soak:
 	go test ./internal/exerciser -run '^TestSoak$$' -v -timeout 2h -seeds $(SEEDS) -first-seed $(FIRST_SEED) | grep -E 'seed [0-9]+:|FAIL|ok'
 
+mutate:
+	go test ./internal/exerciser -run TestMechanismsAreNeeded -mutate -v -timeout 1h | grep -E '^ +--- |noticed|FAIL|ok'
+
 fuzz:
 	go test ./platform -run '^$$' -fuzz FuzzDocument -fuzztime 30s
 	go test ./platform -run '^$$' -fuzz FuzzPage -fuzztime 30s
--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -118,7 +118,7 @@
 		return err
 	}
 	go d.recorder.Run(ctx)
-	defer d.recorder.Flush()
+	defer d.recorder.Close()
 	d.control.SetUp()
 	stopServing, err := d.serve()
 	if err != nil {
--- a/e2e/explain_test.go
+++ b/e2e/explain_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -162,6 +163,56 @@
 	assert.Assert(t, refused >= 10 && len(hosts) == 3, "%d refused, lines of %v", refused, hosts)
 }
 
+func TestRunsEndSoonAfterTheirCallersLeave(t *testing.T) {
+	f := newFleet(t, 1)
+	f.behave(standin.DeskName, standin.MannerMute)
+	for _, route := range []string{"safe", "once"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		request, err := plain("mute-"+route, route).Request(ctx, f.hosts[0].address)
+		assert.NilError(t, err)
+		done := make(chan error, 1)
+		go func() {
+			response, err := client.Do(request)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			done <- err
+		}()
+		f.eventually("a run", 2*time.Second, func() bool { return f.running() == 1 })
+		cancel()
+		assert.Assert(t, <-done != nil)
+		f.eventually("the end of the run", goneBound, func() bool { return f.running() == 0 })
+		f.explained("mute-"+route, "left by its caller", "the caller closed")
+	}
+}
+
+// TestUnreadLogStopsNothing lets nobody read what a host writes to its standard output.
+func TestUnreadLogStopsNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	h := f.hosts[0]
+	assert.NilError(t, h.command.Process.Kill())
+	<-h.done
+	unread, out, err := os.Pipe()
+	assert.NilError(t, err)
+	defer func() { _ = unread.Close() }()
+	h.command = exec.Command(daemon, "--config", h.settings)
+	h.command.Stdout = out
+	assert.NilError(t, h.command.Start())
+	_ = out.Close()
+	go func() { h.done <- h.command.Wait() }()
+	f.eventually("readiness", 10*time.Second, func() bool { return status("http://"+h.readiness+standin.ReadinessPath) == 200 })
+	for i := range 600 {
+		assert.Equal(t, f.send(h, plain(fmt.Sprintf("unread%d", i), "once")).Status, http.StatusOK)
+	}
+	assert.NilError(t, h.command.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-h.done:
+		assert.NilError(t, err)
+	case <-time.After(7 * time.Second):
+		t.Fatal("the host did not end")
+	}
+}
+
 func TestStreamsThatEndEarlyAreExplained(t *testing.T) {
 	f := newFleet(t, 2)
 	for _, id := range []string{"left-1", "left-2", "left-3"} {
@@ -173,6 +224,7 @@
 		assert.Equal(t, response.StatusCode, 200)
 		cancel()
 		_ = response.Body.Close()
+		f.eventually("the end of a run whose caller has left", goneBound, func() bool { return f.running() == 0 })
 		f.explained(id, "left by its caller", "the caller closed")
 		assert.Equal(t, f.runs(id), 1, "a request ran again for a caller that had left")
 	}
@@ -197,6 +249,17 @@
 	assert.Assert(t, strings.Contains(e.Cause, "attempt 1 at engine-"), "%s, %s", e.Outcome, e.Cause)
 }
 
+// goneBound is the time in which runs end whose callers have left.
+const goneBound = 500 * time.Millisecond
+
+func (f *fleet) running() int {
+	running := 0
+	for _, s := range f.platform.Servers {
+		running += s.Running()
+	}
+	return running
+}
+
 func (f *fleet) runs(id string) int {
 	runs := 0
 	for _, s := range f.platform.Servers {
--- /dev/null
+++ b/internal/exerciser/mutation_test.go
@@ -0,0 +1,104 @@
+package exerciser
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var mutate = flag.Bool("mutate", false, "take each mechanism of TestMechanismsAreNeeded out and run the tests that must notice")
+
+// root is the module's directory.
+const root = "../.."
+
+// mechanism is a piece of code without which a promise is broken, and the test that then fails with a word for it.
+type mechanism struct {
+	name, file, code, without string
+	test                      []string
+	notices                   string
+}
+
+func soakOf(seeds string) []string {
+	return []string{"./internal/exerciser", "-run", "TestSeedsThatOnceFailed|TestSoak", "-seeds", seeds}
+}
+
+func unit(pkg, name string) []string { return []string{"./internal/" + pkg, "-run", name} }
+
+var mechanisms = []mechanism{
+	{"a voter backs one host at a time", "internal/reducer/lease.go", "!free || stale", "stale", soakOf("24"), "one_holder"},
+	{"a voter that has started backs nobody", "internal/reducer/lease.go", "forgetful && !c.Valid", "false", soakOf("60"), "fences_grow|one_holder"},
+	{"terms grow with the time of day", "internal/reducer/lease.go", "r.Term = s.firstTerm(now)", "r.Term = 1", soakOf("12"), "fences_grow"},
+	{"a holder that was followed waits", "internal/reducer/lease.go", "if r.HeldBefore {", "if r.HeldBefore && r.Term < 0 {", soakOf("40"), "one_holder"},
+	{"a lease ends", "internal/reducer/lease.go", "return ok && now.Before(r.ValidUntil)", "return ok && !r.HeldSince.IsZero()", soakOf("12"), "one_holder|holder_orders"},
+	{"fences bear the host", "internal/reducer/lease.go", "r.Term<<fenceBits | int64(hasher.Key(s.Self.HostID)&(1<<fenceBits-1))", "r.Term<<fenceBits | 1&int64(hasher.Key(s.Self.HostID)&0)", soakOf("60"), "fences_grow"},
+	{"only what is proved is dropped", "internal/reducer/ledger.go", "|| !e.Proven || now.Sub(e.AskedAt)", "|| now.Sub(e.AskedAt)", soakOf("24"), "places"},
+	{"a report proves nothing of a later order", "internal/reducer/ledger.go", "&& a.Version >= e.Version && e.OrderedAt.Before(asOf)", "", soakOf("24"), "places"},
+	{"what has run is not repeated", "internal/reducer/request.go", "return r.Route.Repeat == cataloguer.RepeatSafe ||", "return r.Route.Repeat != 0 ||", soakOf("12"), "at_most_once"},
+	{"refusals know what may have run", "internal/reducer/request.go", "	if !e.Outcome.NotRun() {\n\t\tr.Ran++", "	if e.Outcome == OutcomeFailed {\n\t\tr.Ran++", soakOf("12"), "not_run_is_true|max_attempts|at_most_once"},
+	{"repeats have a budget", "internal/reducer/request.go", "if b.Level < 1 {", "if b.Burst < 0 {", unit("reducer", "TestRepeatsStayWithinTheHostsPart"), "FAIL"},
+	{"a keeper grants what is left", "internal/reducer/account.go", "grant.Tokens = min(m.Needed, left)", "grant.Tokens = m.Needed", soakOf("24"), "quota"},
+	{"cold servers get few requests", "internal/reducer/placement.go", "if s.mayBearCold(now, b) {", "if s.mayBearCold(now, b) || r.Attempt >= 0 {", soakOf("24"), "cold_bound"},
+	{"an older catalogue is not taken", "internal/reducer/documents.go", "d.Catalogue.Version > s.Documents.Catalogue.Version", "d.Catalogue.Version != s.Documents.Catalogue.Version", unit("reducer", "TestOlderCatalogueIsNeverTaken"), "FAIL"},
+	{"a request asks for the newest version", "internal/reducer/placement.go", "r.Version = max(r.Version, s.Documents.Versions[r.Adapter])", "r.Version = 0", soakOf("24"), "version"},
+	{"who has left is not served", "internal/reducer/request.go", "s.endRequest(now, r, \"caller_left\")", "s.measure(now, r, \"caller_left\")", soakOf("12"), "gone"},
+	{"an order does not leave late", "internal/dispatcher/orders.go", "if !clocker.Now().Before(g.notAfter) {", "if g.notAfter.IsZero() {", unit("dispatcher", "TestLateOrder"), "FAIL"},
+}
+
+// TestMechanismsAreNeeded checks that each mechanism is where the table says; with -mutate it takes each out of a copy of the module
+// and checks that the promise is then seen broken.
+func TestMechanismsAreNeeded(t *testing.T) {
+	for _, m := range mechanisms {
+		t.Run(strings.ReplaceAll(m.name, " ", "_"), func(t *testing.T) {
+			text, err := os.ReadFile(filepath.Join(root, m.file))
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(string(text), m.code), 1, "%s has %q not just once", m.file, m.code)
+			if !*mutate {
+				return
+			}
+			module := t.TempDir()
+			copySources(t, module)
+			changed := strings.Replace(string(text), m.code, m.without, 1)
+			assert.NilError(t, os.WriteFile(filepath.Join(module, m.file), []byte(changed), 0o600))
+			m.mustFail(t, module)
+		})
+	}
+}
+
+// copySources copies what the tests of the packages need.
+func copySources(t *testing.T, module string) {
+	for _, dir := range []string{"internal", "pkg", "platform"} {
+		assert.NilError(t, os.CopyFS(filepath.Join(module, dir), os.DirFS(filepath.Join(root, dir))))
+	}
+	for _, file := range []string{"go.mod", "go.sum"} {
+		text, err := os.ReadFile(filepath.Join(root, file))
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(filepath.Join(module, file), text, 0o600))
+	}
+}
+
+// mutationTime bounds the tests of one mutation.
+const mutationTime = 5 * time.Minute
+
+func (m mechanism) mustFail(t *testing.T, module string) {
+	ctx, cancel := context.WithTimeout(t.Context(), mutationTime)
+	defer cancel()
+	command := exec.CommandContext(ctx, "go", append([]string{"test"}, m.test...)...)
+	command.Dir = module
+	out, err := command.CombinedOutput()
+	assert.Assert(t, err != nil, "nothing noticed that it was gone")
+	assert.Assert(t, !strings.Contains(string(out), "[build failed]"), "%s", out)
+	for word := range strings.SplitSeq(m.notices, "|") {
+		if strings.Contains(string(out), word) {
+			t.Logf("noticed by %s", word)
+			return
+		}
+	}
+	t.Errorf("noticed by something else than %s:\n%s", m.notices, out)
+}
--- a/internal/recorder/catalogue_test.go
+++ b/internal/recorder/catalogue_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
@@ -89,3 +90,64 @@
 	}
 	assert.Assert(t, len(r.pending) <= maxBuffered+1024)
 }
+
+func TestCloseDoesNotWaitForAStalledReader(t *testing.T) {
+	out := blocked{make(chan struct{})}
+	defer close(out.until)
+	r := &Recorder{Out: out, Host: "h1", Level: log.InfoLevel}
+	r.Record(EventStopped)
+	began := time.Now()
+	r.Close()
+	assert.Assert(t, time.Since(began) < 10*closeWait)
+}
+
+// TestVolumeStaysBoundedAtTenTimesTheLoad plays ten times the requests whose lines fill the budget, of which one in fifty fails.
+func TestVolumeStaysBoundedAtTenTimesTheLoad(t *testing.T) {
+	const (
+		budget      = 40_000
+		tenfold     = 800 // requests a second, of two lines of about 250 bytes
+		failedShare = 50
+		longestLine = 400
+	)
+	var out bytes.Buffer
+	r := &Recorder{Out: &out, Host: "h1", Level: log.InfoLevel, BytesPerSecond: budget}
+	lines, failed := 0, 0
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); <-tick.C {
+		for range tenfold / 100 {
+			lines += 2
+			fields := []reducer.Field{{Name: "request", Value: fmt.Sprintf("%016x", lines)}, {Name: "detail", Value: strings.Repeat("x", 130)}}
+			r.Record(reducer.EventRequestSent, fields...)
+			if lines/2%failedShare == 0 {
+				failed++
+				r.Record(reducer.EventRequestRefused, fields...)
+				continue
+			}
+			r.Record(reducer.EventRequestEnded, fields...)
+		}
+	}
+	r.second = 0
+	r.Record(EventStopped)
+	r.Flush()
+	bytesIn, written, leftOut := map[string]int{}, 0, 0
+	for line := range strings.SplitSeq(strings.TrimSpace(out.String()), "\n") {
+		var fields struct {
+			Time, Event int
+			Lines       string
+		}
+		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+		bytesIn[strconv.Itoa(fields.Time/1000)] += len(line) + 1
+		if n, err := strconv.Atoi(fields.Lines); err == nil && fields.Event == EventLinesLeftOut {
+			leftOut += n
+			continue
+		}
+		written++
+	}
+	for second, n := range bytesIn {
+		assert.Check(t, n <= budget+2*longestLine, "%d bytes in second %s", n, second)
+	}
+	assert.Equal(t, strings.Count(out.String(), `"event":204`), failed, "lines of failed requests were left out")
+	assert.Equal(t, written+leftOut, lines+1, "lines that are neither written nor counted")
+	assert.Assert(t, leftOut > lines/2)
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -18,6 +18,8 @@
 	flushEvery = 100 * time.Millisecond
 	// maxBuffered bounds the bytes that wait for a slow reader.
 	maxBuffered = 256 << 10
+	// closeWait is the time that a slow reader has for the last lines.
+	closeWait = 200 * time.Millisecond
 	// routinePercent is the part of the budget that lines of good requests may use.
 	routinePercent = 50
 )
@@ -152,6 +154,19 @@
 	r.mutex.Unlock()
 }
 
+// Close writes out the last lines, as far as the reader takes them in time.
+func (r *Recorder) Close() {
+	done := make(chan struct{})
+	go func() {
+		r.Flush()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(closeWait):
+	}
+}
+
 // LibraryWriter turns the messages of go-zero's logger into numbered events.
 type LibraryWriter struct {
 	Recorder *Recorder
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -109,6 +110,22 @@
 	assert.Assert(t, refusal.MayHaveRun)
 }
 
+func TestRepeatsStayWithinTheHostsPart(t *testing.T) {
+	f := newFixture(t)
+	const asked = 400
+	repeats := 0
+	for i := range asked {
+		id := strconv.Itoa(i)
+		first := must[Dispatch](t, f.arrive(id, "/safe/x", "secret"))
+		if second, ok := find[Dispatch](f.reduce(DispatchEnded{ID: id, Backend: first.Backend, Attempt: 1, Outcome: OutcomeBroken})); ok {
+			repeats++
+			f.reduce(DispatchEnded{ID: id, Backend: second.Backend, Attempt: 2, Outcome: OutcomeDone, Status: 200})
+		}
+	}
+	bound := f.state.Limits.RetryRatio*asked + f.state.Limits.RetrySlack
+	assert.Assert(t, repeats > asked/10 && float64(repeats) <= bound, "%d repeats", repeats)
+}
+
 func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
 	f := newFixture(t)
 	first := must[Dispatch](t, f.arrive("1", "/once/x", "secret"))
