Count what a new keeper of a budget cannot know as used

A keeper that came new granted the whole window before it had heard from the other hosts; a host that had started again told zero for the time before its start; a host that kept a budget, was cut off or suspended and kept it again knew nothing of what another had granted meanwhile; hosts that leave were not counted among those that spend. Change: a keeper keeps each host's grants and told spending apart and counts the larger; for the part of the window before it became the keeper, or before a host started, it counts the host's even part until the host has told. An account at its rate is not hindered, since what counts as used leaves the window as fast as the rate allows. Also: an address to listen on for other hosts apart from the one that they are told, stand-in servers that start again and judge orders, messages by kind in the capacity run.

--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -210,10 +210,10 @@
 	peerServer.Protocols.SetHTTP1(true)
 	peerServer.Protocols.SetUnencryptedHTTP2(true)
 	servers := map[string]*http.Server{
-		d.settings.PeerAddress:      peerServer,
-		d.settings.OperatorAddress:  {Handler: d.operators.Handler()},
-		d.settings.DirectoryAddress: {Handler: d.callers.Directory()},
-		d.settings.ReadinessAddress: {Handler: d.callers.Readiness()},
+		d.settings.PeerListenAddress: peerServer,
+		d.settings.OperatorAddress:   {Handler: d.operators.Handler()},
+		d.settings.DirectoryAddress:  {Handler: d.callers.Directory()},
+		d.settings.ReadinessAddress:  {Handler: d.callers.Readiness()},
 	}
 	for address, server := range servers {
 		if err := listen(server, address); err != nil {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -233,6 +233,8 @@
 }
 
 func TestLateOrderNeverLeaves(t *testing.T) {
+	_, err := (&guardedBody{Reader: strings.NewReader("x"), notAfter: clocker.Now().Add(-time.Millisecond)}).Read(make([]byte, 1))
+	assert.ErrorIs(t, err, ErrNotAfter)
 	arrived := make(chan struct{}, 1)
 	address := script(t, func(_ net.Conn, r *bufio.Reader) {
 		if readRequest(r) != "" {
--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -61,7 +61,21 @@
 }
 
 // scale makes the accounts' rates grow with the fleet.
-func (w *World[P]) scale() float64 { return max(float64(w.Options.Hosts)/usualHosts, 1) }
+//
+// With Options.More they are too small for the traffic.
+func (w *World[P]) scale() float64 {
+	scale := max(float64(w.Options.Hosts)/usualHosts, 1)
+	if w.Options.More {
+		return scale * narrowShare
+	}
+	return scale
+}
+
+// narrowShare is the part of the usual rates that accounts have with Options.More.
+const narrowShare = 0.2
+
+// slowestLoads is how many times longer than expected the loads of an engine take at most with Options.More.
+const slowestLoads = 4
 
 // Rates of the accounts in tokens a second, in a fleet of usualHosts.
 const (
@@ -94,6 +108,9 @@
 		b.Info.Models = []cataloguer.Resident{{Model: modelName}}
 		b.Engine = modeler.NewEngine(w.Options.Spec)
 		b.Engine.Newest = w.Checks.newest
+		if w.Options.More {
+			b.Engine.Spec.LoadTime *= time.Duration(1 + w.more.IntN(slowestLoads))
+		}
 		if known {
 			b.Info.ColdFor = coldFor
 			b.ColdFrom = w.Now
--- a/internal/exerciser/capacity_test.go
+++ b/internal/exerciser/capacity_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"maps"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +30,7 @@
 		w.Traffic(1600.0 / 340 * float64(hosts))
 		w.Run(2 * time.Second)
 		w.Envelopes, w.EnvelopeBytes, w.Busy, w.PlatformCalls = 0, 0, 0, 0
+		w.Messages, w.MessageBytes = map[string]int{}, map[string]int{}
 		const measured = 4
 		w.Run(measured * time.Second)
 		runtime.GC()
@@ -41,13 +44,9 @@
 			float64(w.Busy.Microseconds())/each, float64(after.HeapAlloc-before.HeapAlloc)/float64(hosts)/(1<<20), float64(w.PlatformCalls)/measured,
 			refused, len(w.Checks.Violations))
 		t.Logf("refused by reason: %v of %d sent", w.Callers.Refused, w.Callers.Sent)
-		known := 0
-		for id := range w.Hosts[0].State.Backends {
-			if w.Hosts[0].State.Index.Holders[id] != "" {
-				known++
-			}
+		for _, kind := range slices.Sorted(maps.Keys(w.Messages)) {
+			t.Logf("    %-14s %7.2f a second and host, %8.1f bytes", kind, float64(w.Messages[kind])/each, float64(w.MessageBytes[kind])/each)
 		}
-		t.Logf("holders known to the first host: %d; hosts in use: %d", known, len(w.Hosts[0].State.Index.Alive))
 		runtime.KeepAlive(w)
 	}
 }
--- a/internal/exerciser/carrier.go
+++ b/internal/exerciser/carrier.go
@@ -1,10 +1,13 @@
 package exerciser
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/redwingpick/redwingpick/internal/modeler"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/translator"
 )
@@ -70,7 +73,13 @@
 func (w *World[P]) count(h *Host, e reducer.SendPeer) {
 	if w.Options.Count {
 		w.Envelopes++
-		w.EnvelopeBytes += proto.Size(translator.Envelope(h.ID, h.State.Self.Incarnation, e.Messages))
+		envelope := translator.Envelope(h.ID, h.State.Self.Incarnation, e.Messages)
+		w.EnvelopeBytes += proto.Size(envelope)
+		for i, m := range e.Messages {
+			kind := strings.TrimPrefix(fmt.Sprintf("%T", m), "reducer.")
+			w.Messages[kind]++
+			w.MessageBytes[kind] += proto.Size(envelope.GetMessages()[i])
+		}
 	}
 }
 
@@ -140,7 +149,7 @@
 			w.after(callTimeout, func() { w.post(h, incarnation, ended) })
 			return
 		}
-		w.Checks.ordered(w.Now, b, Order{Holder: h.ID, Fence: e.Fence, At: w.Now}, w.Options.Limits.OrderLeaseFor)
+		w.Checks.ordered(w.Now, b, modeler.Order{Holder: h.ID, Fence: e.Fence, At: w.Now}, w.Options.Limits.OrderLeaseFor)
 		if e.Born != b.Info.Born {
 			ended.Result = reducer.OrderRefused
 		} else if e.Unload {
--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/modeler"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
@@ -19,13 +20,6 @@
 	declaredAt map[reducer.AdapterKey]time.Time
 }
 
-// Order is an order as a backend server saw it.
-type Order struct {
-	Holder string
-	Fence  int64
-	At     time.Time
-}
-
 type use struct {
 	at     time.Time
 	tokens float64
@@ -36,28 +30,9 @@
 }
 
 // ordered checks that fences are distinct and grow, and that no two hosts order by turns within the lease.
-func (c *Checks) ordered(now time.Time, b *Backend, o Order, lease time.Duration) {
-	followed := false // set once another host's order is found between this one and an earlier one of the same holder
-	for i := len(b.Orders) - 1; i >= 0; i-- {
-		former := b.Orders[i]
-		if former.Holder != o.Holder {
-			followed = true
-			if former.Fence >= o.Fence {
-				c.fail(now, "fences_grow", fmt.Sprintf("%s: %s with %d after %s with %d", b.Info.ID, o.Holder, o.Fence, former.Holder, former.Fence))
-			}
-			continue
-		}
-		if followed && now.Sub(former.At) < lease {
-			c.fail(now, "one_holder", fmt.Sprintf("%s: %s came back within the lease: %v", b.Info.ID, o.Holder, tail(b.Orders, now)))
-			break
-		}
-		if former.Fence > o.Fence {
-			c.fail(now, "fences_grow", fmt.Sprintf("%s: %s went back", b.Info.ID, o.Holder))
-		}
-	}
-	b.Orders = append(b.Orders, o)
-	if len(b.Orders) > 50 {
-		b.Orders = b.Orders[1:]
+func (c *Checks) ordered(now time.Time, b *Backend, o modeler.Order, lease time.Duration) {
+	for _, v := range b.Orders.Take(o, lease) {
+		c.fail(now, v.Rule, b.Info.ID+": "+v.Detail)
 	}
 }
 
@@ -165,12 +140,3 @@
 		c.fail(now, "configuration", fmt.Sprintf("%s at %s: %s %s", r.event.ID, r.host.ID, reason, r.event.Path))
 	}
 }
-
-// tail shows the last orders with their age.
-func tail(orders []Order, now time.Time) []string {
-	var shown []string
-	for _, o := range orders[max(len(orders)-6, 0):] {
-		shown = append(shown, fmt.Sprintf("%s %v ago fence %d", o.Holder, now.Sub(o.At), o.Fence))
-	}
-	return shown
-}
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -59,6 +59,9 @@
 	Envelopes     int
 	EnvelopeBytes int
 	Busy          time.Duration
+	// Messages and MessageBytes count, by kind, the messages in the envelopes.
+	Messages      map[string]int
+	MessageBytes  map[string]int
 	PlatformCalls int
 
 	random *rand.Rand
@@ -97,7 +100,7 @@
 	// Arrivals holds the times at which requests came.
 	Arrivals []time.Time
 	ColdFrom time.Time
-	Orders   []Order
+	Orders   modeler.Orders
 }
 
 type action struct {
@@ -140,6 +143,7 @@
 		more: rand.New(rand.NewPCG(o.Seed, 2)),
 		cuts: map[[2]string]bool{}, storeCut: map[string]bool{},
 	}
+	w.Messages, w.MessageBytes = map[string]int{}, map[string]int{}
 	w.Callers.requests = map[string]*Request{}
 	w.Checks = Checks{
 		asked: map[string][]time.Time{}, repeats: map[string][]time.Time{}, newest: map[reducer.AdapterKey]int64{},
--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -50,6 +50,16 @@
 	w.Sum += amount
 }
 
+// Merge adds the amounts of another window of the same length.
+func (w *Window) Merge(now time.Time, other *Window) {
+	w.advance(now)
+	other.advance(now)
+	for i, amount := range other.Slots {
+		w.Slots[i] += amount
+	}
+	w.Sum += other.Sum
+}
+
 // Total returns the amount in the window that ends now.
 func (w *Window) Total(now time.Time) float64 {
 	w.advance(now)
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -28,7 +28,7 @@
 	}
 	a := s.account(now, account.Name)
 	a.Demand.Add(now, r.Cost, demandHalfLife)
-	if a.spend(s, now, r) {
+	if a.spend(now, r) {
 		return true
 	}
 	a.Waiting = append(a.Waiting, r.ID)
@@ -37,21 +37,28 @@
 }
 
 // spend charges a request if the tokens suffice.
-func (a *Account) spend(s *State, now time.Time, r *Request) bool {
+func (a *Account) spend(now time.Time, r *Request) bool {
 	if a.Level < r.Cost {
 		return false
 	}
-	a.Level -= r.Cost
-	a.Spent.Length = s.Limits.QuotaWindow
-	a.Spent.Add(now, 0, r.Cost)
+	a.charge(now, r.Cost)
 	return true
 }
 
+// charge takes tokens out of those at hand and remembers it.
+func (a *Account) charge(now time.Time, cost float64) {
+	a.Level -= cost
+	a.Spent.Add(now, 0, cost)
+}
+
 // account returns this host's state of a client account, or of another fleet-wide budget.
 func (s *State) account(now time.Time, name string) *Account {
 	a, ok := s.Accounts[name]
 	if !ok {
 		a = &Account{}
+		if p, ok := s.pool(name); ok {
+			a.Spent.Length = p.Window
+		}
 		a.Alone.Set(now, 0, 0)
 		s.Accounts[name] = a
 	}
@@ -79,7 +86,7 @@
 	a.Sequence++
 	request := TokenRequest{
 		Account: name, Sequence: a.Sequence, Needed: max(need-a.Level, 0), Wanted: a.Demand.At(now, demandHalfLife) * reserveFor.Seconds(), Spent: a.spentParts(now),
-		Origin: origin,
+		KnownFor: min(s.age(now), a.Spent.Length), Origin: origin,
 	}
 	s.wakeAt(now.Add(grantTimeout))
 	s.sendKeeper(now, request)
@@ -107,82 +114,6 @@
 	}
 }
 
-// keeperOf returns the host that grants an account's tokens.
-func (s *State) keeperOf(now time.Time, account string) string {
-	ranked := rankHosts("account/"+account, s.aliveHosts(now), 1)
-	if len(ranked) == 0 {
-		return s.Self.HostID
-	}
-	return ranked[0]
-}
-
-// receiveTokenRequest answers a host that asks for tokens.
-func receiveTokenRequest(s *State, now time.Time, from string, m TokenRequest) {
-	if grant, ok := grantTokens(s, now, from, m); ok {
-		s.send(from, grant)
-	}
-}
-
-// grantTokens takes what is asked for from what the pool's window still allows.
-func grantTokens(s *State, now time.Time, from string, m TokenRequest) (TokenGrant, bool) {
-	p, ok := s.pool(m.Account)
-	if !ok {
-		return TokenGrant{}, false
-	}
-	k, ok := s.Keepers[m.Account]
-	if !ok {
-		k = &Keeper{Heard: map[string]bool{}}
-		s.Keepers[m.Account] = k
-	}
-	k.Window.Length = p.Window
-	k.hear(now, from, m)
-	k.Window.Add(now, 0, -min(m.Returned, k.Window.Total(now)))
-	grant := TokenGrant{Account: m.Account, Sequence: m.Sequence}
-	if m.Needed+m.Wanted <= 0 {
-		return grant, false
-	}
-	left := max(p.Allowed*s.reached(now)-k.Window.Total(now), 0)
-	grant.Tokens = min(m.Needed, left)
-	// The reserve comes from what others do not need soon, so that no host hoards the last tokens.
-	grant.Tokens += min(m.Wanted, (left-grant.Tokens)/reserveParts)
-	k.Window.Add(now, 0, grant.Tokens)
-	if grant.Tokens < m.Needed {
-		grant.Wait = max(k.Window.Wait(now, p.Allowed*s.reached(now)-m.Needed), shortestWait)
-		s.note(EventTokensShort, m.Origin.fields(Field{"account", m.Account}, Field{"peer", from}, floatField("needed", m.Needed), floatField("left", left),
-			floatField("allowed", p.Allowed), floatField("reached_share", s.reached(now)), msField("window_ms", p.Window), msField("wait_ms", grant.Wait))...)
-	}
-	return grant, true
-}
-
-const (
-	// reserveParts is the number of parts of what is left of which one may become a host's reserve.
-	reserveParts = 8
-	// shortestWait is told with a grant that falls short, so that it cannot be taken for one that does not.
-	shortestWait = 10 * time.Millisecond
-)
-
-// hear counts what a host spent before this keeper heard of it, under a former keeper or none.
-func (k *Keeper) hear(now time.Time, from string, m TokenRequest) {
-	if k.Heard[from] {
-		return
-	}
-	k.Heard[from] = true
-	for i, spent := range m.Spent {
-		k.Window.Add(now, time.Duration(i)*k.Window.Length/time.Duration(len(m.Spent)), spent)
-	}
-}
-
-// reached is the part of the hosts that this one reaches; a keeper grants no more than that part of what is allowed.
-func (s *State) reached(now time.Time) float64 {
-	return min(float64(len(s.aliveHosts(now)))/float64(max(len(s.memberHosts(now)), 1)), 1)
-}
-
-// allowedUse is what an account may use in a window, less a part for the reserves that hosts hold.
-func (s *State) allowedUse(account cataloguer.Account) float64 {
-	window := s.Limits.QuotaWindow.Seconds()
-	return ((account.Rate*window+account.Burst)*(1+s.Limits.QuotaOvershoot) + s.Limits.QuotaSlack) * quotaShare
-}
-
 // receiveGrant adds tokens and decides on the requests that wait for them.
 func receiveGrant[P selector.Policy](s *State, now time.Time, m TokenGrant) {
 	a, ok := s.Accounts[m.Account]
@@ -210,7 +141,7 @@
 		if !ok || r.Phase != PhaseTokens {
 			continue
 		}
-		if a.spend(s, now, r) {
+		if a.spend(now, r) {
 			r.Phase = PhaseQueued
 			place[P](s, now, r)
 			continue
@@ -232,6 +163,7 @@
 
 // tickAccounts ends waits for keepers that do not answer, and returns tokens that are not needed.
 func tickAccounts[P selector.Policy](s *State, now time.Time) {
+	tickKeepers(s, now)
 	granted := s.Granted
 	s.Granted = nil
 	for _, g := range granted {
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -19,6 +19,10 @@
 	HostsAt time.Time
 	Alive   []string
 	Members []string
+	// Heard is Alive and the hosts that leave.
+	Heard []string
+	// AliveSince is when a host in use was last added or taken off.
+	AliveSince time.Time
 }
 
 // backendsChanged says that a backend server came, went or is of another kind now.
@@ -60,7 +64,11 @@
 		return
 	}
 	s.Index.HostsAt = now
-	s.Index.Alive = s.selectHosts(func(id string) bool { return s.alive(now, id) })
+	alive := s.selectHosts(func(id string) bool { return s.alive(now, id) })
+	if !slices.Equal(alive, s.Index.Alive) {
+		s.Index.Alive, s.Index.AliveSince = alive, now
+	}
+	s.Index.Heard = s.selectHosts(func(id string) bool { return id == s.Self.HostID || s.reachable(now, id) })
 	s.Index.Members = s.selectHosts(func(id string) bool {
 		h, ok := s.Hosts[id]
 		return id == s.Self.HostID || ok && now.Sub(h.HeardAt) < forgetAfter && !h.Record.Leaving
@@ -76,6 +84,12 @@
 	return s.Index.Alive
 }
 
+// heardHosts returns the hosts that are heard of, whether they are leaving or not, and this one.
+func (s *State) heardHosts(now time.Time) []string {
+	s.indexHosts(now)
+	return s.Index.Heard
+}
+
 // memberHosts returns all hosts that have been heard of lately, whether they are in use or not.
 func (s *State) memberHosts(now time.Time) []string {
 	s.indexHosts(now)
--- a/internal/reducer/model.go
+++ b/internal/reducer/model.go
@@ -71,7 +71,7 @@
 		askTokens(s, now, name, a)
 		return
 	}
-	a.Level--
+	a.charge(now, 1)
 	a.Extra = 0
 	r.Ledger.Ordering = true
 	r.Ledger.RetryAt = now.Add(max(model.LoadFor/modelChecks, reportEvery))
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -110,6 +110,27 @@
 	assert.Assert(t, refusal.MayHaveRun)
 }
 
+func TestColdServerGetsFewRequests(t *testing.T) {
+	f := newFixture(t)
+	c := testCatalogue(2)
+	c.Services = []cataloguer.Service{{Name: "desk", MaxConnections: 96, ColdFor: 3 * time.Second, ColdRate: 7}}
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: c})
+	for _, id := range []string{"desk-1", "desk-2"} {
+		f.backend(cataloguer.Backend{ID: id, Service: "desk", Address: "10.0.1.1:80", FailureDomain: "east", Born: 2, Slots: 6, ColdFor: 3 * time.Second})
+	}
+	sent := map[string]int{}
+	for i := range 100 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		if d, ok := find[Dispatch](f.arrive(strconv.Itoa(i), "/safe/x", "secret")); ok {
+			sent[d.Backend]++
+		}
+	}
+	for id, n := range sent {
+		assert.Assert(t, float64(n) <= 7*1.5+5, "%s got %d requests in a second", id, n)
+	}
+	assert.Equal(t, len(sent), 2)
+}
+
 func TestRepeatsStayWithinTheHostsPart(t *testing.T) {
 	f := newFixture(t)
 	const asked = 400
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -17,6 +17,8 @@
 	Documents Documents
 	Accounts  map[string]*Account
 	Keepers   map[string]*Keeper
+	// KeepersAt is the change of the hosts in use that Keepers has followed.
+	KeepersAt time.Time
 	// Granted holds grants of this host to itself until they are taken in.
 	Granted  []TokenGrant
 	Services map[string]*Service
@@ -147,13 +149,6 @@
 	Refused    uint64
 }
 
-// Keeper is the use of a fleet-wide budget, at the host that grants it.
-type Keeper struct {
-	Window limiter.Window
-	// Heard holds the hosts whose earlier spending has been counted.
-	Heard map[string]bool
-}
-
 // Service is the state of one service on this host.
 type Service struct {
 	Retries limiter.Bucket
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -175,6 +175,7 @@
 			continue
 		}
 		g.BudgetsKept++
-		g.BudgetUsedMost = max(g.BudgetUsedMost, k.Window.Total(now)/p.Allowed)
+		used := k.used(now, p.Window)
+		g.BudgetUsedMost = max(g.BudgetUsedMost, used.Total(now)/p.Allowed)
 	}
 }
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -25,6 +25,8 @@
 	DirectoryAddress string `yaml:"directory_address"`
 	// PeerAddress is where other hosts connect.
 	PeerAddress string `yaml:"peer_address"`
+	// PeerListenAddress is where the host itself listens for other hosts, if they reach it through another address.
+	PeerListenAddress string `yaml:"peer_listen_address,omitempty"`
 	// OperatorAddress is where operators and monitoring connect.
 	OperatorAddress string `yaml:"operator_address"`
 	// Platform is the address of the configuration service.
@@ -173,6 +175,8 @@
 		return document.Fault("must not be negative", "memory_mb")
 	case s.LogBytesPerSecond < 0:
 		return document.Fault("must not be negative", "log_bytes_per_second")
+	case s.PeerListenAddress != "" && !cataloguer.ValidAddress(s.PeerListenAddress):
+		return document.Fault("must be an IP number and a port", "peer_listen_address")
 	case s.TraceCollector != "" && !cataloguer.ValidAddress(s.TraceCollector):
 		return document.Fault("must be an IP number and a port", "trace_collector")
 	}
@@ -187,6 +191,9 @@
 	if s.MailboxSize == 0 {
 		s.MailboxSize = DefaultMailboxSize
 	}
+	if s.PeerListenAddress == "" {
+		s.PeerListenAddress = s.PeerAddress
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
