--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -185,12 +185,18 @@
 	}
 }
 
-// goAlone uses this host's even part of the rate while the keeper cannot be reached.
+// goAlone uses this host's even part of the rate while the keeper cannot be reached, less what it has spent in the window already; a
+// request that is larger than the even part is let through once a window.
 func goAlone[P selector.Policy](s *State, now time.Time, p Pool, a *Account) {
 	hosts := float64(max(len(s.memberHosts(now)), 1))
 	a.Alone.Set(now, p.Rate/hosts, p.Rate/hosts)
 	for _, id := range a.Waiting {
-		if r, ok := s.Requests[id]; ok && a.Alone.Take(now, r.Cost) {
+		r, ok := s.Requests[id]
+		if !ok {
+			continue
+		}
+		spent := a.Spent.Total(now) + a.Level
+		if (spent == 0 || spent+r.Cost <= p.Allowed/hosts) && a.Alone.Take(now, r.Cost) {
 			a.Level += r.Cost
 		}
 	}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -117,7 +117,7 @@
 			delete(s.InUse, id)
 			continue
 		}
-		if s.isEngine(b) && now.Sub(b.TouchedAt) >= usageEvery && (b.Running > 0 || b.UsedAt.After(b.TouchedAt)) {
+		if s.isEngine(b) && now.Sub(b.TouchedAt) >= s.usagePause() && (b.Running > 0 || b.UsedAt.After(b.TouchedAt)) {
 			tellUsage(s, now, b, true)
 		}
 		trimParts(now, b)
@@ -167,6 +167,14 @@
 	s.send(holder, usage)
 }
 
+// usagePause is the time between two words on a backend server in use.
+func (s *State) usagePause() time.Duration {
+	if len(s.Hosts) >= smallFleet {
+		return usageEveryLarge
+	}
+	return usageEvery
+}
+
 // markAbsent notes that an adapter is not, or no longer, on a backend server.
 func markAbsent(now time.Time, b *Backend, key AdapterKey) {
 	if p, ok := b.Adapters[key]; ok && len(p.Waiting) == 0 && p.Running == 0 {
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -23,6 +23,8 @@
 	Heard []string
 	// Voters are the hosts whose majority grants leases.
 	Voters []string
+	// Ranks are the hosts that rank first for a key among a set of hosts.
+	Ranks map[rankKey][]string
 	// AliveSince is when a host in use was last added or taken off.
 	AliveSince time.Time
 }
@@ -69,9 +71,14 @@
 	alive := s.selectHosts(func(id string) bool { return s.alive(now, id) })
 	if !slices.Equal(alive, s.Index.Alive) {
 		s.Index.Alive, s.Index.AliveSince = alive, now
+		clear(s.Index.Ranks)
 	}
 	s.Index.Heard = s.selectHosts(func(id string) bool { return id == s.Self.HostID || s.reachable(now, id) })
-	s.Index.Voters = s.selectHosts(func(id string) bool { return id == s.Self.HostID || s.mayVote(now, s.Hosts[id]) })
+	voting := s.selectHosts(func(id string) bool { return id == s.Self.HostID || s.mayVote(now, s.Hosts[id]) })
+	if !slices.Equal(voting, s.Index.Voters) {
+		s.Index.Voters = voting
+		clear(s.Index.Ranks)
+	}
 	s.Index.Members = s.selectHosts(func(id string) bool {
 		h, ok := s.Hosts[id]
 		return id == s.Self.HostID || ok && now.Sub(h.HeardAt) < forgetAfter && !h.Record.Leaving
@@ -130,3 +137,24 @@
 	}
 	return id
 }
+
+// rankKey names a ranking: among the voters if Voting is set, else among the hosts in use.
+type rankKey struct {
+	Voting bool
+	Key    string
+}
+
+// ranked returns up to count hosts by their rendezvous rank for a key, for which count is always the same.
+func (s *State) ranked(now time.Time, key rankKey, count int) []string {
+	s.indexHosts(now)
+	if r, ok := s.Index.Ranks[key]; ok {
+		return r
+	}
+	hosts := s.Index.Alive
+	if key.Voting {
+		hosts = s.Index.Voters
+	}
+	r := rankHosts(key.Key, hosts, count)
+	s.Index.Ranks[key] = r
+	return r
+}
--- a/internal/reducer/keeper.go
+++ b/internal/reducer/keeper.go
@@ -29,7 +29,7 @@
 
 // keeperOf returns the host that grants an account's tokens.
 func (s *State) keeperOf(now time.Time, account string) string {
-	ranked := rankHosts("account/"+account, s.aliveHosts(now), 1)
+	ranked := s.ranked(now, rankKey{Key: "account/" + account}, 1)
 	if len(ranked) == 0 {
 		return s.Self.HostID
 	}
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
@@ -22,7 +23,13 @@
 	if len(members) <= voters {
 		return members, len(members)/2 + 1
 	}
-	return rankHosts("voters/"+backend, members, voters), largeQuorum
+	return s.ranked(now, rankKey{Voting: true, Key: leaseGroup(backend)}, voters), largeQuorum
+}
+
+// leaseGroup names the group of a backend server, whose members have the same voters and the same first host in rank, so that a
+// holder's claims for them share an envelope.
+func leaseGroup(backend string) string {
+	return "lease/" + strconv.FormatUint(hasher.Key(backend)%leaseGroups, 10)
 }
 
 // holds reports whether this host may order a backend server at the time now.
@@ -89,7 +96,7 @@
 	if s.Draining.Active || s.Documents.Catalogue == nil || s.age(now) < claimAfter || s.alone() || s.holderOf(now, backend) != "" {
 		return false
 	}
-	ranked := rankHosts("order/"+backend, s.aliveHosts(now), 1)
+	ranked := s.ranked(now, rankKey{Key: leaseGroup(backend)}, 1)
 	return len(ranked) > 0 && ranked[0] == s.Self.HostID
 }
 
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -51,7 +51,9 @@
 
 // Times and bounds of the leases to order backend servers.
 const (
-	voters      = 7
+	voters = 7
+	// leaseGroups is the number of groups of backend servers whose leases go together.
+	leaseGroups = 64
 	largeQuorum = 5
 	leaseFor    = 1600 * time.Millisecond
 	// leaseRounds is the number of rounds of gossip between two renewals.
@@ -91,7 +93,9 @@
 	orderPause = 150 * time.Millisecond
 	wantRepeat = 250 * time.Millisecond
 	wantsTried = 3
-	usageEvery = 400 * time.Millisecond
+	// usageEvery is the time between two words on a backend server in use, in a large fleet usageEveryLarge.
+	usageEvery      = 400 * time.Millisecond
+	usageEveryLarge = 800 * time.Millisecond
 	// quietFor is how long an adapter stays after it came or was asked for, so that the requests for it can arrive.
 	quietFor    = 60 * time.Millisecond
 	askersKept  = 15 * time.Second
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -313,7 +313,7 @@
 		Backends:  map[string]*Backend{},
 		Missing:   map[string]bool{},
 		InUse:     map[string]bool{},
-		Index:     Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}},
+		Index:     Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}},
 		Rights:    map[string]*Right{},
 		Promises:  map[string]*Promise{},
 		Requests:  map[string]*Request{},
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -30,7 +30,7 @@
 	}
 	load := BackendLoad{Backend: m.Backend, Free: l.free(s, now, m.Backend)}
 	for host, u := range l.Uses {
-		if host != from && now.Sub(u.At) < 3*usageEvery {
+		if host != from && now.Sub(u.At) < 3*s.usagePause() {
 			load.Running += u.Running
 			load.Tokens += u.Tokens
 			load.Prefill += u.Prefill
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -30,7 +30,7 @@
 }
 
 func (s *State) shouldWatch(now time.Time) bool {
-	if slices.Contains(rankHosts("watch", s.aliveHosts(now), watchers), s.Self.HostID) {
+	if slices.Contains(s.ranked(now, rankKey{Key: "watch"}, watchers), s.Self.HostID) {
 		return s.Documents.Catalogue != nil || s.age(now) > gossipEvery/2
 	}
 	if s.Watch.ConfirmedAt.IsZero() {
