--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/limiter"
 	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
@@ -55,7 +56,7 @@
 func (s *State) account(now time.Time, name string) *Account {
 	a, ok := s.Accounts[name]
 	if !ok {
-		a = &Account{}
+		a = &Account{Spent: limiter.Window{Length: s.Limits.QuotaWindow}}
 		if p, ok := s.pool(name); ok {
 			a.Spent.Length = p.Window
 		}
