Keep an unanswered order's place until a report from after it was given up

An order went unanswered for 0.7 s and was carried out late; a report that was asked for before it had been given up did not name the adapter, its place was given to another one, and the next load was one too many. Ruled out: a second holder (one host gave all orders), bytes held by a proxy (no trouble was being made then). Change: an order counts from its end, and no report takes an entry off while an order is under way.

--- a/internal/reducer/ledger.go
+++ b/internal/reducer/ledger.go
@@ -280,20 +280,27 @@
 		named[a.Adapter] = a
 	}
 	asOf := e.AskedAt.Add(-reportLag)
-	for _, key := range sortedAdapters(l.Entries) {
-		if _, ok := named[key]; !ok && l.Entries[key].OrderedAt.Before(asOf) {
-			delete(l.Entries, key)
-			l.Recent[key] = now
-		}
+	if !l.Ordering {
+		l.dropUnnamed(now, asOf, named)
 	}
 	for _, key := range sortedAdapters(named) {
 		l.adopt(s, now, asOf, b, named[key])
 	}
 	l.ReadAt = now
-	l.Doubtful = false
+	l.Doubtful = l.Doubtful && l.Ordering
 	nextOrder(s, now, e.Backend, r)
 }
 
+// dropUnnamed forgets the adapters that a report, which shows the time asOf or later, does not name although they were ordered before.
+func (l *Ledger) dropUnnamed(now, asOf time.Time, named map[AdapterKey]ReportedAdapter) {
+	for _, key := range sortedAdapters(l.Entries) {
+		if _, ok := named[key]; !ok && l.Entries[key].OrderedAt.Before(asOf) {
+			delete(l.Entries, key)
+			l.Recent[key] = now
+		}
+	}
+}
+
 // reportLag is the age that a backend server's report may have.
 const reportLag = 600 * time.Millisecond
 
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -78,6 +78,8 @@
 	if !ok {
 		return
 	}
+	// What is not answered may be carried out until it is given up; reports from before that prove nothing.
+	entry.OrderedAt = now
 	if e.Result != OrderAccepted && e.Result != OrderHolds {
 		s.note(EventOrderFailed, Field{"backend_server", e.Backend}, Field{"adapter", e.Adapter.Adapter},
 			boolField("unload", e.Unload), Field{"result", e.Result.String()})
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -317,6 +317,23 @@
 	assert.Equal(t, must[Dispatch](t, f.backend(e)).Version, int64(3))
 }
 
+// TestOrderWithoutAnAnswerTakesItsPlaceUntilALaterReport covers an order that the backend server carries out late, after it has made a
+// report that was asked for before the order was given up: the place would be given away a second time.
+func TestOrderWithoutAnAnswerTakesItsPlaceUntilALaterReport(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	f.backend(engine("e1"))
+	report := must[ReadReport](t, f.after(3*time.Second))
+	f.reduce(BackendReported{Backend: "e1", Born: report.Born, AskedAt: f.now})
+	order := must[OrderAdapter](t, f.generate("1", "a1"))
+	f.after(700 * time.Millisecond)
+	asked := f.now
+	f.after(100 * time.Millisecond)
+	f.reduce(OrderEnded{Backend: "e1", Born: order.Born, Adapter: order.Adapter, Result: OrderUnknown})
+	f.reduce(BackendReported{Backend: "e1", Born: report.Born, AskedAt: asked})
+	assert.Equal(t, len(f.state.Rights["e1"].Ledger.Entries), 1)
+}
+
 func TestEmptyEngineIsOrderedItsModelWithinTheBudget(t *testing.T) {
 	f := newFixture(t)
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
