Take an entry that vanishes two seconds after an outage as removed

The store had been silent and was back for 3.2 s, but hosts had seen it back 0.6 s later, took the entry as one that had lapsed in the outage (removed within 3 s) and used it for 1.9 s more. Ruled out: late reading (all hosts noted the removal within 40 ms). Test: TestEntryRemovedAWhileAfterAnOutageCountsAtOnce failed before.

--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -79,7 +79,7 @@
 	// lapseFor is how long an entry that vanished while the platform was unwell may still come back.
 	lapseFor = 1900 * time.Millisecond
 	// wellAfter is how long the platform must have answered for a removed entry to count at once.
-	wellAfter = 3 * time.Second
+	wellAfter = 2 * time.Second
 )
 
 // Times and bounds of placing adapters.
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -211,6 +211,19 @@
 	assert.Assert(t, !known)
 }
 
+// TestEntryRemovedAWhileAfterAnOutageCountsAtOnce covers a backend server that is taken away when entries that lapsed in the outage are back.
+func TestEntryRemovedAWhileAfterAnOutageCountsAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.reduce(PlatformRead{Revision: f.store})
+	for range 25 {
+		f.after(100 * time.Millisecond)
+		f.reduce(PlatformRead{Revision: f.store})
+	}
+	f.publish(cataloguer.Document{Key: "b/desk-1", Kind: cataloguer.KindBackend, Name: "desk-1", Gone: true})
+	b, known := f.state.Backends["desk-1"]
+	assert.Assert(t, !known || !f.state.usable(f.now, b))
+}
+
 func TestOlderCatalogueIsNeverTaken(t *testing.T) {
 	f := newFixture(t)
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: testCatalogue(7)})
