Let an account's first requests through when its keeper is silent

Event 208 without 209 shows that no keeper had decided; the host's own part of the rate, which is used then, began empty, so the first requests after each loss of a keeper were refused. Change: it begins with its burst, one second of the host's part. Test: TestFirstRequestIsNotRefusedWhenTheKeeperIsSilent failed before.

--- a/internal/recorder/catalogue_test.go
+++ b/internal/recorder/catalogue_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"regexp"
 	"strconv"
@@ -151,3 +152,18 @@
 	assert.Equal(t, written+leftOut, lines+1, "lines that are neither written nor counted")
 	assert.Assert(t, leftOut > lines/2)
 }
+
+func BenchmarkRecord(b *testing.B) {
+	r := &Recorder{Out: io.Discard, Host: "front-kolkata-a-1", Level: log.InfoLevel}
+	fields := []reducer.Field{
+		{Name: "request", Value: "57c9136d6b73d613"}, {Name: "connection", Value: "10.9.0.1:50000"}, {Name: "route", Value: "draft"},
+		{Name: "age_ms", Value: "281"}, {Name: "backend_server", Value: "i-b4edff5ded"}, {Name: "adapter", Value: "a114"},
+		{Name: "account", Value: "t1"}, {Name: "attempt", Value: "1"}, {Name: "prefill_tokens", Value: "612"},
+	}
+	for i := range b.N {
+		r.Record(reducer.EventRequestSent, fields...)
+		if i%100 == 99 {
+			r.Flush()
+		}
+	}
+}
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -190,7 +190,11 @@
 // request that is larger than the even part is let through once a window.
 func goAlone[P selector.Policy](s *State, now time.Time, p Pool, a *Account) {
 	hosts := float64(max(len(s.memberHosts(now)), 1))
+	first := a.Alone.Burst == 0
 	a.Alone.Set(now, p.Rate/hosts, p.Rate/hosts)
+	if first {
+		a.Alone.Level = a.Alone.Burst
+	}
 	for _, id := range a.Waiting {
 		r, ok := s.Requests[id]
 		if !ok {
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -253,6 +253,25 @@
 	assert.Assert(t, !refusal.MayHaveRun && refusal.RetryAfter > 0)
 }
 
+// TestFirstRequestIsNotRefusedWhenTheKeeperIsSilent covers the first time that a keeper does not answer: the host's own part of the rate
+// began empty, so that an account far below its rate was refused.
+func TestFirstRequestIsNotRefusedWhenTheKeeperIsSilent(t *testing.T) {
+	f := newFixture(t)
+	c := testCatalogue(2)
+	c.Accounts = []cataloguer.Account{{Name: "acme", Keys: []string{"secret"}, Priority: -1, Rate: 10_000, Burst: 10_000, ByTokens: true, PlainTokens: 200}}
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: c})
+	for i := range 5 {
+		id := "host-" + strconv.Itoa(i)
+		f.reduce(PeerReceived{From: id, Incarnation: uint64(i + 2), Messages: []Message{HostRecord{
+			ID: id, Incarnation: uint64(i + 2), Beat: 1, Address: id, PeerAddress: id, Ready: true,
+		}}})
+	}
+	assert.Assert(t, f.state.keeperOf(f.now, "acme") != "host-a", "another host keeps the account")
+	_, sent := find[Dispatch](f.arrive("1", "/safe/x", "secret"))
+	assert.Assert(t, !sent, "the keeper is asked")
+	must[Dispatch](t, f.after(200*time.Millisecond))
+}
+
 func TestRequestsThatComeWhileTheKeeperIsAskedAreNotRefused(t *testing.T) {
 	f := newFixture(t)
 	c := testCatalogue(2)
