Sort the hosts once for all four of their lists, and drop what nothing reads

The index of hosts walked and sorted the fleet four times each time it was made anew; it does so once. Left: the settings text of the stand-in and of the end-to-end tests are twins.

--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -153,7 +152,7 @@
 		return e, merry.Wrap(ErrNotFound, merry.WithMessagef("no line of the logs names request %s", request))
 	}
 	last := lastLine(e.Lines)
-	sort.SliceStable(e.Lines, func(i, j int) bool { return before(e.Lines[i], e.Lines[j], last.Host) })
+	slices.SortStableFunc(e.Lines, func(a, b Line) int { return cmp.Or(byAge(a, b), servingFirst(a, b, last.Host)) })
 	e.Nearby = nearby(lines, e.Lines, last, clocks)
 	e.Outcome, e.Cause = conclude(e.Lines, last)
 	return e, nil
@@ -172,15 +171,21 @@
 			return l
 		}
 	}
-	return slices.MaxFunc(lines, func(a, b Line) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+	return slices.MaxFunc(lines, byAge)
 }
 
-// before orders lines by the request's age; at the same age the host that serves the request comes before those that it asks.
-func before(a, b Line, serving string) bool {
-	if a.AgeMs != b.AgeMs {
-		return a.AgeMs < b.AgeMs
+// byAge orders lines by the request's age.
+func byAge(a, b Line) int { return cmp.Compare(a.AgeMs, b.AgeMs) }
+
+// servingFirst puts the lines of the host that serves the request before those of hosts that it asks.
+func servingFirst(a, b Line, serving string) int {
+	if (a.Host == serving) == (b.Host == serving) {
+		return 0
+	}
+	if a.Host == serving {
+		return -1
 	}
-	return a.Host == serving && b.Host != serving
+	return 1
 }
 
 // nearbyMs is the time before the last line of a request from which other lines are shown.
@@ -212,7 +217,7 @@
 		}
 		found = append(found, line)
 	}
-	sort.SliceStable(found, func(i, j int) bool { return found[i].AgeMs < found[j].AgeMs })
+	slices.SortStableFunc(found, byAge)
 	return found
 }
 
@@ -287,7 +292,7 @@
 		}
 		parts = append(parts, name+"="+value)
 	}
-	sort.Strings(parts)
+	slices.Sort(parts)
 	if entry, ok := recorder.Find(l.Event); !ok || entry.Text != l.Message {
 		parts = append(parts, "(event unknown to this client)")
 	}
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -95,9 +95,6 @@
 
 // spentParts is what this host spent in the window, for a keeper that has not heard of it.
 func (a *Account) spentParts(now time.Time) []float64 {
-	if a.Spent.Length <= 0 {
-		return nil
-	}
 	return a.Spent.Parts(now, spentParts)
 }
 
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -68,21 +68,30 @@
 		return
 	}
 	s.Index.HostsAt = now
-	alive := s.selectHosts(func(id string) bool { return s.alive(now, id) })
+	var alive, heard, voting, members []string
+	for _, id := range s.selectHosts(func(string) bool { return true }) {
+		h, other := s.Hosts[id]
+		if s.alive(now, id) {
+			alive = append(alive, id)
+		}
+		if !other || s.reachable(now, id) {
+			heard = append(heard, id)
+		}
+		if !other || s.mayVote(now, h) {
+			voting = append(voting, id)
+		}
+		if !other || now.Sub(h.HeardAt) < forgetAfter && !h.Record.Leaving {
+			members = append(members, id)
+		}
+	}
 	if !slices.Equal(alive, s.Index.Alive) {
-		s.Index.Alive, s.Index.AliveSince = alive, now
+		s.Index.AliveSince = now
 		clear(s.Index.Ranks)
 	}
-	s.Index.Heard = s.selectHosts(func(id string) bool { return id == s.Self.HostID || s.reachable(now, id) })
-	voting := s.selectHosts(func(id string) bool { return id == s.Self.HostID || s.mayVote(now, s.Hosts[id]) })
 	if !slices.Equal(voting, s.Index.Voters) {
-		s.Index.Voters = voting
 		clear(s.Index.Ranks)
 	}
-	s.Index.Members = s.selectHosts(func(id string) bool {
-		h, ok := s.Hosts[id]
-		return id == s.Self.HostID || ok && now.Sub(h.HeardAt) < forgetAfter && !h.Record.Leaving
-	})
+	s.Index.Alive, s.Index.Heard, s.Index.Voters, s.Index.Members = alive, heard, voting, members
 }
 
 // hostsIndexFor is how long a host that falls silent may still be counted as in use.
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -77,6 +77,16 @@
 	return f.reduce(RequestArrived{ID: id, CallerID: id, At: f.now, HostName: "h", Path: path, Key: key, TimeLeft: 3 * time.Second})
 }
 
+// hearFiveHosts lets five other hosts tell of themselves once.
+func (f *fixture) hearFiveHosts() {
+	for i := range 5 {
+		id := "host-" + strconv.Itoa(i)
+		f.reduce(PeerReceived{From: id, Incarnation: uint64(i + 2), Messages: []Message{HostRecord{
+			ID: id, Incarnation: uint64(i + 2), Beat: 1, Address: id, PeerAddress: id, Ready: true,
+		}}})
+	}
+}
+
 func find[E Effect](effects []Effect) (found E, ok bool) {
 	for _, e := range effects {
 		if v, ok := e.(E); ok {
@@ -260,12 +270,7 @@
 	c := testCatalogue(2)
 	c.Accounts = []cataloguer.Account{{Name: "acme", Keys: []string{"secret"}, Priority: -1, Rate: 10_000, Burst: 10_000, ByTokens: true, PlainTokens: 200}}
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: c})
-	for i := range 5 {
-		id := "host-" + strconv.Itoa(i)
-		f.reduce(PeerReceived{From: id, Incarnation: uint64(i + 2), Messages: []Message{HostRecord{
-			ID: id, Incarnation: uint64(i + 2), Beat: 1, Address: id, PeerAddress: id, Ready: true,
-		}}})
-	}
+	f.hearFiveHosts()
 	assert.Assert(t, f.state.keeperOf(f.now, "acme") != "host-a", "another host keeps the account")
 	_, sent := find[Dispatch](f.arrive("1", "/safe/x", "secret"))
 	assert.Assert(t, !sent, "the keeper is asked")
@@ -388,12 +393,7 @@
 	f := newFixture(t)
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
 	f.backend(engine("e1"))
-	for i := range 5 {
-		id := "host-" + strconv.Itoa(i)
-		f.reduce(PeerReceived{From: id, Incarnation: uint64(i + 2), Messages: []Message{HostRecord{
-			ID: id, Incarnation: uint64(i + 2), Beat: 1, Address: id, PeerAddress: id, Ready: true,
-		}}})
-	}
+	f.hearFiveHosts()
 	f.state.Rights = map[string]*Right{}
 	for range 12 {
 		f.after(time.Second)
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -77,10 +77,11 @@
 }
 
 func status(s *State, now time.Time, e StatusAsked) {
+	g := gauges(s, now)
 	v := Status{
 		Host: s.Self.HostID, Incarnation: s.Self.Incarnation, Ready: s.Ready, Leaving: s.Draining.Active,
-		Revision: s.Documents.Revision, ConfirmedAgeMs: now.Sub(s.Watch.ConfirmedAt).Milliseconds(),
-		Documents: map[string]int{}, RequestsInProgress: len(s.Requests), Gauges: gauges(s, now),
+		Revision: s.Documents.Revision, ConfirmedAgeMs: g.ConfirmedAgeMs,
+		Documents: map[string]int{}, RequestsInProgress: len(s.Requests), Gauges: g,
 	}
 	if s.Documents.Catalogue != nil {
 		v.CatalogueVersion = s.Documents.Catalogue.Version
