Tell where a configuration came from and when a host's word on it is too old

For telling its hypotheses apart: event 101 names the source of a version and the age of the host's word before it, 107 and 108 say that nobody has confirmed what is in force for longer than config_ms, and the metrics count calls between hosts for documents and those that brought nothing. No decision changes.

--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -2,26 +2,32 @@
 
 // Counters counts what happened since the start; the executor publishes them.
 type Counters struct {
-	Ticks             uint64              `json:"ticks_total"`
-	RequestsArrived   uint64              `json:"requests_arrived_total"`
-	RequestsDone      uint64              `json:"requests_done_total"`
-	RequestsFailed    uint64              `json:"requests_failed_total"`
-	RequestsAbandoned uint64              `json:"requests_abandoned_total"`
-	Dispatches        uint64              `json:"dispatches_total"`
-	Retries           uint64              `json:"retries_total"`
-	Resumes           uint64              `json:"resumes_total"`
-	LoadStalls        uint64              `json:"load_stalls_total"`
-	LoadStallMillis   uint64              `json:"load_stall_ms_total"`
-	Loads             uint64              `json:"loads_total"`
-	ModelLoads        uint64              `json:"model_loads_total"`
-	Unloads           uint64              `json:"unloads_total"`
-	LeasesTaken       uint64              `json:"leases_taken_total"`
-	LeasesLost        uint64              `json:"leases_lost_total"`
-	ClaimsRefused     uint64              `json:"claims_refused_total"`
-	EffectsExpired    uint64              `json:"effects_expired_total"`
-	DocumentsRefused  uint64              `json:"documents_refused_total"`
-	PlatformReads     uint64              `json:"platform_reads_total"`
-	Ejections         uint64              `json:"ejections_total"`
-	ForeignAnswers    uint64              `json:"foreign_answers_total"`
-	RefusedByReason   [ReasonCount]uint64 `json:"refused_by_reason"`
+	Ticks             uint64 `json:"ticks_total"`
+	RequestsArrived   uint64 `json:"requests_arrived_total"`
+	RequestsDone      uint64 `json:"requests_done_total"`
+	RequestsFailed    uint64 `json:"requests_failed_total"`
+	RequestsAbandoned uint64 `json:"requests_abandoned_total"`
+	Dispatches        uint64 `json:"dispatches_total"`
+	Retries           uint64 `json:"retries_total"`
+	Resumes           uint64 `json:"resumes_total"`
+	LoadStalls        uint64 `json:"load_stalls_total"`
+	LoadStallMillis   uint64 `json:"load_stall_ms_total"`
+	Loads             uint64 `json:"loads_total"`
+	ModelLoads        uint64 `json:"model_loads_total"`
+	Unloads           uint64 `json:"unloads_total"`
+	LeasesTaken       uint64 `json:"leases_taken_total"`
+	LeasesLost        uint64 `json:"leases_lost_total"`
+	ClaimsRefused     uint64 `json:"claims_refused_total"`
+	EffectsExpired    uint64 `json:"effects_expired_total"`
+	DocumentsRefused  uint64 `json:"documents_refused_total"`
+	PlatformReads     uint64 `json:"platform_reads_total"`
+	// PeerReads counts the times that this host asked a peer for documents, and PeerReadsEmpty the answers that raised no revision.
+	PeerReads      uint64 `json:"peer_reads_total"`
+	PeerReadsEmpty uint64 `json:"peer_reads_empty_total"`
+	// UpdatesAnswered counts the peers' calls for documents, and ConfirmationsOld the times at which event 107 was noted.
+	UpdatesAnswered  uint64              `json:"updates_answered_total"`
+	ConfirmationsOld uint64              `json:"confirmations_old_total"`
+	Ejections        uint64              `json:"ejections_total"`
+	ForeignAnswers   uint64              `json:"foreign_answers_total"`
+	RefusedByReason  [ReasonCount]uint64 `json:"refused_by_reason"`
 }
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -7,27 +7,42 @@
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
-// applyDocuments takes published items that are newer than those known; whole tells that missing ones are gone.
-func applyDocuments(s *State, now time.Time, documents []cataloguer.Document, whole bool, revision int64) {
+// reading is what the platform or a peer has answered.
+type reading struct {
+	// From is the peer, or fromPlatform.
+	From      string
+	Documents []cataloguer.Document
+	// Whole tells that items which are not among the documents are gone.
+	Whole    bool
+	Revision int64
+	// ConfirmedAt is when this host's last word before had been true.
+	ConfirmedAt time.Time
+}
+
+// fromPlatform is the source of what this host has read itself.
+const fromPlatform = "platform"
+
+// applyDocuments takes published items that are newer than those known.
+func applyDocuments(s *State, now time.Time, r reading) {
 	listed := map[string]bool{}
-	for i := range documents {
-		listed[documents[i].Key] = true
-		applyDocument(s, now, documents[i])
+	for i := range r.Documents {
+		listed[r.Documents[i].Key] = true
+		applyDocument(s, now, r, r.Documents[i])
 	}
-	if whole {
+	if r.Whole {
 		for _, key := range sortedKeys(s.Documents.Items) {
 			item := s.Documents.Items[key]
-			if !listed[key] && !item.Document.Gone && item.Document.Revision <= revision {
+			if !listed[key] && !item.Document.Gone && item.Document.Revision <= r.Revision {
 				gone := item.Document
-				gone.Gone, gone.Raw, gone.Revision = true, nil, revision
-				applyDocument(s, now, gone)
+				gone.Gone, gone.Raw, gone.Revision = true, nil, r.Revision
+				applyDocument(s, now, r, gone)
 			}
 		}
 	}
-	s.Documents.Revision = max(s.Documents.Revision, revision)
+	s.Documents.Revision = max(s.Documents.Revision, r.Revision)
 }
 
-func applyDocument(s *State, now time.Time, d cataloguer.Document) {
+func applyDocument(s *State, now time.Time, r reading, d cataloguer.Document) {
 	item, known := s.Documents.Items[d.Key]
 	if known && d.Revision <= item.Document.Revision {
 		return
@@ -47,7 +62,7 @@
 	}
 	s.Documents.Items[d.Key] = &Item{Document: d, LearntAt: now}
 	s.Documents.Relayed = max(s.Documents.Relayed, d.Revision)
-	putInForce(s, now, d)
+	putInForce(s, now, r, d)
 }
 
 // insignificant reports whether a backend server's entry changed only in what other hosts need not know.
@@ -64,11 +79,11 @@
 	return slices.EqualFunc(a.Models, b.Models, func(x, y cataloguer.Resident) bool { return x.Model == y.Model })
 }
 
-func putInForce(s *State, now time.Time, d cataloguer.Document) {
+func putInForce(s *State, now time.Time, r reading, d cataloguer.Document) {
 	switch d.Kind {
 	case cataloguer.KindCatalogue:
 		if !d.Gone && (s.Documents.Catalogue == nil || d.Catalogue.Version > s.Documents.Catalogue.Version) {
-			takeCatalogue(s, now, d)
+			takeCatalogue(s, now, r, d)
 		}
 	case cataloguer.KindBackend:
 		if d.Gone {
@@ -86,7 +101,7 @@
 	}
 }
 
-func takeCatalogue(s *State, _ time.Time, d cataloguer.Document) {
+func takeCatalogue(s *State, now time.Time, r reading, d cataloguer.Document) {
 	c := d.Catalogue
 	docs := &s.Documents
 	docs.Catalogue = c
@@ -105,7 +120,8 @@
 	}
 	s.emit(CallerLimits{Limits: c.Callers})
 	s.note(EventCatalogueInForce, intField("version", int(c.Version)), intField("revision", int(d.Revision)),
-		intField("routes", len(c.Routes)), intField("accounts", len(c.Accounts)))
+		intField("routes", len(c.Routes)), intField("accounts", len(c.Accounts)),
+		Field{"from", r.From}, ageField("confirmed_age_ms", now, r.ConfirmedAt))
 }
 
 // takeVersion notes a new version of an adapter; places with an older one serve no new requests.
--- a/internal/reducer/notes.go
+++ b/internal/reducer/notes.go
@@ -13,6 +13,8 @@
 	EventPlatformBack     = 104
 	EventReadiness        = 105
 	EventDomainWithdrawn  = 106
+	EventConfirmationOld  = 107
+	EventConfirmedAgain   = 108
 	EventHostJoined       = 111
 	EventHostBack         = 112
 	EventHostGone         = 113
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -290,6 +290,8 @@
 	ListNext bool
 	// ConfirmedAt is when the platform is known to have had nothing newer.
 	ConfirmedAt time.Time
+	// Old is set while ConfirmedAt is older than a published change may take to be in force.
+	Old bool
 	// GoodSince is since when the platform has answered without a failure.
 	GoodSince   time.Time
 	ReadingPeer bool
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -16,6 +16,7 @@
 // tickWatch reads the platform if this host is one of the watchers, or if nobody else's confirmation is fresh.
 func tickWatch(s *State, now time.Time) {
 	pruneDocuments(s, now)
+	noteOldConfirmation(s, now)
 	if s.Watch.Reading || now.Before(s.Watch.NextAt) || !s.shouldWatch(now) {
 		return
 	}
@@ -29,6 +30,16 @@
 	s.emit(WatchPlatform{Since: s.Documents.Revision, Wait: watchWait})
 }
 
+// noteOldConfirmation notes once that what is in force may be older than promised.
+func noteOldConfirmation(s *State, now time.Time) {
+	if s.Watch.Old || s.Watch.ConfirmedAt.IsZero() || now.Sub(s.Watch.ConfirmedAt) <= s.Limits.ConfigFor {
+		return
+	}
+	s.Watch.Old = true
+	s.Counters.ConfirmationsOld++
+	s.note(EventConfirmationOld, ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt), intField("failures", s.Watch.Failures))
+}
+
 func (s *State) shouldWatch(now time.Time) bool {
 	if slices.Contains(s.ranked(now, rankKey{Key: "watch"}, watchers), s.Self.HostID) {
 		return s.Documents.Catalogue != nil || s.age(now) > gossipEvery/2
@@ -64,8 +75,9 @@
 		return
 	}
 	relayed := s.Documents.Relayed
+	r := reading{From: fromPlatform, Documents: e.Documents, Whole: e.Whole, Revision: e.Revision, ConfirmedAt: s.Watch.ConfirmedAt}
 	s.confirm(now, now)
-	applyDocuments(s, now, e.Documents, e.Whole, e.Revision)
+	applyDocuments(s, now, r)
 	if s.Documents.Relayed > relayed {
 		announce(s, now, "")
 		placeWaiting[P](s, now)
@@ -83,9 +95,14 @@
 	if !at.After(s.Watch.ConfirmedAt) {
 		return
 	}
-	if at.Sub(s.Watch.ConfirmedAt) > unwellAfter {
+	gap := at.Sub(s.Watch.ConfirmedAt)
+	if gap > unwellAfter {
 		s.Watch.GoodSince = now
 	}
+	if s.Watch.Old {
+		s.Watch.Old = false
+		s.note(EventConfirmedAgain, msField("gap_ms", gap))
+	}
 	s.Watch.ConfirmedAt = at
 }
 
@@ -155,6 +172,7 @@
 		return
 	}
 	s.Watch.ReadingPeer = true
+	s.Counters.PeerReads++
 	s.Watch.AskPeerAt = now.Add(peerReadLimit)
 	since := s.Documents.Revision
 	if s.Documents.Catalogue == nil {
@@ -168,6 +186,7 @@
 
 // updatesAsked answers a peer with the items that changed after its revision.
 func updatesAsked(s *State, e UpdatesAsked) {
+	s.Counters.UpdatesAnswered++
 	answer := UpdatesAnswer{ReplyID: e.ReplyID, Revision: s.Documents.Revision, Whole: e.Since < s.Documents.PrunedAt}
 	for _, key := range sortedKeys(s.Documents.Items) {
 		d := s.Documents.Items[key].Document
@@ -183,8 +202,11 @@
 	if e.Failed {
 		return
 	}
-	relayed := s.Documents.Relayed
-	applyDocuments(s, now, e.Documents, e.Whole, e.Revision)
+	relayed, revision := s.Documents.Relayed, s.Documents.Revision
+	applyDocuments(s, now, reading{From: e.From, Documents: e.Documents, Whole: e.Whole, Revision: e.Revision, ConfirmedAt: s.Watch.ConfirmedAt})
+	if s.Documents.Revision == revision {
+		s.Counters.PeerReadsEmpty++
+	}
 	if s.Documents.Relayed > relayed {
 		s.Watch.ListNext = false
 		announce(s, now, e.From)
