Reproduce hosts that believe in configurations that are no longer the newest, and hosts that ask each other without end

Fleets in virtual time check that a published configuration is in force at every host in touch within config_ms, that no host believes that nothing newer is published when something is, and that hosts at rest ask each other for nothing. Cuts between hosts do not excuse a late configuration, since each host reaches the platform.

--- a/internal/exerciser/carrier.go
+++ b/internal/exerciser/carrier.go
@@ -112,7 +112,7 @@
 	asked := w.Now
 	var look func()
 	look = func() {
-		if !w.storeReached(h) {
+		if w.platformFails(h) {
 			w.after(callTimeout, func() { w.post(h, incarnation, reducer.PlatformRead{AskedAt: asked, Failed: true}) })
 			return
 		}
@@ -122,7 +122,7 @@
 			return
 		}
 		event := reducer.PlatformRead{AskedAt: asked, Expired: expired, Revision: w.Store.Revision, Documents: changes}
-		w.after(platformTime, func() { w.post(h, incarnation, event) })
+		w.after(platformTime+w.storeSlow, func() { w.post(h, incarnation, event) })
 	}
 	look()
 }
@@ -130,11 +130,20 @@
 func (w *World[P]) list(h *Host) {
 	incarnation := h.Incarnation
 	event := reducer.PlatformRead{AskedAt: w.Now, Whole: true, Revision: w.Store.Revision, Documents: w.Store.List("")}
-	if !w.storeReached(h) {
+	if w.platformFails(h) {
 		w.after(callTimeout, func() { w.post(h, incarnation, reducer.PlatformRead{AskedAt: event.AskedAt, Failed: true}) })
 		return
 	}
-	w.after(platformTime, func() { w.post(h, incarnation, event) })
+	w.after(platformTime+w.storeSlow, func() { w.post(h, incarnation, event) })
+}
+
+// platformFails reports whether a host's call to the platform gets no answer.
+func (w *World[P]) platformFails(h *Host) bool {
+	if h.silentCalls > 0 {
+		h.silentCalls--
+		return true
+	}
+	return !w.storeReached(h)
 }
 
 // order carries an order to its backend server, unless its time is over when it leaves.
--- /dev/null
+++ b/internal/exerciser/configuration_test.go
@@ -0,0 +1,96 @@
+package exerciser
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/selector"
+)
+
+// publishEvery is the mean time between two configurations, but for the last digit.
+const publishEvery = 1500 * time.Millisecond
+
+var configurationSchedules = []schedule{
+	// Guards against changes that come late to hosts that a split has cut off from those that watch the platform.
+	{name: "split", play: func(w *World[selector.Expected]) {
+		for range 3 {
+			w.Split(w.Some(w.Share(0.2, 0.5)), false, 5500*time.Millisecond)
+			w.Run(8 * time.Second)
+		}
+	}},
+	// Guards against the same where connections to the platform have gone silent since they were last used.
+	{name: "silent_connections_and_split", play: func(w *World[selector.Expected]) {
+		for range 3 {
+			w.SilenceStore(w.Hosts)
+			w.Run(5 * time.Second)
+			w.Split(w.Some(w.Share(0.2, 0.5)), false, 6*time.Second)
+			w.Run(9 * time.Second)
+		}
+	}},
+	// Guards against changes that hosts miss because those that watch the platform are cut off from it.
+	{name: "some_cut_from_platform", play: func(w *World[selector.Expected]) {
+		for range 3 {
+			w.CutStore(w.Some(0.5), 7*time.Second)
+			w.Run(10 * time.Second)
+		}
+	}},
+	// Guards against answers that count as new when they come, though they were formed earlier.
+	{name: "late_answers", play: func(w *World[selector.Expected]) {
+		for range 3 {
+			w.SlowStore(900*time.Millisecond, 5*time.Second)
+			w.Run(8 * time.Second)
+		}
+	}},
+	// Guards against words of peers that count as new when they come, though they waited at a host that stood still.
+	{name: "freezes", play: func(w *World[selector.Expected]) {
+		for range 4 {
+			w.FreezeGroup(w.Some(0.4), w.Between(time.Second, 3500*time.Millisecond))
+			w.Run(6 * time.Second)
+		}
+	}},
+	// Guards against changes that are late while hosts are killed and know less, or other revisions, than the rest.
+	{name: "kills", play: func(w *World[selector.Expected]) {
+		for range 4 {
+			w.KillGroup(w.Some(0.3), 500*time.Millisecond, 2*time.Second)
+			w.Run(5 * time.Second)
+		}
+	}},
+}
+
+// TestConfigurationIsInForceInTime guards against a published configuration that a host in touch lacks after the time allowed, and against
+// hosts that believe to know what they do not (CONFIG).
+func TestConfigurationIsInForceInTime(t *testing.T) {
+	for _, s := range configurationSchedules {
+		for _, hosts := range []int{6, 12, 40} {
+			for seed := range uint64(2) {
+				play := s.play
+				s.play = func(w *World[selector.Expected]) {
+					w.Publish(publishEvery)
+					play(w)
+				}
+				playIncident(t, s, incident{hosts, seed + 1})
+				s.play = play
+			}
+		}
+	}
+}
+
+// TestHostsAtRestAskNobody guards against hosts that know the same and ask each other for documents without end.
+func TestHostsAtRestAskNobody(t *testing.T) {
+	for _, hosts := range []int{6, 12, 40, 80} {
+		t.Run(fmt.Sprintf("hosts_%d", hosts), func(t *testing.T) {
+			t.Parallel()
+			w := New[selector.Expected](incidentOptions(hosts, 1))
+			w.Run(incidentStart)
+			w.Traffic(incidentRate * float64(hosts))
+			w.KillGroup(w.Some(0.34), 500*time.Millisecond, time.Second)
+			w.Run(7 * time.Second)
+			before := w.PeerReads()
+			w.Run(5 * time.Second)
+			assert.Equal(t, w.PeerReads()-before, uint64(0))
+		})
+	}
+}
--- a/internal/exerciser/faults.go
+++ b/internal/exerciser/faults.go
@@ -39,6 +39,12 @@
 	return h.Up && !h.Frozen && w.storeReached(h) && w.Now.Sub(h.DisturbedAt) > w.Options.Limits.ContactFor
 }
 
+// inTouch reports whether a host has been without trouble of its own or of the platform for as long as the promise on configurations
+// asks; trouble between hosts excuses nothing, since each reaches the platform.
+func (w *World[P]) inTouch(h *Host) bool {
+	return h.Up && !h.Frozen && w.storeReached(h) && w.Now.Sub(h.FaultAt) > w.Options.Limits.ContactFor
+}
+
 // Strike brings one random trouble about, and ends it some seconds later.
 func (w *World[P]) Strike() string {
 	f := Fault(w.random.IntN(int(faultCount)))
@@ -68,8 +74,8 @@
 		w.after(lasting, func() { w.storeDown = false; w.disturbAll() })
 	case FaultStoreCut:
 		w.storeCut[h.ID] = true
-		h.DisturbedAt = w.Now
-		w.after(lasting, func() { delete(w.storeCut, h.ID); h.DisturbedAt = w.Now })
+		w.disturb(h)
+		w.after(lasting, func() { delete(w.storeCut, h.ID); w.disturb(h) })
 	case FaultCompact:
 		w.Store.Compact()
 	case FaultCrash:
@@ -83,9 +89,13 @@
 	}
 }
 
+func (w *World[P]) disturb(h *Host) {
+	h.DisturbedAt, h.FaultAt = w.Now, w.Now
+}
+
 func (w *World[P]) disturbAll() {
 	for _, h := range w.Hosts {
-		h.DisturbedAt = w.Now
+		w.disturb(h)
 	}
 }
 
@@ -94,7 +104,7 @@
 		return
 	}
 	h.Up = false
-	h.DisturbedAt = w.Now
+	w.disturb(h)
 	w.after(down, func() {
 		if !h.Up {
 			w.startHost(h)
@@ -114,7 +124,7 @@
 			return
 		}
 		h.Frozen = false
-		h.DisturbedAt = w.Now
+		w.disturb(h)
 		waiting := h.waiting
 		h.waiting = nil
 		for _, run := range waiting {
@@ -134,13 +144,13 @@
 			w.cuts[[2]string{other.ID, h.ID}] = true
 		}
 	}
-	h.DisturbedAt = w.Now
+	w.disturb(h)
 	w.after(lasting, func() {
 		for _, other := range w.Hosts {
 			delete(w.cuts, [2]string{h.ID, other.ID})
 			delete(w.cuts, [2]string{other.ID, h.ID})
 		}
-		h.DisturbedAt = w.Now
+		w.disturb(h)
 	})
 }
 
@@ -174,7 +184,7 @@
 	if !h.Up || h.Frozen {
 		return
 	}
-	h.DisturbedAt = w.Now
+	w.disturb(h)
 	incarnation := h.Incarnation
 	w.post(h, incarnation, reducer.DrainRequested{})
 	w.after(w.Options.Limits.GraceFor+down, func() {
--- a/internal/exerciser/incidents.go
+++ b/internal/exerciser/incidents.go
@@ -48,13 +48,22 @@
 		}
 	}
 	w.splits = append(w.splits, s)
-	w.disturbAll()
+	w.disturbBySplit(offStore)
 	w.after(lasting, func() {
 		w.splits = slices.DeleteFunc(w.splits, func(other *split) bool { return other == s })
-		w.disturbAll()
+		w.disturbBySplit(offStore)
 	})
 }
 
+func (w *World[P]) disturbBySplit(offStore bool) {
+	if offStore {
+		w.disturbAll()
+	}
+	for _, h := range w.Hosts {
+		h.DisturbedAt = w.Now
+	}
+}
+
 func (w *World[P]) splitApart(a, b string) bool {
 	for _, s := range w.splits {
 		from, to := s.sides[a], s.sides[b]
@@ -119,7 +128,7 @@
 	if !h.Up || h.Frozen || h.State.Draining.Active {
 		return
 	}
-	h.DisturbedAt = w.Now
+	w.disturb(h)
 	incarnation, began := h.Incarnation, w.Now
 	w.post(h, incarnation, reducer.DrainRequested{})
 	var look func()
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -79,6 +79,8 @@
 	sequence uint64
 	cuts     map[[2]string]bool
 	storeCut map[string]bool
+	// storeSlow is the time by which answers of the platform come later than they were formed.
+	storeSlow time.Duration
 	// storeDown is set while the configuration service answers nobody.
 	storeDown bool
 	splits    []*split
@@ -103,8 +105,14 @@
 	Incarnation uint64
 	waiting     []func()
 	StartedAt   time.Time
-	// DisturbedAt is when something last went wrong at the host.
+	// DisturbedAt is when something last went wrong at the host or on its way to other hosts.
 	DisturbedAt time.Time
+	// FaultAt is when something last went wrong at the host itself or on its way to the platform.
+	FaultAt time.Time
+	// inForce is the version of the configuration that the process was last seen to follow.
+	inForce int64
+	// silentCalls counts the calls to the platform that are yet to go out on a connection that has gone silent.
+	silentCalls int
 }
 
 // Backend is one backend server of the model.
@@ -226,7 +234,8 @@
 	h.Frozen = false
 	h.waiting = nil
 	h.StartedAt = w.Now
-	h.DisturbedAt = w.Now
+	h.inForce, h.silentCalls = 0, 0
+	w.disturb(h)
 	self := reducer.Self{
 		HostID: h.ID, Incarnation: reducer.NewIncarnation(h.ID, w.Now), Address: h.ID, PeerAddress: "peer-" + h.ID, FailureDomain: h.Domain,
 		Region: "region", StartedAt: w.Now, StartedUnixMs: w.Now.UnixMilli() + w.random.Int64N(2*skewMs) - skewMs,
