Count only what reads of the platform cover as time in which nobody ordered

What callers would see: two hosts order one backend server (ONE). Change: the stretch ends when the last answer was formed. TestTimeAfterTheLastReadTellsNothingOfOrders fails without it (the method returns true), and the fleet's run passes with it. A founding waits for the next read, 0.6 s at most.

--- a/internal/reducer/founding.go
+++ b/internal/reducer/founding.go
@@ -56,7 +56,7 @@
 // sawNoOrders reports whether this host has read the platform for as long as given and found that no backend server carries out orders.
 func (s *State) sawNoOrders(now time.Time, lasting time.Duration) bool {
 	r := s.Roster
-	return !r.WatchedSince.IsZero() && now.Sub(r.WatchedAt) < watchGap && now.Sub(later(r.WatchedSince, r.OrderedAt)) >= lasting
+	return !r.WatchedSince.IsZero() && now.Sub(r.WatchedAt) < watchGap && r.SeenUntil.Sub(later(r.WatchedSince, r.OrderedAt)) >= lasting
 }
 
 // mustSeeOrders reports whether this host needs to read the platform itself, to see whether others order backend servers.
@@ -68,15 +68,16 @@
 }
 
 // watched notes that this host has read the platform, or has failed to.
-func (s *State) watched(now time.Time, failed bool) {
+func (s *State) watched(now time.Time, e PlatformRead) {
 	r := &s.Roster
-	if failed || now.Sub(r.WatchedAt) >= watchGap {
+	if e.Failed || now.Sub(r.WatchedAt) >= watchGap {
 		r.WatchedSince = time.Time{}
 	}
-	if failed {
+	if e.Failed {
 		return
 	}
 	r.WatchedAt = now
+	r.SeenUntil = later(r.SeenUntil, formedAt(now, e))
 	if r.WatchedSince.IsZero() {
 		r.WatchedSince = now
 	}
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -41,7 +41,7 @@
 func (f *fixture) readFor(d time.Duration) {
 	for range d / time.Second {
 		f.after(time.Second)
-		f.reduce(PlatformRead{Revision: f.store})
+		f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
 	}
 }
 
@@ -62,7 +62,7 @@
 func (f *fixture) publish(d cataloguer.Document) []Effect {
 	f.store++
 	d.Revision = f.store
-	return f.reduce(PlatformRead{Revision: f.store, Documents: []cataloguer.Document{d}})
+	return f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store, Documents: []cataloguer.Document{d}})
 }
 
 func (f *fixture) backend(b cataloguer.Backend) []Effect {
@@ -233,10 +233,10 @@
 // TestEntryRemovedAWhileAfterAnOutageCountsAtOnce covers a backend server that is taken away when entries that lapsed in the outage are back.
 func TestEntryRemovedAWhileAfterAnOutageCountsAtOnce(t *testing.T) {
 	f := newFixture(t)
-	f.reduce(PlatformRead{Revision: f.store})
+	f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
 	for range 25 {
 		f.after(100 * time.Millisecond)
-		f.reduce(PlatformRead{Revision: f.store})
+		f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
 	}
 	f.publish(cataloguer.Document{Key: "b/desk-1", Kind: cataloguer.KindBackend, Name: "desk-1", Gone: true})
 	b, known := f.state.Backends["desk-1"]
@@ -406,7 +406,7 @@
 	f.state.Rights = map[string]*Right{}
 	for range 12 {
 		f.after(time.Second)
-		f.reduce(PlatformRead{Revision: f.store})
+		f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
 	}
 	assert.Assert(t, !f.state.holds(f.now, "e1"))
 }
--- a/internal/reducer/roster.go
+++ b/internal/reducer/roster.go
@@ -28,6 +28,8 @@
 	// Term is the least term of a new lease at the time TermAt; it grows with time.
 	Term   int64
 	TermAt time.Time
+	// SeenUntil is the time up to which this host's reads of the platform tell what had been published.
+	SeenUntil time.Time
 	// WatchedSince is since when this host has read the platform itself without a failure; zero if its last read failed.
 	WatchedSince time.Time
 	// WatchedAt is when it last did.
--- a/internal/reducer/roster_test.go
+++ b/internal/reducer/roster_test.go
@@ -26,7 +26,7 @@
 	for range d / gossipEvery {
 		f.after(gossipEvery)
 		f.beat(5)
-		f.reduce(PlatformRead{Revision: f.store})
+		f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
 	}
 }
 
@@ -193,7 +193,7 @@
 			}
 			f.after(time.Second)
 			f.beat(2)
-			f.reduce(PlatformRead{Revision: f.store})
+			f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
 		}
 	}
 	f := newFleet(t)
@@ -355,3 +355,17 @@
 	f.hearFor(2 * tombstoneFor)
 	assert.Assert(t, len(f.state.Promises) < 10, "%d promises", len(f.state.Promises))
 }
+
+// Time that passes after the last read of the platform must not count as time in which nobody ordered (ONE): a roster was founded on the
+// lesser side of a partition 0.65 s after a read that covered 0.9 s.
+func TestTimeAfterTheLastReadTellsNothingOfOrders(t *testing.T) {
+	f := newFleet(t)
+	f.state.Roster.WatchedSince = time.Time{}
+	f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
+	f.after(900 * time.Millisecond)
+	f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
+	f.after(700 * time.Millisecond)
+	assert.Assert(t, !f.state.sawNoOrders(f.now, orderlessAtStart))
+	f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
+	assert.Assert(t, f.state.sawNoOrders(f.now, orderlessAtStart))
+}
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -56,7 +56,7 @@
 // platformRead takes the platform's answer; after a failure the next call waits longer each time.
 func platformRead[P selector.Policy](s *State, now time.Time, e PlatformRead) {
 	s.Watch.Reading = false
-	s.watched(now, e.Failed)
+	s.watched(now, e)
 	if e.Failed {
 		s.Watch.Failures++
 		if s.Watch.Failures == 1 {
@@ -84,6 +84,16 @@
 	}
 }
 
+// formedAt is the time from which on the platform's answer was formed at the latest: when it was asked for, or at the end of the wait of a
+// watch that brought nothing.
+func formedAt(now time.Time, e PlatformRead) time.Time {
+	waited := e.AskedAt.Add(watchWait)
+	if e.Whole || len(e.Documents) > 0 || now.Before(waited) {
+		return e.AskedAt
+	}
+	return waited
+}
+
 // Pauses after failed calls to the platform, and how often they double.
 const (
 	platformPause     = 200 * time.Millisecond
