Date what hosts know of the platform from when it was true, and take a peer's word only in an answer

Cause: each host relies on the word that nothing newer is published for 0.7 of config_ms, then reads the platform itself. The word's age was told with each envelope and dated from when the envelope was taken, so the time on the way was missing at each hop. Hosts took each other's word for younger than their own and told it on: passed on by thousands of envelopes a second, the word never grew old, and while the platform turned both watchers away nobody else read it. The answer of the platform itself was dated from when it was taken, too.

Change: a host takes a word only from the answer to an envelope of its own, dated from when that left, so that the time on the way counts as age; a peer whose word is older than one's own is answered. Answers of the platform count from when they were asked for, or from the end of the wait of a watch that brought nothing. A word can only grow older now, so when the watchers cannot read, all hosts notice after 0.7 of config_ms.

--- a/internal/exerciser/carrier.go
+++ b/internal/exerciser/carrier.go
@@ -53,8 +53,13 @@
 		return
 	}
 	event := reducer.PeerReceived{From: h.ID, Incarnation: h.State.Self.Incarnation, Messages: e.Messages, ReplyID: h.ID}
-	toIncarnation := to.Incarnation
-	w.after(w.delay(), func() { w.post(to, toIncarnation, event) })
+	toIncarnation, asked := to.Incarnation, w.Now
+	w.after(w.delay(), func() {
+		w.awake(to, toIncarnation, func() {
+			w.askedAt = asked
+			w.reduce(to, event)
+		})
+	})
 }
 
 // answerPeer brings the answer to an envelope back to its sender.
@@ -65,7 +70,7 @@
 		return
 	}
 	incarnation := to.Incarnation
-	event := reducer.PeerReceived{From: h.ID, Incarnation: h.State.Self.Incarnation, Messages: e.Messages}
+	event := reducer.PeerReceived{From: h.ID, Incarnation: h.State.Self.Incarnation, Messages: e.Messages, AskedAt: w.askedAt}
 	w.after(w.delay(), func() { w.post(to, incarnation, event) })
 }
 
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -84,6 +84,8 @@
 	// storeDown is set while the configuration service answers nobody.
 	storeDown bool
 	splits    []*split
+	// askedAt is when the envelope left that a host is reducing.
+	askedAt time.Time
 	// loss is the part of the envelopes and answers between hosts that Lose makes the network lose.
 	loss float64
 	// holders are the hosts that were last seen with a lease of a backend server.
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/translator"
 	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
@@ -128,10 +129,13 @@
 	limited, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	request := connect.NewRequest(translator.Envelope(c.HostID, c.Incarnation, envelope.Messages))
+	asked := clocker.Now()
 	response, err := peer.Exchange(limited, request)
 	// What an envelope that is lost would have said is said again at the next round.
 	if err == nil && response.Msg.GetEnvelope() != nil {
-		c.report(ctx, translator.Received(response.Msg.GetEnvelope()))
+		event := translator.Received(response.Msg.GetEnvelope())
+		event.AskedAt = asked
+		c.report(ctx, event)
 	}
 	return err
 }
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -19,6 +19,8 @@
 	Messages    []Message
 	// ReplyID names who waits for the envelope that answers this one, or is empty.
 	ReplyID string
+	// AskedAt is when the envelope left that this one answers; it is zero for an envelope that came by itself, which may be of any age.
+	AskedAt time.Time
 }
 
 // RequestArrived says that a caller asks for work.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -78,7 +78,7 @@
 	case HostBeats:
 		learnBeats(s, now, m)
 	case Summary:
-		receiveSummary(s, now, e.From, m)
+		receiveSummary(s, now, e, m)
 	case RosterRequest:
 		tellRoster(s, now, e.From)
 	case RosterReply:
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -76,7 +76,7 @@
 	}
 	relayed := s.Documents.Relayed
 	r := reading{From: fromPlatform, Documents: e.Documents, Whole: e.Whole, Revision: e.Revision, ConfirmedAt: s.Watch.ConfirmedAt}
-	s.confirm(now, now)
+	s.confirm(now, formedAt(now, e))
 	applyDocuments(s, now, r)
 	if s.Documents.Relayed > relayed {
 		announce(s, now, "")
@@ -161,8 +161,13 @@
 	return Summary{Revision: s.Documents.Relayed, ConfirmedAge: age}
 }
 
-// receiveSummary asks the peer for what it has and this host lacks, or takes its confirmation.
-func receiveSummary(s *State, now time.Time, from string, m Summary) {
+// receiveSummary asks the peer for what it has and this host lacks, or takes its word that there is nothing newer; a peer whose word is
+// older than this host's gets an answer.
+//
+// Only words in answers count, dated from when they were asked for: an envelope that comes by itself may have waited on its way, and a word
+// that was taken for younger than it is at each host would be passed on for ever.
+func receiveSummary(s *State, now time.Time, e PeerReceived, m Summary) {
+	from := e.From
 	h, ok := s.Hosts[from]
 	if !ok {
 		return
@@ -172,11 +177,28 @@
 		askUpdates(s, now, from, h)
 		return
 	}
+	if e.AskedAt.IsZero() {
+		s.offerWord(now, from, m)
+		return
+	}
 	if m.ConfirmedAge >= 0 && m.Revision == s.Documents.Relayed {
-		s.confirm(now, now.Add(-m.ConfirmedAge))
+		s.confirm(now, e.AskedAt.Add(-m.ConfirmedAge))
 	}
 }
 
+// offerWord answers a peer whose word is older than this host's.
+func (s *State) offerWord(now time.Time, to string, m Summary) {
+	if s.Watch.ConfirmedAt.IsZero() {
+		return
+	}
+	if m.ConfirmedAge < 0 || m.ConfirmedAge-now.Sub(s.Watch.ConfirmedAt) > wordLead {
+		s.touch(to)
+	}
+}
+
+// wordLead is what a host's word must be younger than a peer's to be worth an answer.
+const wordLead = gossipEvery / 2
+
 func askUpdates(s *State, now time.Time, from string, h *Host) {
 	if s.Watch.ReadingPeer && now.Before(s.Watch.AskPeerAt) {
 		return
