Ask a peer for documents only if it has seen a change that this host has not read up to

Cause: a host told the highest revision of a change that others need to know, and compared it with its own such revision. Which revision that is depends on what a host knew before: one that reads a backend server's entry first counts its newest revision, one that knew it the revision of its last change that matters. Each asked for what it had, got nothing that raised its own number, and asked at once again.

Change: a host compares what the peer tells with the revision up to which it has read, itself or through peers: who has read so far lacks nothing, whatever it calls the change. Answers to calls for documents tell the answering host's number, so that hosts that learn from one another say the same. After an answer or a failure the next peer with news is asked; each answer raises one's own revision or lowers what the peer is known to have, so that this ends. Entries keep their true revision: one that had changed in what others need not know could be taken for gone by an older list.

TestHostThatHasReadUpToARevisionAsksNobodyForIt and TestAnswerWithoutNewsLeadsToNoCall fail without it.

--- a/internal/exerciser/carrier.go
+++ b/internal/exerciser/carrier.go
@@ -102,7 +102,7 @@
 func (w *World[P]) answerUpdates(from *Host, e reducer.UpdatesAnswer) {
 	to := w.host(e.ReplyID)
 	incarnation := to.Incarnation
-	event := reducer.UpdatesRead{From: from.ID, Whole: e.Whole, Revision: e.Revision, Documents: e.Documents}
+	event := reducer.UpdatesRead{From: from.ID, Whole: e.Whole, Revision: e.Revision, Relayed: e.Relayed, Documents: e.Documents}
 	w.after(w.delay(), func() { w.post(to, incarnation, event) })
 }
 
--- a/internal/exerciser/configuration_test.go
+++ b/internal/exerciser/configuration_test.go
@@ -80,17 +80,27 @@
 
 // TestHostsAtRestAskNobody guards against hosts that know the same and ask each other for documents without end.
 func TestHostsAtRestAskNobody(t *testing.T) {
-	for _, hosts := range []int{6, 12, 40, 80} {
-		t.Run(fmt.Sprintf("hosts_%d", hosts), func(t *testing.T) {
-			t.Parallel()
-			w := New[selector.Expected](incidentOptions(hosts, 1))
-			w.Run(incidentStart)
-			w.Traffic(incidentRate * float64(hosts))
-			w.KillGroup(w.Some(0.34), 500*time.Millisecond, time.Second)
-			w.Run(7 * time.Second)
-			before := w.PeerReads()
-			w.Run(5 * time.Second)
-			assert.Equal(t, w.PeerReads()-before, uint64(0))
-		})
+	for _, hosts := range []int{6, 12, 40} {
+		for seed := range uint64(4) {
+			restAfterKills(t, hosts, seed+1)
+		}
 	}
+	restAfterKills(t, 80, 1)
+}
+
+// restAfterKills kills a third of the hosts and counts calls for documents once all are back.
+func restAfterKills(t *testing.T, hosts int, seed uint64) {
+	t.Run(fmt.Sprintf("hosts_%d/seed_%d", hosts, seed), func(t *testing.T) {
+		t.Parallel()
+		w := New[selector.Expected](incidentOptions(hosts, seed))
+		w.Run(incidentStart)
+		w.Traffic(incidentRate * float64(hosts))
+		w.KillGroup(w.Some(0.34), 500*time.Millisecond, time.Second)
+		before := w.PeerReads()
+		w.Run(7 * time.Second)
+		t.Logf("%d calls for documents while hosts were killed and came back", w.PeerReads()-before)
+		before = w.PeerReads()
+		w.Run(5 * time.Second)
+		assert.Equal(t, w.PeerReads()-before, uint64(0))
+	})
 }
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -15,6 +15,8 @@
 	// Whole tells that items which are not among the documents are gone.
 	Whole    bool
 	Revision int64
+	// Relayed is the highest revision of a change that other hosts need to know, if a peer that had seen them all has told it.
+	Relayed int64
 	// ConfirmedAt is when this host's last word before had been true.
 	ConfirmedAt time.Time
 }
@@ -56,12 +58,16 @@
 		return
 	}
 	if known && insignificant(item.Document, d) {
-		item.Document.Backend, item.Document.Raw = d.Backend, d.Raw
+		item.Document = d
 		takeBackend(s, now, *d.Backend)
 		return
 	}
-	s.Documents.Items[d.Key] = &Item{Document: d, LearntAt: now}
-	s.Documents.Relayed = max(s.Documents.Relayed, d.Revision)
+	relayed := d.Revision
+	if r.From != fromPlatform {
+		relayed = min(relayed, r.Relayed)
+	}
+	s.Documents.Items[d.Key] = &Item{Document: d, LearntAt: now, Relayed: relayed}
+	s.Documents.Relayed = max(s.Documents.Relayed, relayed)
 	putInForce(s, now, r, d)
 }
 
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -111,9 +111,11 @@
 
 // UpdatesAnswer answers a peer's question for changed documents.
 type UpdatesAnswer struct {
-	ReplyID   string
-	Whole     bool
-	Revision  int64
+	ReplyID  string
+	Whole    bool
+	Revision int64
+	// Relayed is the highest revision of a change that other hosts need to know.
+	Relayed   int64
 	Documents []cataloguer.Document
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -151,10 +151,12 @@
 
 // UpdatesRead is a peer's answer with changed documents, or a failure.
 type UpdatesRead struct {
-	From      string
-	Failed    bool
-	Whole     bool
-	Revision  int64
+	From     string
+	Failed   bool
+	Whole    bool
+	Revision int64
+	// Relayed is the highest revision of a change that other hosts need to know, as the peer tells it.
+	Relayed   int64
 	Documents []cataloguer.Document
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -70,7 +70,7 @@
 	Lapsed uint64
 	// Silent is set once the host has been noted as silent.
 	Silent bool
-	// Revision is the newest revision that the host has told of.
+	// Revision is the highest revision of a change that others need to know, as the host last told it.
 	Revision int64
 }
 
@@ -90,7 +90,7 @@
 type Documents struct {
 	// Revision is the platform's revision up to which this host has read, itself or through peers.
 	Revision int64
-	// Relayed is the highest revision of a change that other hosts need to know.
+	// Relayed is the highest revision of a change that other hosts need to know; who has read up to it lacks nothing.
 	Relayed int64
 	// PrunedAt is the highest revision of a removed item that has been forgotten.
 	PrunedAt  int64
@@ -107,6 +107,8 @@
 type Item struct {
 	Document cataloguer.Document
 	LearntAt time.Time
+	// Relayed is the revision of the last change that other hosts need to know.
+	Relayed int64
 }
 
 // AdapterKey names an adapter of a model; Adapter is empty for the model itself.
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -173,7 +173,7 @@
 		return
 	}
 	h.Revision = m.Revision
-	if m.Revision > s.Documents.Relayed {
+	if m.Revision > s.Documents.Revision {
 		askUpdates(s, now, from, h)
 		return
 	}
@@ -181,7 +181,7 @@
 		s.offerWord(now, from, m)
 		return
 	}
-	if m.ConfirmedAge >= 0 && m.Revision == s.Documents.Relayed {
+	if m.ConfirmedAge >= 0 {
 		s.confirm(now, e.AskedAt.Add(-m.ConfirmedAge))
 	}
 }
@@ -210,7 +210,7 @@
 	if s.Documents.Catalogue == nil {
 		since = 0
 	}
-	s.emit(ReadUpdates{From: from, Address: h.Record.PeerAddress, Since: min(since, s.Documents.Relayed)})
+	s.emit(ReadUpdates{From: from, Address: h.Record.PeerAddress, Since: since})
 }
 
 // peerReadLimit is the time after which another peer is asked for documents.
@@ -219,11 +219,13 @@
 // updatesAsked answers a peer with the items that changed after its revision.
 func updatesAsked(s *State, e UpdatesAsked) {
 	s.Counters.UpdatesAnswered++
-	answer := UpdatesAnswer{ReplyID: e.ReplyID, Revision: s.Documents.Revision, Whole: e.Since < s.Documents.PrunedAt}
+	answer := UpdatesAnswer{
+		ReplyID: e.ReplyID, Revision: s.Documents.Revision, Relayed: s.Documents.Relayed, Whole: e.Since < s.Documents.PrunedAt,
+	}
 	for _, key := range sortedKeys(s.Documents.Items) {
-		d := s.Documents.Items[key].Document
-		if d.Revision > e.Since || answer.Whole && !d.Gone {
-			answer.Documents = append(answer.Documents, d)
+		item := s.Documents.Items[key]
+		if item.Relayed > e.Since || answer.Whole && !item.Document.Gone {
+			answer.Documents = append(answer.Documents, item.Document)
 		}
 	}
 	s.emit(answer)
@@ -231,11 +233,18 @@
 
 func updatesRead[P selector.Policy](s *State, now time.Time, e UpdatesRead) {
 	s.Watch.ReadingPeer = false
+	h, known := s.Hosts[e.From]
+	if known {
+		h.Revision = e.Relayed
+	}
 	if e.Failed {
+		askNext(s, now)
 		return
 	}
 	relayed, revision := s.Documents.Relayed, s.Documents.Revision
-	applyDocuments(s, now, reading{From: e.From, Documents: e.Documents, Whole: e.Whole, Revision: e.Revision, ConfirmedAt: s.Watch.ConfirmedAt})
+	applyDocuments(s, now, reading{
+		From: e.From, Documents: e.Documents, Whole: e.Whole, Revision: e.Revision, Relayed: e.Relayed, ConfirmedAt: s.Watch.ConfirmedAt,
+	})
 	if s.Documents.Revision == revision {
 		s.Counters.PeerReadsEmpty++
 	}
@@ -244,8 +253,21 @@
 		announce(s, now, e.From)
 		placeWaiting[P](s, now)
 	}
-	if h, ok := s.Hosts[e.From]; ok && h.Revision > s.Documents.Relayed {
-		askUpdates(s, now, e.From, h)
+	askNext(s, now)
+}
+
+// askNext asks another peer that has told of something which this host lacks. It ends: each answer raises this host's revision or lowers
+// what the peer is known to have, and a failure lowers it until the peer tells of it again.
+func askNext(s *State, now time.Time) {
+	next := ""
+	for _, id := range sortedKeys(s.Hosts) {
+		h := s.Hosts[id]
+		if h.Revision > s.Documents.Revision && s.reachable(now, id) && (next == "" || h.Revision > s.Hosts[next].Revision) {
+			next = id
+		}
+	}
+	if next != "" {
+		askUpdates(s, now, next, s.Hosts[next])
 	}
 }
 
--- a/internal/reducer/watch_test.go
+++ b/internal/reducer/watch_test.go
@@ -52,3 +52,39 @@
 	_, answered := find[SendPeer](f.hearWord(0, time.Time{}))
 	assert.Assert(t, !answered)
 }
+
+// hearRevision brings a peer's word on the highest revision that others need to know, and returns the revision from which it is asked.
+func (f *fixture) hearRevision(from string, revision int64) (since int64, asked bool) {
+	read, asked := find[ReadUpdates](f.reduce(PeerReceived{From: from, Incarnation: 3, Messages: []Message{Summary{Revision: revision, ConfirmedAge: 0}}}))
+	return read.Since, asked
+}
+
+// Two hosts of which one read a backend server's entry first and one knew it already know the same, and must not ask each other.
+func TestHostThatHasReadUpToARevisionAsksNobodyForIt(t *testing.T) {
+	f := newFixture(t)
+	f.hearFiveHosts()
+	desk := f.state.Backends["desk-1"].Info
+	desk.Orders = 7
+	f.backend(desk)
+	assert.Assert(t, f.state.Documents.Relayed < f.state.Documents.Revision, "its orders are nobody else's matter")
+	_, asked := f.hearRevision("host-1", f.state.Documents.Revision)
+	assert.Assert(t, !asked)
+	since, asked := f.hearRevision("host-1", f.state.Documents.Revision+1)
+	assert.Assert(t, asked)
+	assert.Equal(t, since, f.state.Documents.Revision)
+}
+
+// An answer that brings nothing, or none, must not lead to the same call again, and news of another peer must not wait for it.
+func TestAnswerWithoutNewsLeadsToNoCall(t *testing.T) {
+	f := newFixture(t)
+	f.hearFiveHosts()
+	news := f.state.Documents.Revision + 10
+	_, asked := f.hearRevision("host-1", news)
+	assert.Assert(t, asked)
+	_, asked = f.hearRevision("host-2", news)
+	assert.Assert(t, !asked, "host-1 is being asked")
+	next := must[ReadUpdates](t, f.reduce(UpdatesRead{From: "host-1", Failed: true}))
+	assert.Equal(t, next.From, "host-2")
+	_, asked = find[ReadUpdates](f.reduce(UpdatesRead{From: "host-2", Revision: f.state.Documents.Revision}))
+	assert.Assert(t, !asked)
+}
--- a/internal/translator/parts.go
+++ b/internal/translator/parts.go
@@ -111,7 +111,7 @@
 
 // Updates returns the wire form of changed documents.
 func Updates(answer reducer.UpdatesAnswer) *peerv1.UpdatesResponse {
-	w := &peerv1.UpdatesResponse{Revision: answer.Revision, Whole: answer.Whole}
+	w := &peerv1.UpdatesResponse{Revision: answer.Revision, Whole: answer.Whole, Relayed: answer.Relayed}
 	for _, d := range answer.Documents {
 		w.Documents = append(w.Documents, &peerv1.Document{Key: d.Key, Revision: d.Revision, Gone: d.Gone, Raw: d.Raw})
 	}
@@ -125,7 +125,7 @@
 
 // UpdatesEvent returns the event for a peer's answer.
 func UpdatesEvent[C DocumentCodec](codec C, from string, w *peerv1.UpdatesResponse) reducer.UpdatesRead {
-	event := reducer.UpdatesRead{From: from, Whole: w.GetWhole(), Revision: w.GetRevision()}
+	event := reducer.UpdatesRead{From: from, Whole: w.GetWhole(), Revision: w.GetRevision(), Relayed: w.GetRelayed()}
 	for _, d := range w.GetDocuments() {
 		event.Documents = append(event.Documents, codec.Document(d.GetKey(), d.GetRevision(), d.GetGone(), d.GetRaw()))
 	}
