Drop envelopes that have waited too long for those before them

Envelopes to one peer leave one after another, up to 32 behind one that takes 0.6 s to fail. What they tell of other hosts (silent for so long) counts from when they arrive, so a host that has died meanwhile counts as heard of for seconds more, and the directory can name it beyond contact_ms + 3 s (DRAIN). Now an envelope leaves within 0.6 s or is lost, which is the reducer's to repeat like any other loss.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -103,6 +103,9 @@
 		case <-ctx.Done():
 			return
 		case envelope := <-queue:
+			if clocker.Now().After(envelope.NotAfter) {
+				continue
+			}
 			c.connections.answered(address, c.exchange(ctx, peer, envelope))
 			idle.Reset(senderIdle)
 		case <-idle.C:
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -14,6 +14,8 @@
 	To       string
 	Address  string
 	Messages []Message
+	// NotAfter is the time after which the envelope must not leave: the ages in it count from when it was made.
+	NotAfter time.Time
 }
 
 // Refuse ends a request with an answer of this host.
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -125,7 +125,7 @@
 		if !s.settled() {
 			messages = append(messages, RosterRequest{})
 		}
-		s.emit(SendPeer{Address: address, Messages: messages})
+		s.emit(SendPeer{Address: address, Messages: messages, NotAfter: now.Add(envelopeFor)})
 	}
 }
 
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -35,6 +35,8 @@
 	// gossipPeers is the number of hosts that are told at each round in a fleet that is not small.
 	gossipPeers = 2
 	largeFleet  = 120
+	// envelopeFor is how long an envelope may wait for those before it to the same peer, since what it tells of other hosts grows old.
+	envelopeFor = 600 * time.Millisecond
 	// gossipRecords bounds the hosts of one envelope.
 	gossipRecords = 400
 	// forgetAfter is how long a host that is gone still counts where something is divided among the hosts.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -371,7 +371,7 @@
 func (s *State) flush(now time.Time) []Effect {
 	for _, to := range s.order {
 		if h, ok := s.Hosts[to]; ok {
-			s.emit(SendPeer{To: to, Address: h.Record.PeerAddress, Messages: append([]Message{s.summary(now)}, s.outbox[to]...)})
+			s.emit(SendPeer{To: to, Address: h.Record.PeerAddress, Messages: append([]Message{s.summary(now)}, s.outbox[to]...), NotAfter: now.Add(envelopeFor)})
 		}
 		delete(s.outbox, to)
 	}
