Let the roster's clocks of hosts that founded it at one time become one

What callers would see: two hosts order one backend server with fences that fall (ONE). Cause: hosts that know the same roster tell different times of it, and a term that voters have seen may be ahead of the clock by which hosts that forget it start.

Change: a host's record bears its clock, and hosts set theirs forward to the fastest one that they hear of, in records, claims that they back and refusals. TestRostersClockFollowsTheFastestOfItsHosts fails without it.

--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -55,6 +55,9 @@
 		PeerAddress: s.Self.PeerAddress, FailureDomain: s.Self.FailureDomain, Ready: s.Ready, Leaving: s.Draining.Active,
 		Seated: s.Roster.Seated, SeatIn: max(s.Roster.SeatAt.Sub(now), 0),
 	}
+	if s.settled() {
+		record.Term = s.firstTerm(now)
+	}
 	for id, r := range s.Rights {
 		if now.Before(r.ValidUntil) {
 			record.Holds = append(record.Holds, id)
@@ -66,6 +69,7 @@
 
 // learnHost takes a record of a host if it is newer than what is known.
 func learnHost(s *State, now time.Time, r HostRecord) {
+	s.followClock(now, r.Term)
 	if r.ID == s.Self.HostID {
 		outliveFormer(s, r)
 		if r.Seated {
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -137,6 +137,14 @@
 	return s.Roster.Term + now.Sub(s.Roster.TermAt).Milliseconds()/termStepMs
 }
 
+// followClock sets the roster's clock forward to a term that another host has told: hosts that founded the roster at one time did so by their
+// own times of day, and a term that any voter may forget must not be ahead of the clock.
+func (s *State) followClock(now time.Time, term int64) {
+	if s.settled() && term > s.firstTerm(now) {
+		s.Roster.Term, s.Roster.TermAt = term, now
+	}
+}
+
 // foundingTerm is the first term of a roster that is founded now.
 //
 // It grows twice as fast as the time of day, and terms within a roster once: a later roster's terms pass those of one that all hosts
@@ -158,6 +166,7 @@
 		return
 	}
 	if !v.Backed {
+		s.followClock(now, v.Term)
 		if v.Term >= r.Term && r.HeldSince.IsZero() {
 			r.Term = v.Term + 1
 			r.SoughtAt = s.age(now)
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -23,6 +23,8 @@
 	SilentFor time.Duration
 	// Holds names the backend servers that the host may order.
 	Holds []string
+	// Term is the roster's clock of the host when it told of itself; 0 while it does not know the roster.
+	Term int64
 }
 
 // RosterRequest asks for all that the receiver knows of hosts; the sender does not know yet who votes.
--- a/internal/reducer/roster_test.go
+++ b/internal/reducer/roster_test.go
@@ -369,3 +369,19 @@
 	f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store})
 	assert.Assert(t, f.state.sawNoOrders(f.now, orderlessAtStart))
 }
+
+// Two hosts that found the roster at one time have clocks of their own; after voters had forgotten, a claim by the slower one must not get a
+// lower fence than a lease before (ONE).
+func TestRostersClockFollowsTheFastestOfItsHosts(t *testing.T) {
+	f := newFleet(t)
+	ahead := f.state.firstTerm(f.now) + 45
+	f.reduce(PeerReceived{From: "host-1", Incarnation: 3, Messages: []Message{HostRecord{ID: "host-1", Incarnation: 3, Beat: 900, PeerAddress: "host-1", Term: ahead}}})
+	assert.Equal(t, f.state.firstTerm(f.now), ahead)
+	assert.Equal(t, f.state.selfRecord(f.now).Term, ahead)
+	f.reduce(PeerReceived{From: "host-1", Incarnation: 3, Messages: []Message{HostRecord{ID: "host-1", Incarnation: 3, Beat: 901, PeerAddress: "host-1", Term: 7}}})
+	assert.Equal(t, f.state.firstTerm(f.now), ahead)
+
+	vote := f.state.vote(f.now, "host-1", 3, f.now.Sub(began), Claim{Backend: "e1", Valid: true, Term: ahead + 9})
+	assert.Assert(t, vote.Backed)
+	assert.Equal(t, f.state.firstTerm(f.now), ahead+9, "a term that was backed may be forgotten by those that backed it")
+}
--- a/internal/reducer/vote.go
+++ b/internal/reducer/vote.go
@@ -58,6 +58,7 @@
 	if p.Holder != from {
 		s.noteBacked(now, p, from, c)
 	}
+	s.followClock(now, c.Term)
 	s.Promises[c.Backend] = p
 	p.follow(from)
 	p.Incarnation, p.SentAt, p.Until, p.Term = incarnation, sent, now.Add(s.promiseFor()), c.Term
--- a/internal/translator/parts.go
+++ b/internal/translator/parts.go
@@ -12,7 +12,7 @@
 	return &peerv1.HostRecord{
 		Id: r.ID, Incarnation: r.Incarnation, Beat: r.Beat, Address: r.Address, PeerAddress: r.PeerAddress,
 		FailureDomain: r.FailureDomain, Ready: r.Ready, Leaving: r.Leaving, Holds: r.Holds,
-		SilentForUs: r.SilentFor.Microseconds(), Seated: r.Seated, SeatInMs: uint64(r.SeatIn.Milliseconds()),
+		SilentForUs: r.SilentFor.Microseconds(), Seated: r.Seated, SeatInMs: uint64(r.SeatIn.Milliseconds()), Term: r.Term,
 	}
 }
 
@@ -20,7 +20,7 @@
 	return reducer.HostRecord{
 		ID: w.GetId(), Incarnation: w.GetIncarnation(), Beat: w.GetBeat(), Address: w.GetAddress(), PeerAddress: w.GetPeerAddress(),
 		FailureDomain: w.GetFailureDomain(), Ready: w.GetReady(), Leaving: w.GetLeaving(), Holds: w.GetHolds(), SilentFor: micros(w.GetSilentForUs()),
-		Seated: w.GetSeated(), SeatIn: time.Duration(w.GetSeatInMs()) * time.Millisecond,
+		Seated: w.GetSeated(), SeatIn: time.Duration(w.GetSeatInMs()) * time.Millisecond, Term: w.GetTerm(),
 	}
 }
 
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -17,7 +17,7 @@
 	messages := []reducer.Message{
 		reducer.HostRecord{
 			ID: "h", Incarnation: 7, Beat: 9, Address: "a", PeerAddress: "p", FailureDomain: "d", Ready: true, Leaving: true,
-			SilentFor: time.Second, Holds: []string{"b"}, Seated: true, SeatIn: 2 * time.Second,
+			SilentFor: time.Second, Holds: []string{"b"}, Seated: true, SeatIn: 2 * time.Second, Term: 5,
 		},
 		reducer.HostBeats{Beats: []reducer.HostBeat{{Incarnation: 7, Beat: 9, SilentFor: 20 * time.Millisecond}}},
 		reducer.RosterRequest{},
