Leave what a list shows of later changes to the watch behind it

A host then knew changes above the revision up to which it had read, and told of a change that a call for documents up to its revision does not bring: with the new rule its peers would have asked again and again. Such items wait for the watch, which brings them at once and as news. TestChangesAfterTheRevisionOfAListWaitForTheWatch fails without it.

--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -29,6 +29,10 @@
 	listed := map[string]bool{}
 	for i := range r.Documents {
 		listed[r.Documents[i].Key] = true
+		// What a list shows of later changes comes with the watch that goes on behind its revision, which tells that they are news.
+		if r.Whole && r.Documents[i].Revision > r.Revision {
+			continue
+		}
 		applyDocument(s, now, r, r.Documents[i])
 	}
 	if r.Whole {
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -138,7 +138,8 @@
 	// Whole is set for a list: what it lacks is gone.
 	Whole bool
 	// Expired is set when the platform no longer has the changes that were asked for.
-	Expired   bool
+	Expired bool
+	// Revision is the one up to which the documents tell all that has changed; a list may show some of what has changed since.
 	Revision  int64
 	Documents []cataloguer.Document
 }
--- a/internal/reducer/watch_test.go
+++ b/internal/reducer/watch_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // hearWord brings a peer's word that nothing newer than this host knows was published; asked is when it was asked for, if it was.
@@ -88,3 +90,25 @@
 	_, asked = find[ReadUpdates](f.reduce(UpdatesRead{From: "host-2", Revision: f.state.Documents.Revision}))
 	assert.Assert(t, !asked)
 }
+
+// What a list shows of changes after its revision must come with the watch, which tells that they are news for others.
+func TestChangesAfterTheRevisionOfAListWaitForTheWatch(t *testing.T) {
+	f := newFixture(t)
+	desk := f.state.Backends["desk-1"].Info
+	desk.Leaving = true
+	later := cataloguer.Document{Key: "b/desk-1", Kind: cataloguer.KindBackend, Name: "desk-1", Backend: &desk, Raw: []byte("x"), Revision: f.store + 1}
+	list := []cataloguer.Document{later}
+	for key, item := range f.state.Documents.Items {
+		if key != later.Key {
+			list = append(list, item.Document)
+		}
+	}
+	f.reduce(PlatformRead{AskedAt: f.now, Whole: true, Revision: f.store, Documents: list})
+	b := f.state.Backends["desk-1"]
+	assert.Assert(t, b.GoneAt.IsZero() && !b.Info.Leaving)
+	assert.Equal(t, f.state.Documents.Relayed, f.store)
+
+	f.reduce(PlatformRead{AskedAt: f.now, Revision: f.store + 1, Documents: []cataloguer.Document{later}})
+	assert.Assert(t, f.state.Backends["desk-1"].Info.Leaving)
+	assert.Equal(t, f.state.Documents.Relayed, f.store+1)
+}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
 // answerOnce answers the first call on a connection and then keeps silent, as when something on the way has lost track of it.
@@ -29,9 +31,9 @@
 func TestCallAfterAPauseDoesNotWaitForASilentConnection(t *testing.T) {
 	address, _ := startStore(t, answerOnce)
 	w := newWatcher(address, io.Discard)
-	assert.Assert(t, !w.List(context.Background(), time.Now()).Failed)
+	assert.Assert(t, !w.Watch(context.Background(), time.Now(), reducer.WatchPlatform{}).Failed)
 	time.Sleep(1500 * time.Millisecond)
 	began := time.Now()
-	assert.Assert(t, !w.List(context.Background(), began).Failed)
+	assert.Assert(t, !w.Watch(context.Background(), began, reducer.WatchPlatform{}).Failed)
 	assert.Assert(t, time.Since(began) < answerTimeout/2, "took %v", time.Since(began))
 }
