Tell all to peers that have not read up to a list, and take nothing that had been removed by then

Cause, traced with a trial that prints lists: all hosts were killed at 13.0 s. The first four that started listed the platform at revision 1040, before the two entries were removed at 13.709 s; later ones listed 140 items without them. A host that had learned from the first ones asked one of the later ones for changes after 1040 and was told none, since that one had never known the entries; from then on it took itself to have read past the removals. Older answers that came late brought removed entries back in the same way.

Change: who has listed answers peers behind its list with all that there is, and tells the list's revision as that of its last change; an item that is unknown and older than what a host has read had been removed and is not taken; an older list removes nothing.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -172,6 +172,14 @@
 	})
 }
 
+// Vanish removes the entry of a backend server that goes on serving for a while and tells nobody that it leaves.
+func (w *World[P]) Vanish(b *Backend) {
+	w.tell("%s leaves without a word", b.Info.ID)
+	b.LeftAt = w.Now
+	w.Store.Remove("backends/" + b.Info.ID)
+	w.after(w.Options.Limits.DrainFor+5*time.Second, func() { b.Up = false })
+}
+
 // dispatch carries a request to its backend server and its answer back.
 func (w *World[P]) dispatch(h *Host, e reducer.Dispatch) {
 	incarnation := h.Incarnation
--- a/internal/exerciser/configuration_test.go
+++ b/internal/exerciser/configuration_test.go
@@ -104,3 +104,21 @@
 		assert.Equal(t, w.PeerReads()-before, uint64(0))
 	})
 }
+
+// TestRemovedBackendServersAreForgottenByHostsThatStart guards against hosts that start while entries are removed and keep what a peer had
+// listed before (DRAIN).
+func TestRemovedBackendServersAreForgottenByHostsThatStart(t *testing.T) {
+	s := schedule{name: "entries_removed_as_all_start", play: func(w *World[selector.Expected]) {
+		w.KillGroup(w.Hosts, 300*time.Millisecond, 900*time.Millisecond)
+		for i := range 3 {
+			w.Run(250 * time.Millisecond)
+			w.Vanish(w.Backends[fmt.Sprintf("engine-%02d", i)])
+		}
+		w.Run(6 * time.Second)
+	}}
+	for _, hosts := range []int{6, 12, 40} {
+		for seed := range uint64(4) {
+			playIncident(t, s, incident{hosts, seed + 1})
+		}
+	}
+}
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -35,7 +35,7 @@
 		}
 		applyDocument(s, now, r, r.Documents[i])
 	}
-	if r.Whole {
+	if r.Whole && r.Revision >= s.Documents.Revision {
 		for _, key := range sortedKeys(s.Documents.Items) {
 			item := s.Documents.Items[key]
 			if !listed[key] && !item.Document.Gone && item.Document.Revision <= r.Revision {
@@ -45,9 +45,20 @@
 			}
 		}
 	}
+	if r.Whole {
+		noteListed(s, r)
+	}
 	s.Documents.Revision = max(s.Documents.Revision, r.Revision)
 }
 
+// noteListed takes into account that what was removed before a list is not known: a peer that has not read up to it must be told all.
+func noteListed(s *State, r reading) {
+	s.Documents.PrunedAt = max(s.Documents.PrunedAt, r.Revision)
+	if r.From == fromPlatform {
+		s.Documents.Relayed = max(s.Documents.Relayed, r.Revision)
+	}
+}
+
 func applyDocument(s *State, now time.Time, r reading, d cataloguer.Document) {
 	item, known := s.Documents.Items[d.Key]
 	if known && d.Revision <= item.Document.Revision {
@@ -58,7 +69,8 @@
 		s.note(EventDocumentRefused, Field{"key", d.Key}, Field{"fault", d.Fault})
 		return
 	}
-	if d.Kind == cataloguer.KindOther || d.Gone && !known {
+	// An unknown item that is older than what this host has read had been removed by then.
+	if d.Kind == cataloguer.KindOther || !known && (d.Gone || d.Revision <= s.Documents.Revision) {
 		return
 	}
 	if known && insignificant(item.Document, d) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -92,7 +92,7 @@
 	Revision int64
 	// Relayed is the highest revision of a change that other hosts need to know; who has read up to it lacks nothing.
 	Relayed int64
-	// PrunedAt is the highest revision of a removed item that has been forgotten.
+	// PrunedAt is the revision up to which this host may not know what has been removed: it has forgotten that, or has listed what there is.
 	PrunedAt  int64
 	Items     map[string]*Item
 	Catalogue *cataloguer.Catalogue
--- a/internal/reducer/watch_test.go
+++ b/internal/reducer/watch_test.go
@@ -112,3 +112,22 @@
 	assert.Assert(t, f.state.Backends["desk-1"].Info.Leaving)
 	assert.Equal(t, f.state.Documents.Relayed, f.store+1)
 }
+
+// A host that starts with a list knows nothing of what was removed before; a peer that asks it for later changes must be told all that there
+// is, or would keep what was removed meanwhile (DRAIN: a backend server that left without a word was sent requests for seconds).
+func TestHostThatHasListedTellsAllToPeersBehindItsList(t *testing.T) {
+	f := newFixture(t)
+	behind := f.state.Documents.Revision
+	f.store += 5
+	list := []cataloguer.Document{f.state.Documents.Items["c"].Document}
+	other := newFixture(t)
+	other.state.Documents = newDocuments()
+	other.reduce(PlatformRead{AskedAt: f.now, Whole: true, Revision: f.store, Documents: list})
+	answer := must[UpdatesAnswer](t, other.reduce(UpdatesAsked{ReplyID: "u", Since: behind}))
+	assert.Assert(t, answer.Whole)
+
+	f.reduce(UpdatesRead{From: "host-1", Whole: answer.Whole, Revision: answer.Revision, Relayed: answer.Relayed, Documents: answer.Documents})
+	assert.Assert(t, !f.state.Backends["desk-1"].GoneAt.IsZero(), "it was removed before the peer's list")
+	answer = must[UpdatesAnswer](t, other.reduce(UpdatesAsked{ReplyID: "u", Since: f.store}))
+	assert.Assert(t, !answer.Whole)
+}
