Tell the revision that the source of one's documents told

Hosts that know the same tell the same now. TestHostTellsTheRevisionThatItsSourceTold fails without it.

--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -15,7 +15,7 @@
 	// Whole tells that items which are not among the documents are gone.
 	Whole    bool
 	Revision int64
-	// Relayed is the highest revision of a change that other hosts need to know, if a peer that had seen them all has told it.
+	// Relayed is the highest revision of a change that other hosts need to know, as a peer tells it.
 	Relayed int64
 	// ConfirmedAt is when this host's last word before had been true.
 	ConfirmedAt time.Time
@@ -45,10 +45,11 @@
 			}
 		}
 	}
+	s.Documents.Revision = max(s.Documents.Revision, r.Revision)
+	s.Documents.Relayed = max(s.Documents.Relayed, r.Relayed)
 	if r.Whole {
 		noteListed(s, r)
 	}
-	s.Documents.Revision = max(s.Documents.Revision, r.Revision)
 }
 
 // noteListed takes into account that what was removed before a list is not known: a peer that has not read up to it must be told all.
--- a/internal/reducer/watch_test.go
+++ b/internal/reducer/watch_test.go
@@ -131,3 +131,15 @@
 	answer = must[UpdatesAnswer](t, other.reduce(UpdatesAsked{ReplyID: "u", Since: f.store}))
 	assert.Assert(t, !answer.Whole)
 }
+
+// A host that has learned all from one that listed must tell the revision of that list, or others that missed a removal would take its
+// word that nothing newer is published.
+func TestHostTellsTheRevisionThatItsSourceTold(t *testing.T) {
+	f := newFixture(t)
+	f.hearFiveHosts()
+	const listed = 40
+	f.reduce(UpdatesRead{From: "host-1", Revision: listed + 3, Relayed: listed})
+	assert.Equal(t, f.state.summary(f.now).Revision, int64(listed))
+	_, asked := f.hearRevision("host-2", listed+1)
+	assert.Assert(t, !asked)
+}
