--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -7,6 +7,42 @@
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
+// Documents is what has been published, as far as this host has read it.
+type Documents struct {
+	// Revision is the platform's revision up to which this host has read, itself or through peers.
+	Revision int64
+	// Relayed is the highest revision of a change that other hosts need to know; who has read up to it lacks nothing.
+	Relayed int64
+	// PrunedAt is the revision up to which this host may not know what has been removed: it has forgotten that, or has listed what there is.
+	PrunedAt  int64
+	Items     map[string]*Item
+	Catalogue *cataloguer.Catalogue
+	Keys      map[string]string
+	Accounts  map[string]cataloguer.Account
+	Services  map[string]cataloguer.Service
+	Withdrawn map[string]bool
+	Versions  map[AdapterKey]int64
+}
+
+// Item is one document with the time at which this host learned of it.
+type Item struct {
+	Document cataloguer.Document
+	LearntAt time.Time
+	// Relayed is the revision of the last change that other hosts need to know.
+	Relayed int64
+}
+
+func newDocuments() Documents {
+	return Documents{
+		Items:     map[string]*Item{},
+		Keys:      map[string]string{},
+		Accounts:  map[string]cataloguer.Account{},
+		Services:  map[string]cataloguer.Service{},
+		Withdrawn: map[string]bool{},
+		Versions:  map[AdapterKey]int64{},
+	}
+}
+
 // reading is what the platform or a peer has answered.
 type reading struct {
 	// From is the peer, or fromPlatform.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -86,31 +86,6 @@
 	ToldAt time.Time
 }
 
-// Documents is what has been published, as far as this host has read it.
-type Documents struct {
-	// Revision is the platform's revision up to which this host has read, itself or through peers.
-	Revision int64
-	// Relayed is the highest revision of a change that other hosts need to know; who has read up to it lacks nothing.
-	Relayed int64
-	// PrunedAt is the revision up to which this host may not know what has been removed: it has forgotten that, or has listed what there is.
-	PrunedAt  int64
-	Items     map[string]*Item
-	Catalogue *cataloguer.Catalogue
-	Keys      map[string]string
-	Accounts  map[string]cataloguer.Account
-	Services  map[string]cataloguer.Service
-	Withdrawn map[string]bool
-	Versions  map[AdapterKey]int64
-}
-
-// Item is one document with the time at which this host learned of it.
-type Item struct {
-	Document cataloguer.Document
-	LearntAt time.Time
-	// Relayed is the revision of the last change that other hosts need to know.
-	Relayed int64
-}
-
 // AdapterKey names an adapter of a model; Adapter is empty for the model itself.
 type AdapterKey struct {
 	Model   string
@@ -282,25 +257,6 @@
 	Delivered bool
 }
 
-// Watch is the state of reading the platform and the peers' documents.
-type Watch struct {
-	Reading bool
-	// NextAt is the earliest time of the next call.
-	NextAt   time.Time
-	Failures int
-	// ListNext is set when the next call must list everything.
-	ListNext bool
-	// ConfirmedAt is when the platform is known to have had nothing newer.
-	ConfirmedAt time.Time
-	// Old is set while ConfirmedAt is older than a published change may take to be in force.
-	Old bool
-	// GoodSince is since when the platform has answered without a failure.
-	GoodSince   time.Time
-	ReadingPeer bool
-	AskPeerAt   time.Time
-	ToldAt      time.Time
-}
-
 // Draining is the state of leaving.
 type Draining struct {
 	Active bool
@@ -331,17 +287,6 @@
 	}
 }
 
-func newDocuments() Documents {
-	return Documents{
-		Items:     map[string]*Item{},
-		Keys:      map[string]string{},
-		Accounts:  map[string]cataloguer.Account{},
-		Services:  map[string]cataloguer.Service{},
-		Withdrawn: map[string]bool{},
-		Versions:  map[AdapterKey]int64{},
-	}
-}
-
 func (s *State) emit(effect Effect) {
 	s.effects = append(s.effects, effect)
 }
