--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -64,7 +64,10 @@
 	if !ok || !now.Before(r.ValidUntil) || f.NotAfter.After(r.ValidUntil) {
 		return append(found, Violation{"holder_orders", f.Backend})
 	}
-	b := s.Backends[f.Backend]
+	b, known := s.Backends[f.Backend]
+	if !known {
+		return append(found, Violation{"order_known", f.Backend})
+	}
 	engine := s.Documents.Services[b.Info.Service].Engine
 	if engine == nil || len(r.Ledger.Entries) > engine.AdapterSlots {
 		found = append(found, Violation{"places", fmt.Sprintf("%d adapters on %s", len(r.Ledger.Entries), f.Backend)})
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -380,6 +380,24 @@
 	assert.Equal(t, len(f.state.Rights["e1"].Ledger.Entries), 1)
 }
 
+// Guards against a host that orders a backend server which it forgets in the same step: the check of its orders ended the process.
+func TestForgottenBackendIsNotOrdered(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	f.backend(engine("e1"))
+	report := must[ReadReport](t, f.after(3*time.Second))
+	f.reduce(BackendReported{Backend: "e1", Born: report.Born, AskedAt: f.now})
+	f.state.Rights["e1"].Ledger.RetryAt = f.now.Add(10 * time.Millisecond)
+	_, ordered := find[OrderAdapter](f.generate("1", "a1"))
+	assert.Assert(t, !ordered)
+	f.state.Backends["e1"].GoneAt, f.state.Backends["e1"].Lapsed = f.now.Add(-lapseFor), true
+	f.state.Missing["e1"] = true
+	_, ordered = find[OrderAdapter](f.after(50 * time.Millisecond))
+	assert.Assert(t, !ordered)
+	_, known := f.state.Backends["e1"]
+	assert.Assert(t, !known)
+}
+
 func TestEmptyEngineIsOrderedItsModelWithinTheBudget(t *testing.T) {
 	f := newFixture(t)
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
