Report violations once, and cut hosts off from the platform, in one place each

Tests' model only: the check of leases and that of configurations kept their own copy of reporting once, the random troubles and the schedules their own cut from the platform, and a schedule was wrapped anew for each run.

--- a/internal/exerciser/configuration.go
+++ b/internal/exerciser/configuration.go
@@ -27,26 +27,21 @@
 	// Versions begin with 1, so that this is when the one after that in force was published.
 	published := w.Callers.publishedAt[inForce]
 	if at := h.State.Watch.ConfirmedAt; at.After(published) {
-		w.failOnce("confirmed_is_true", h, inForce, fmt.Sprintf("believes that nothing newer than version %d had been published %v after the next",
+		w.failVersion("confirmed_is_true", h, inForce, fmt.Sprintf("believes that nothing newer than version %d had been published %v after the next",
 			inForce, roundMs(at.Sub(published))))
 	}
 	if late := w.Now.Sub(published) - w.Options.Limits.ConfigFor; late > 0 && w.inTouch(h) {
-		w.failOnce("in_force", h, inForce, fmt.Sprintf("has version %d in force, the next was published %v ago, last word of %v ago",
+		w.failVersion("in_force", h, inForce, fmt.Sprintf("has version %d in force, the next was published %v ago, last word of %v ago",
 			inForce, roundMs(w.Now.Sub(published)), roundMs(w.Now.Sub(h.State.Watch.ConfirmedAt))))
 	}
 }
 
-// failOnce reports what is wrong with a host's version once.
-func (w *World[P]) failOnce(rule string, h *Host, version int64, detail string) {
-	key := fmt.Sprint(rule, h.ID, h.Incarnation, version)
-	if w.doubles[key] {
-		return
-	}
-	w.doubles[key] = true
-	w.Checks.fail(w.Now, rule, h.ID+" "+detail)
+// failVersion reports what is wrong with a host's version once.
+func (w *World[P]) failVersion(rule string, h *Host, version int64, detail string) {
+	w.failOnce(fmt.Sprint(rule, h.ID, h.Incarnation, version), rule, h.ID+" "+detail)
 }
 
-// SlowStore makes answers of the platform come later than they were formed, and what is read be as old.
+// SlowStore makes answers of the platform come later than they were formed.
 func (w *World[P]) SlowStore(by, lasting time.Duration) {
 	w.tell("answers of the platform come %v after they were formed, for %v", by, lasting)
 	w.storeSlow = by
@@ -67,15 +62,8 @@
 func (w *World[P]) CutStore(group []*Host, lasting time.Duration) {
 	w.tell("cut of %s from the platform for %v", names(group), lasting)
 	for _, h := range group {
-		w.storeCut[h.ID] = true
-		w.disturb(h)
+		w.cutStore(h, lasting)
 	}
-	w.after(lasting, func() {
-		for _, h := range group {
-			delete(w.storeCut, h.ID)
-			w.disturb(h)
-		}
-	})
 }
 
 // Publish publishes configurations at random times until the run ends.
--- a/internal/exerciser/configuration_test.go
+++ b/internal/exerciser/configuration_test.go
@@ -10,7 +10,7 @@
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
-// publishEvery is the mean time between two configurations, but for the last digit.
+// publishEvery is about the mean time between two configurations.
 const publishEvery = 1500 * time.Millisecond
 
 var configurationSchedules = []schedule{
@@ -64,15 +64,14 @@
 // hosts that believe to know what they do not (CONFIG).
 func TestConfigurationIsInForceInTime(t *testing.T) {
 	for _, s := range configurationSchedules {
+		play := s.play
+		s.play = func(w *World[selector.Expected]) {
+			w.Publish(publishEvery)
+			play(w)
+		}
 		for _, hosts := range []int{6, 12, 40} {
 			for seed := range uint64(2) {
-				play := s.play
-				s.play = func(w *World[selector.Expected]) {
-					w.Publish(publishEvery)
-					play(w)
-				}
 				playIncident(t, s, incident{hosts, seed + 1})
-				s.play = play
 			}
 		}
 	}
--- a/internal/exerciser/faults.go
+++ b/internal/exerciser/faults.go
@@ -73,9 +73,7 @@
 		w.disturbAll()
 		w.after(lasting, func() { w.storeDown = false; w.disturbAll() })
 	case FaultStoreCut:
-		w.storeCut[h.ID] = true
-		w.disturb(h)
-		w.after(lasting, func() { delete(w.storeCut, h.ID); w.disturb(h) })
+		w.cutStore(h, lasting)
 	case FaultCompact:
 		w.Store.Compact()
 	case FaultCrash:
@@ -89,6 +87,13 @@
 	}
 }
 
+// cutStore cuts a host off from the platform.
+func (w *World[P]) cutStore(h *Host, lasting time.Duration) {
+	w.storeCut[h.ID] = true
+	w.disturb(h)
+	w.after(lasting, func() { delete(w.storeCut, h.ID); w.disturb(h) })
+}
+
 func (w *World[P]) disturb(h *Host) {
 	h.DisturbedAt, h.FaultAt = w.Now, w.Now
 }
--- a/internal/exerciser/leases.go
+++ b/internal/exerciser/leases.go
@@ -58,11 +58,16 @@
 		a, b = b, a
 	}
 	key := fmt.Sprint(backend, a.ID, a.Incarnation, b.ID, b.Incarnation)
-	if w.doubles[key] {
+	w.failOnce(key, "one_lease", fmt.Sprintf("%s: %s%s; %s%s", backend, w.view(a), w.leaseOf(a, backend), w.view(b), w.leaseOf(b, backend)))
+}
+
+// failOnce reports a violation that no other one with the same key has been reported of.
+func (w *World[P]) failOnce(key, rule, detail string) {
+	if w.failed[key] {
 		return
 	}
-	w.doubles[key] = true
-	w.Checks.fail(w.Now, "one_lease", fmt.Sprintf("%s: %s%s; %s%s", backend, w.view(a), w.leaseOf(a, backend), w.view(b), w.leaseOf(b, backend)))
+	w.failed[key] = true
+	w.Checks.fail(w.Now, rule, detail)
 }
 
 func (w *World[P]) leaseOf(h *Host, backend string) string {
--- a/internal/exerciser/world.go
+++ b/internal/exerciser/world.go
@@ -92,8 +92,8 @@
 	holders map[string][]*Host
 	// takenAs tells of each host and backend server with which view the lease was taken last.
 	takenAs map[[2]string]string
-	// doubles are the pairs of processes that have been reported for a backend server.
-	doubles map[string]bool
+	// failed holds the keys of violations that are reported once.
+	failed map[string]bool
 }
 
 // Host is one entry host; its machine outlives its processes.
@@ -171,7 +171,7 @@
 		Options: o, Now: Start, Backends: map[string]*Backend{}, random: rand.New(rand.NewPCG(o.Seed, 1)),
 		more:    rand.New(rand.NewPCG(o.Seed, 2)),
 		trouble: rand.New(rand.NewPCG(o.Seed, 3)), byName: map[string]*Host{},
-		cuts: map[[2]string]bool{}, storeCut: map[string]bool{}, holders: map[string][]*Host{}, doubles: map[string]bool{},
+		cuts: map[[2]string]bool{}, storeCut: map[string]bool{}, holders: map[string][]*Host{}, failed: map[string]bool{},
 		takenAs: map[[2]string]string{},
 	}
 	w.Messages, w.MessageBytes = map[string]int{}, map[string]int{}
