--- a/e2e/explain_test.go
+++ b/e2e/explain_test.go
@@ -23,24 +23,35 @@
 
 // explain returns the command-line client's explanation of a request from the logs of all hosts, once they contain the request's end.
 func (f *fleet) explain(id string) commander.Explanation {
+	f.t.Helper()
+	return f.explainOnce(id, func(commander.Explanation) bool { return true })
+}
+
+// explainOnce is explain, but it also waits until the explanation is complete. Each process writes its log out at its own time, so the
+// lines of the other hosts that were asked may follow the line of the request's end.
+func (f *fleet) explainOnce(id string, complete func(commander.Explanation) bool) commander.Explanation {
 	f.t.Helper()
 	args := []string{"explain", id, "--output", "json"}
 	for _, h := range f.hosts {
 		args = append(args, h.logPath)
 	}
 	var e commander.Explanation
+	deadline := time.Now().Add(logWriteTimeout)
 	f.eventually("the end of "+id+" in the logs", 3*time.Second, func() bool {
 		out, err := exec.Command(clientPath, args...).Output()
 		e = commander.Explanation{}
-		return err == nil && json.Unmarshal(out, &e) == nil && !strings.HasPrefix(e.Outcome, "not ended")
+		return err == nil && json.Unmarshal(out, &e) == nil && !strings.HasPrefix(e.Outcome, "not ended") && (complete(e) || time.Now().After(deadline))
 	})
 	return e
 }
 
+// logWriteTimeout bounds the time in which all processes have written out the log lines about a request that has ended.
+const logWriteTimeout = time.Second
+
 // checkExplained checks that explain returns the given outcome and cause for a request's id and could read every log line.
 func (f *fleet) checkExplained(id, outcome, cause string) commander.Explanation {
 	f.t.Helper()
-	e := f.explain(id)
+	e := f.explainOnce(id, func(e commander.Explanation) bool { return strings.Contains(e.Cause, cause) })
 	assert.Check(f.t, e.Outcome == outcome && strings.Contains(e.Cause, cause),
 		"%s: %q because %q; expected %q, %q", id, e.Outcome, e.Cause, outcome, cause)
 	assert.Check(f.t, e.Unreadable == 0)
--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -47,6 +47,12 @@
 	if b.Info.Draining || s.Documents.Withdrawn[b.Info.FailureDomain] {
 		violations = append(violations, Violation{"withdrawn_gets_no_work", dispatch.ID + " to " + dispatch.Backend})
 	}
+	if !b.LeavingSince.IsZero() {
+		violations = append(violations, Violation{"leaving_gets_no_work", dispatch.ID + " to " + dispatch.Backend})
+	}
+	if now.Before(b.BackoffUntil) {
+		violations = append(violations, Violation{"backoff_is_kept", dispatch.ID + " to " + dispatch.Backend})
+	}
 	if r.PossibleRuns > 0 && r.Route.RetryPolicy != cataloguer.RetrySafe && !r.Route.Resumable {
 		violations = append(violations, Violation{"at_most_once", dispatch.ID})
 	}
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -271,6 +271,7 @@
 	"mailbox_full":      "the mailbox of the host's control goroutine was full",
 	"bad_request":       "the request could not be read: it had no id or its body was incomplete",
 	"too_large":         "the body was larger than the configuration allows",
+	"draining":          "the host had drained and was about to stop",
 }
 
 func (o *options) printExplanation(e Explanation) {
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -31,6 +31,9 @@
 // ErrTooLong is returned when a response body, or one event of a stream, exceeds its size limit.
 var ErrTooLong = merry.New("response or event from the backend server is too long")
 
+// ErrUnidentified is returned for a response without a request id on a connection that has served other requests.
+var ErrUnidentified = merry.New("response on a reused connection does not name its request")
+
 // Call is a request as its caller sent it, with the headers that are forwarded to the backend server.
 type Call struct {
 	// CallerID is the id that the caller gave the request; a response with another id is mismatched.
@@ -59,8 +62,11 @@
 	Mismatched bool
 	// Outcome is set when the response says that the request has not run, or when it cannot come from the backend server.
 	Outcome reducer.Outcome
+	// Unidentified is set for a response that does not name the request to which it belongs.
+	Unidentified bool
 	// Load is the load that the backend server reports in the header.
-	Load reducer.Load
+	Load   reducer.Load
+	Notice reducer.BackendNotice
 }
 
 // Codec encodes calls to backend servers and decodes their responses.
@@ -71,6 +77,8 @@
 	Classify(resp *http.Response, callerID, backend string) Classification
 	// EncodeOrder encodes an order to load or unload an adapter.
 	EncodeOrder(order reducer.OrderAdapter) (path string, header http.Header, body []byte)
+	// DecodeNotice returns what the header of any response says about the backend server itself.
+	DecodeNotice(resp *http.Response) reducer.BackendNotice
 	// DecodeOrderStatus decodes the status of the response to an order.
 	DecodeOrderStatus(status int) reducer.OrderResult
 	// EncodeReportCall encodes the call for a backend server's report.
@@ -102,6 +110,7 @@
 	Outcome reducer.Outcome
 	Status  int
 	Load    reducer.Load
+	Notice  reducer.BackendNotice
 	// Mismatched is the number of responses to other requests that arrived on the connection.
 	Mismatched int
 	// Delivered is set once the response, or the start of a stream, went to the sink.
@@ -112,6 +121,13 @@
 	LastEventID string
 }
 
+// Start describes the start of a success response.
+type Start struct {
+	// After is the time since the start of the attempt.
+	After  time.Duration
+	Notice reducer.BackendNotice
+}
+
 // exchange is one request and its response on one connection.
 type exchange[C Codec, S Sink] struct {
 	client   *Client[C, S]
@@ -123,13 +139,13 @@
 	// writeResult receives the result of writing the request.
 	writeResult chan error
 	// onStart is called once a success response has started.
-	onStart   func(after time.Duration)
+	onStart   func(start Start)
 	startedAt time.Time
 }
 
-// Send sends a request and delivers its response to the sink. It calls onStart, with the time since the start of the attempt, at the
-// header of a streamed success response or at the end of another one.
-func (c *Client[C, S]) Send(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, onStart func(time.Duration)) Result {
+// Send sends a request and delivers its response to the sink. It calls onStart at the header of a streamed success response or at the end of
+// another one.
+func (c *Client[C, S]) Send(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, onStart func(Start)) Result {
 	result, retry := c.attempt(ctx, call, dispatch, sink, onStart, false)
 	if retry {
 		result, _ = c.attempt(ctx, call, dispatch, sink, onStart, true)
@@ -139,8 +155,8 @@
 
 // attempt sends the request once, on a new connection if fresh is set. It reports retry when a reused connection turned out to be closed
 // before any byte of the request was written.
-func (c *Client[C, S]) attempt(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, onStart func(time.Duration), fresh bool) (result Result, retry bool) {
-	conn, err := c.pool.get(ctx, dispatch.Backend, dispatch.Address, dispatch.MaxConnections, fresh)
+func (c *Client[C, S]) attempt(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, onStart func(Start), fresh bool) (result Result, retry bool) {
+	conn, err := c.pool.get(ctx, dispatch, call.CallerID, fresh)
 	if err != nil {
 		return Result{Outcome: reducer.OutcomeNotSent}, false
 	}
@@ -211,6 +227,11 @@
 		}
 		class := x.client.Codec.Classify(resp, x.call.CallerID, x.dispatch.Backend)
 		x.result.Load = class.Load
+		if class.Unidentified && x.conn.reused {
+			// It may belong to an earlier request on the connection, and says nothing about this one.
+			x.fail(ErrUnidentified)
+			return
+		}
 		if class.Mismatched {
 			x.result.Mismatched++
 			if err := discardBody(resp); err != nil || resp.Close || x.result.Mismatched > maxMismatched {
@@ -219,6 +240,7 @@
 			}
 			continue
 		}
+		x.result.Notice = class.Notice
 		x.setReadTimeout(0)
 		x.handleResponse(ctx, resp, class)
 		return
@@ -259,6 +281,7 @@
 	x.result.Status = resp.StatusCode
 	if class.Outcome != 0 {
 		x.result.Outcome = class.Outcome
+		x.conn.refusedIDs = append(x.conn.refusedIDs, x.call.CallerID)
 		err := discardBody(resp)
 		if err != nil && !connectionClosed(err) {
 			x.fail(err)
@@ -271,7 +294,7 @@
 		x.handleBody(ctx, resp)
 		return
 	}
-	x.onStart(time.Since(x.startedAt))
+	x.onStart(x.start())
 	x.relayStream(resp)
 }
 
@@ -289,12 +312,16 @@
 		x.result.FailureResponse = &complete
 		return
 	}
-	x.onStart(time.Since(x.startedAt))
+	x.onStart(x.start())
 	x.result.Outcome = reducer.OutcomeDone
 	x.result.Delivered = true
 	_ = x.sink.WriteResponse(complete)
 }
 
+func (x *exchange[C, S]) start() Start {
+	return Start{After: time.Since(x.startedAt), Notice: x.result.Notice}
+}
+
 // relayStream sends the events of a stream to the sink as each becomes complete.
 func (x *exchange[C, S]) relayStream(resp *http.Response) {
 	x.sink.BeginStream(resp.StatusCode, resp.Header)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -31,7 +31,8 @@
 }
 
 func (codec) Classify(resp *http.Response, callerID, _ string) Classification {
-	class := Classification{Mismatched: resp.Header.Get("Id") != callerID}
+	id := resp.Header.Get("Id")
+	class := Classification{Mismatched: id != "" && id != callerID, Unidentified: id == ""}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		class.Outcome = reducer.OutcomeFull
 	}
@@ -41,6 +42,7 @@
 func (codec) EncodeOrder(reducer.OrderAdapter) (string, http.Header, []byte) {
 	return "/order", http.Header{}, []byte("{}")
 }
+func (codec) DecodeNotice(*http.Response) reducer.BackendNotice      { return reducer.BackendNotice{} }
 func (codec) DecodeOrderStatus(int) reducer.OrderResult              { return reducer.OrderAccepted }
 func (codec) EncodeReportCall(string) (string, http.Header)          { return "/report", http.Header{} }
 func (codec) DecodeReport([]byte) ([]reducer.ReportedAdapter, error) { return nil, nil }
@@ -95,7 +97,7 @@
 		change(&call, &dispatch)
 	}
 	s := &sink{}
-	return client.Send(context.Background(), call, dispatch, s, func(time.Duration) {}), s
+	return client.Send(context.Background(), call, dispatch, s, func(Start) {}), s
 }
 
 // Guards against a late response to an earlier request being delivered as the response to the next one on the same connection.
--- a/internal/dispatcher/orders.go
+++ b/internal/dispatcher/orders.go
@@ -66,6 +66,7 @@
 		return event, !errors.Is(err, ErrOrderExpired)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	event.Notice = c.Codec.DecodeNotice(resp)
 	event.Result = c.Codec.DecodeOrderStatus(resp.StatusCode)
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxReportSize)); err != nil {
 		event.Result = reducer.OrderUnknown
@@ -76,7 +77,8 @@
 // ReadReport reads a backend server's report on its adapters.
 func (c *Client[C, S]) ReadReport(ctx context.Context, now time.Time, effect reducer.ReadReport) reducer.BackendReported {
 	event := reducer.BackendReported{Backend: effect.Backend, StartedUnixMs: effect.StartedUnixMs, RequestedAt: now}
-	body, err := c.readReport(ctx, effect)
+	body, notice, err := c.readReport(ctx, effect)
+	event.Notice = notice
 	if err != nil {
 		event.Failed = true
 		return event
@@ -86,22 +88,25 @@
 	return event
 }
 
-func (c *Client[C, S]) readReport(ctx context.Context, effect reducer.ReadReport) ([]byte, error) {
+func (c *Client[C, S]) readReport(ctx context.Context, effect reducer.ReadReport) ([]byte, reducer.BackendNotice, error) {
+	var notice reducer.BackendNotice
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	path, header := c.Codec.EncodeReportCall(effect.Backend)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+effect.Address+path, nil)
 	if err != nil {
-		return nil, merry.Wrap(ErrBackend, merry.WithCause(err))
+		return nil, notice, merry.Wrap(ErrBackend, merry.WithCause(err))
 	}
 	req.Header = header
 	resp, err := httpc.DoRequest(req)
 	if err != nil {
-		return nil, merry.Wrap(ErrBackend, merry.WithCause(err))
+		return nil, notice, merry.Wrap(ErrBackend, merry.WithCause(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
+	notice = c.Codec.DecodeNotice(resp)
 	if resp.StatusCode != http.StatusOK {
-		return nil, merry.Wrap(ErrBackend, merry.WithMessagef("backend server's report has status %d", resp.StatusCode))
+		return nil, notice, merry.Wrap(ErrBackend, merry.WithMessagef("backend server's report has status %d", resp.StatusCode))
 	}
-	return io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReportSize))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReportSize))
+	return body, notice, err
 }
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +14,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
 const (
@@ -30,6 +33,8 @@
 	// sweepInterval is the interval at which idle connections are checked.
 	sweepInterval  = time.Second
 	readBufferSize = 4 << 10
+	// maxRefusals is the number of rejected requests after which a connection is not reused.
+	maxRefusals = 16
 )
 
 // ErrConnect is returned when no connection to a backend server is available.
@@ -42,6 +47,8 @@
 	bounded *boundedReader
 	backend string
 	reused  bool
+	// refusedIDs holds the ids of the requests that the server rejected on this connection as not run.
+	refusedIDs []string
 	// usableUntil is when the idle connection expires, ahead of the server's keep-alive timeout.
 	usableUntil time.Time
 }
@@ -57,15 +64,19 @@
 	sweepScheduled bool
 }
 
-// get returns an idle connection or opens a new one; with fresh set, it closes the idle one instead of reusing it. limit is the
-// maximum number of open connections to the backend server, 0 for no limit.
-func (p *pool) get(ctx context.Context, backend, address string, limit int, fresh bool) (*connection, error) {
-	if c := p.popReusable(backend); c != nil && !fresh {
+// get returns an idle connection to the dispatch's backend server or opens a new one; with fresh set, it closes the idle one instead of
+// reusing it.
+//
+// A request is not sent again on a connection on which the server has rejected it: a faulty server may repeat that response, which names
+// the right request, while the request runs.
+func (p *pool) get(ctx context.Context, dispatch reducer.Dispatch, callerID string, fresh bool) (*connection, error) {
+	backend := dispatch.Backend
+	if c := p.popReusable(backend); c != nil && !fresh && !slices.Contains(c.refusedIDs, callerID) {
 		return c, nil
 	} else if c != nil {
 		p.closeConn(c)
 	}
-	if !p.reserve(backend, limit) {
+	if !p.reserve(backend, dispatch.MaxConnections) {
 		return nil, merry.Wrap(ErrConnect, merry.WithMessage("connection limit of the backend server reached"))
 	}
 	dialer := &net.Dialer{
@@ -73,7 +84,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setUserTimeout,
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", dispatch.Address)
 	if err != nil {
 		p.release(backend)
 		return nil, merry.Wrap(ErrConnect, merry.WithCause(err))
@@ -148,7 +159,7 @@
 
 // put makes a connection available for reuse after a response, or closes it if the server closes it or has sent more bytes.
 func (p *pool) put(c *connection, resp *http.Response) {
-	if resp.Close || c.reader.Buffered() > 0 {
+	if resp.Close || c.reader.Buffered() > 0 || len(c.refusedIDs) >= maxRefusals {
 		p.closeConn(c)
 		return
 	}
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -91,8 +91,8 @@
 	start := clocker.Now()
 	spanCtx, span := tracer.StartSpan(waiter.Context, "backend_server", attribute.String("backend_server", dispatch.Backend),
 		attribute.Int("attempt", dispatch.Attempt))
-	result := s.Control.Worker.Backends.Send(spanCtx, s.Call, dispatch, s.Sink, func(after time.Duration) {
-		s.Control.Report(ctx, reducer.ResponseStarted{ID: dispatch.ID, Attempt: dispatch.Attempt, Latency: after})
+	result := s.Control.Worker.Backends.Send(spanCtx, s.Call, dispatch, s.Sink, func(start dispatcher.Start) {
+		s.Control.Report(ctx, reducer.ResponseStarted{ID: dispatch.ID, Attempt: dispatch.Attempt, Latency: start.After, Notice: start.Notice})
 	})
 	span.SetAttributes(attribute.String("outcome", result.Outcome.String()))
 	span.End()
@@ -109,7 +109,7 @@
 	}
 	s.Control.Report(context.WithoutCancel(ctx), reducer.DispatchEnded{
 		ID: dispatch.ID, Backend: dispatch.Backend, Attempt: dispatch.Attempt, Outcome: result.Outcome, Status: result.Status, Load: result.Load,
-		Mismatched: result.Mismatched, Delivered: result.Delivered, Took: clocker.Now().Sub(start),
+		Notice: result.Notice, Mismatched: result.Mismatched, Delivered: result.Delivered, Took: clocker.Now().Sub(start),
 	})
 	return result.Outcome == reducer.OutcomeDone
 }
--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -105,7 +105,8 @@
 		s.Backends[id] = b
 	}
 	b.Up = true
-	b.DrainingAt = time.Time{}
+	b.DrainingAt, b.leaving = time.Time{}, false
+	b.told = map[string]*toldHost{}
 	b.Info = cataloguer.Backend{ID: id, Service: service, Address: id, FailureDomain: domain, StartedUnixMs: s.Now.UnixMilli(), Slots: 6}
 	if service == engineService {
 		b.Info.Slots = s.Options.EngineSpec.Slots
@@ -166,15 +167,26 @@
 
 // drainBackend publishes that a backend server is draining, and stops it after the drain deadline.
 func (s *Simulation[P]) drainBackend(b *Backend) {
-	b.Info.Draining = true
-	b.DrainingAt = s.Now
-	s.publishBackend(b)
+	b.leaving = true
+	publish := func() {
+		b.Info.Draining = true
+		b.DrainingAt = s.Now
+		s.publishBackend(b)
+	}
+	if s.Options.ServerNotices {
+		s.after(lateDrainEntry, publish)
+	} else {
+		publish()
+	}
 	s.after(s.Options.Limits.DrainDeadline+5*time.Second, func() {
 		b.Up = false
 		s.ConfigService.Remove("backends/" + b.Info.ID)
 	})
 }
 
+// lateDrainEntry is the time from the first response in which a server says that it drains to its entry, with Options.ServerNotices.
+const lateDrainEntry = 4 * time.Second
+
 // RemoveWithoutDrain removes the entry of a backend server that was not published as draining and continues to serve until after the
 // drain deadline.
 func (s *Simulation[P]) RemoveWithoutDrain(b *Backend) {
@@ -210,8 +222,10 @@
 		s.Checker.checkRetryBudget(s.Now, s.Options.Limits, b.Info.Service, r)
 		// The users' rules on cold starts and drains do not count requests that are rejected because the adapter is not loaded.
 		if outcome != reducer.OutcomeNotLoaded {
+			s.Checker.checkNotices(s.Now, s.Options.Limits.DrainDeadline, s.faultFree(h), b, h)
 			s.Checker.checkArrival(s.Now, s.faultFree(h), b, h)
 		}
+		event.Notice = s.notice(h, b, outcome)
 		if outcome != reducer.OutcomeDone {
 			event.Outcome = outcome
 			s.after(s.messageDelay(), func() { s.post(h, incarnation, event) })
@@ -225,6 +239,23 @@
 	})
 }
 
+// fullBackoff is how long a full engine wants no request from the host whose request it has rejected.
+const fullBackoff = 1500 * time.Millisecond
+
+// notice returns what a backend server's response to a host says about the server, and records that the host has been told.
+func (s *Simulation[P]) notice(h *Host, b *Backend, outcome reducer.Outcome) reducer.BackendNotice {
+	n := reducer.BackendNotice{}
+	if !s.Options.ServerNotices {
+		return n
+	}
+	n.Leaving = b.leaving
+	if outcome == reducer.OutcomeFull {
+		n.Backoff = fullBackoff
+	}
+	b.recordNotice(s.Now, h, n)
+	return n
+}
+
 // respond delivers the start and the end of a response; the response is broken if the backend server stops or becomes unreachable
 // before the end.
 func (s *Simulation[P]) respond(h *Host, b *Backend, r *Request, e reducer.Dispatch, firstTokenAt time.Time, key reducer.AdapterKey) {
@@ -242,7 +273,8 @@
 			s.post(h, incarnation, event)
 			return
 		}
-		s.post(h, incarnation, reducer.ResponseStarted{ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt)})
+		event.Notice = s.notice(h, b, reducer.OutcomeDone)
+		s.post(h, incarnation, reducer.ResponseStarted{ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt), Notice: event.Notice})
 		s.after(time.Duration(r.event.OutputTokens)*s.Options.EngineSpec.TokenTime, func() {
 			event.Delivered = true
 			if !interrupted() {
--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -113,6 +113,52 @@
 	}
 }
 
+// told returns what the server has told the present process of a host.
+func (b *Backend) toldTo(h *Host) *toldHost {
+	t, ok := b.told[h.ID]
+	if !ok || t.incarnation != h.Incarnation {
+		t = &toldHost{incarnation: h.Incarnation}
+		b.told[h.ID] = t
+	}
+	return t
+}
+
+// recordNotice records what the server tells a host about itself.
+func (b *Backend) recordNotice(now time.Time, h *Host, n reducer.BackendNotice) {
+	t := b.toldTo(h)
+	if n.Leaving && t.leavingAt.IsZero() {
+		t.leavingAt = now
+	}
+	if end := now.Add(n.Backoff); n.Backoff > 0 && end.After(t.pauseEnds) {
+		if now.After(t.pauseEnds) {
+			t.pausedAt, t.arrivals = now, 0
+		}
+		t.pauseEnds = end
+	}
+}
+
+// Bounds of the requests that a backend server gets from a host after it has told the host that it drains or wants no requests.
+const (
+	backoffSlack    = 500 * time.Millisecond
+	backoffArrivals = 2
+)
+
+// checkNotices checks that a host keeps to what a backend server has told it. A fault of the host excuses it.
+func (c *Checker) checkNotices(now time.Time, drainDeadline time.Duration, faultFree bool, b *Backend, h *Host) {
+	if !faultFree {
+		return
+	}
+	t := b.toldTo(h)
+	if !t.leavingAt.IsZero() && now.Sub(t.leavingAt) > drainDeadline {
+		c.addViolation(now, "leaving", fmt.Sprintf("%s sent a request to %s %v after it was told of the drain", h.ID, b.Info.ID, now.Sub(t.leavingAt)))
+	}
+	if now.Sub(t.pausedAt) > backoffSlack && now.Before(t.pauseEnds) {
+		if t.arrivals++; t.arrivals > backoffArrivals {
+			c.addViolation(now, "backoff", fmt.Sprintf("%s sent %d requests to %s in a pause that it asked for", h.ID, t.arrivals, b.Info.ID))
+		}
+	}
+}
+
 // checkRetryBudget checks the retries of a service over all hosts in a sliding window. The allowed number is derived from the
 // largest number of requests sent in that window, in the one half a window earlier, or in the one a whole window earlier.
 func (c *Checker) checkRetryBudget(now time.Time, limits reducer.Limits, service string, r *Request) {
--- a/internal/exerciser/mutation_test.go
+++ b/internal/exerciser/mutation_test.go
@@ -69,6 +69,11 @@
 	{"an older catalogue is not applied", "internal/reducer/documents.go", "d.Catalogue.Version > s.Documents.Catalogue.Version", "d.Catalogue.Version != s.Documents.Catalogue.Version", unitTests("reducer", "TestOlderCatalogueIsNotApplied"), "FAIL"},
 	{"a request requires the newest adapter version", "internal/reducer/placement.go", "r.Version = max(r.Version, s.Documents.Versions[r.Adapter])", "r.Version = 0", soakTests("24"), "version"},
 	{"a request of a disconnected caller is not dispatched", "internal/reducer/request.go", "s.endRequest(now, r, \"caller_left\")", "s.recordLatency(now, r, \"caller_left\")", soakTests("12"), "gone"},
+	{"a backend server that says that it drains gets no requests", "internal/reducer/sendstate.go", "case !b.LeavingSince.IsZero():", "case false:", simulationTests("TestSoakWithServerNotices"), "leaving"},
+	{"a backend server that wants no requests gets none", "internal/reducer/sendstate.go", "case now.Before(b.BackoffUntil):", "case false:", simulationTests("TestSoakWithServerNotices"), "backoff"},
+	{"a refusal without an id on a reused connection says nothing", "internal/dispatcher/client.go", "if class.Unidentified && x.conn.reused {", "if false {", unitTests("dispatcher", "TestRefusalWithoutID"), "FAIL"},
+	{"a rejected request is sent again on another connection", "internal/dispatcher/pool.go", "&& !slices.Contains(c.refusedIDs, callerID)", "&& (callerID == \"\" || !slices.Contains(c.refusedIDs, \"\"))", unitTests("dispatcher", "TestRejectedRequestIsSentAgain"), "FAIL"},
+	{"a drained host refuses arrivals", "internal/reducer/drain.go", "return s.Draining.Active && now.Sub(s.Draining.Since) >= s.Limits.GracePeriod/2", "return s.Draining.Done", unitTests("reducer", "TestDrainedHostRefuses"), "FAIL"},
 	{"an expired order is not sent", "internal/dispatcher/orders.go", "if !clocker.Now().Before(g.notAfter) {", "if g.notAfter.IsZero() {", unitTests("dispatcher", "TestLateOrder"), "FAIL"},
 }
 
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -43,6 +43,8 @@
 	// ExtendedWorkload adds callers that disconnect, account rates too small for the traffic and engines with slow loads, and is used
 	// with PublishAdapterVersions. Its draws come from a random source of their own.
 	ExtendedWorkload bool
+	// ServerNotices makes draining backend servers say so in their responses, and full engines ask for fullBackoff without requests.
+	ServerNotices bool
 	// UniformAdapters makes all requests use adapters that are drawn uniformly, which means that most requests need a load order, and
 	// publishes the resident adapters in the entries of engines.
 	UniformAdapters bool
@@ -133,6 +135,20 @@
 	Arrivals  []time.Time
 	ColdSince time.Time
 	Orders    modeler.OrderLog
+
+	// leaving is set while the server says in its responses that it drains.
+	leaving bool
+	// told holds what the server has told each process of a host about itself, by host ID.
+	told map[string]*toldHost
+}
+
+// toldHost is what a backend server has told one process of a host.
+type toldHost struct {
+	incarnation uint64
+	// leavingAt is when the server first said that it drains, and pauseEnds the last time until which it wants no requests.
+	leavingAt, pausedAt, pauseEnds time.Time
+	// arrivals counts the requests in the pause.
+	arrivals int
 }
 
 type action struct {
--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// TestSoakWithServerNotices plays random faults before engines that are often full and say so, and servers that say when they drain.
+func TestSoakWithServerNotices(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(max(*seeds/2, 1)); seed++ {
+		o := defaultOptions(seed)
+		o.ServerNotices = true
+		o.EngineSpec.QueueSize, o.EngineSpec.Slots = 1, 2
+		checkSeed(t, o)
+	}
+}
+
 func checkSeed(t *testing.T, o Options) {
 	seed := o.Seed
 	t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -69,6 +69,8 @@
 	{reducer.EventBackendDraining, log.InfoLevel, false, "backend server draining", "The backend server gets no new requests.", "None."},
 	{reducer.EventBackendRemoved, log.InfoLevel, false, "backend server removed", "The entry of the backend server was removed; platform_well_ms is how long the configuration service had been healthy.", "None."},
 	{reducer.EventBackendEjected, log.WarnLevel, false, "backend server ejected", "Consecutive exchanges with the backend server failed; this host sends it no requests for pause_ms.", "Check the server if it persists."},
+	{reducer.EventBackendLeaving, log.InfoLevel, false, "backend server leaving", "A response of the backend server said that the server drains; this host sends it no new requests, and running is the number that it still has there.", "None."},
+	{reducer.EventBackendBackoff, log.WarnLevel, false, "backend server asked for a pause", "The backend server rejected a request and asked this host to send it nothing for backoff_ms.", "Add capacity to the service if it persists."},
 	{reducer.EventOrderSent, log.InfoLevel, true, "order sent", "This host, which holds the lease, ordered the backend server to load or unload an adapter.", "None."},
 	{reducer.EventOrderFailed, log.WarnLevel, false, "order failed", "The backend server rejected an order, or did not respond to it and may have carried it out (result unknown).", "Check the server if it persists."},
 	{reducer.EventAdapterLoaded, log.InfoLevel, true, "adapter loaded", "The expected duration of a load has passed, and the adapter counts as loaded.", "None."},
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -25,12 +25,6 @@
 	return service
 }
 
-// usable reports whether new requests may go to a backend server.
-func (s *State) usable(now time.Time, b *Backend) bool {
-	return !b.Info.Draining && (b.RemovedAt.IsZero() || b.Expired) &&
-		!s.Documents.Withdrawn[b.Info.FailureDomain] && !now.Before(b.EjectedUntil)
-}
-
 // applyBackend applies a published entry of a backend server; a new start time or address replaces the former incarnation.
 func applyBackend(s *State, now time.Time, info cataloguer.Backend) {
 	b, known := s.Backends[info.ID]
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -25,9 +25,12 @@
 	PeerReads      uint64 `json:"peer_reads_total"`
 	PeerReadsEmpty uint64 `json:"peer_reads_empty_total"`
 	// UpdateResponses counts the responses to peers' requests for documents, and StaleConfigurations how often event 107 was logged.
-	UpdateResponses     uint64              `json:"updates_answered_total"`
-	StaleConfigurations uint64              `json:"confirmations_old_total"`
-	Ejections           uint64              `json:"ejections_total"`
+	UpdateResponses     uint64 `json:"updates_answered_total"`
+	StaleConfigurations uint64 `json:"confirmations_old_total"`
+	Ejections           uint64 `json:"ejections_total"`
+	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
+	LeavingNotices      uint64              `json:"leaving_notices_total"`
+	Backoffs            uint64              `json:"backoffs_total"`
 	MismatchedResponses uint64              `json:"foreign_answers_total"`
 	RefusedByReason     [ReasonCount]uint64 `json:"refused_by_reason"`
 }
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -71,6 +71,7 @@
 	ID      string
 	Attempt int
 	Latency time.Duration
+	Notice  BackendNotice
 }
 
 // DispatchEnded reports how an attempt at a backend server ended.
@@ -82,7 +83,8 @@
 	// Status is the backend server's status code if it responded.
 	Status int
 	// Load is the load that the backend server reported.
-	Load Load
+	Load   Load
+	Notice BackendNotice
 	// Mismatched is the number of discarded responses to other requests.
 	Mismatched int
 	// Delivered is set once a piece of the response has been sent to the caller.
@@ -105,6 +107,7 @@
 	Adapter       AdapterKey
 	Unload        bool
 	Result        OrderResult
+	Notice        BackendNotice
 }
 
 // BackendReported carries the list of adapters that a backend server reports, or the failure to read it.
@@ -114,6 +117,7 @@
 	RequestedAt   time.Time
 	Failed        bool
 	Adapters      []ReportedAdapter
+	Notice        BackendNotice
 }
 
 // ReportedAdapter is one adapter that a backend server holds or is loading.
--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -19,7 +19,7 @@
 		return
 	}
 	completeLoads(s, now, backend, l)
-	if l.reportDue(now) {
+	if l.reportDue(now) && !now.Before(b.BackoffUntil) {
 		l.Inventory.ReportRequestedAt = now
 		s.emit(ReadReport{Backend: backend, Address: b.Info.Address, StartedUnixMs: b.Info.StartedUnixMs})
 	}
@@ -186,7 +186,7 @@
 	inv := &l.Inventory
 	b, ok := s.Backends[backend]
 	if !ok || !s.holdsLease(now, backend) || inv.ReportReadAt.IsZero() || inv.OrderPending || now.Before(inv.NextOrderAt) ||
-		b.Info.Draining || !s.usable(now, b) {
+		!s.acceptsOrders(now, b) {
 		return
 	}
 	if model, missing := s.missingModel(b); missing {
@@ -212,6 +212,12 @@
 	}
 }
 
+// acceptsOrders reports whether a backend server may be sent orders. Those for a saturated server do not use the connections of requests.
+func (s *State) acceptsOrders(now time.Time, b *Backend) bool {
+	state, _ := s.sendState(now, b)
+	return state.Usable() || state == SendSaturated
+}
+
 // dropStalePending drops the requesters that have not repeated their request, and the pending loads that have no requester left.
 func (inv *Inventory) dropStalePending(now time.Time) {
 	inv.Pending = slices.DeleteFunc(inv.Pending, func(p PendingLoad) bool {
@@ -280,7 +286,11 @@
 func backendReported[P selector.Policy](s *State, now time.Time, e BackendReported) {
 	l, ok := s.Leases[e.Backend]
 	b, known := s.Backends[e.Backend]
-	if !ok || !known || e.Failed || b.Info.StartedUnixMs != e.StartedUnixMs {
+	if !ok || !known || b.Info.StartedUnixMs != e.StartedUnixMs {
+		return
+	}
+	s.recordNotice(now, b, e.Notice)
+	if e.Failed {
 		return
 	}
 	inv := &l.Inventory
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -142,6 +142,8 @@
 	coldSenders = 5
 	// retrySlackFraction is the fraction of the fleet's retry slack that hosts use.
 	retrySlackFraction = 0.8
-	// defaultRetryAfter is the retry delay that a refusal suggests to the caller.
+	// defaultRetryAfter is the retry delay that a refusal suggests to the caller, and maxRetryAfter the longest one: another host may still
+	// reach the backend servers that this host cannot use.
 	defaultRetryAfter = 300 * time.Millisecond
+	maxRetryAfter     = 2 * time.Second
 )
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -37,6 +37,8 @@
 	EventBackendDraining          = 142
 	EventBackendRemoved           = 143
 	EventBackendEjected           = 144
+	EventBackendLeaving           = 145
+	EventBackendBackoff           = 146
 	EventOrderSent                = 151
 	EventOrderFailed              = 152
 	EventAdapterLoaded            = 153
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -69,6 +69,7 @@
 	if !ok || !known || b.Info.StartedUnixMs != e.StartedUnixMs {
 		return
 	}
+	s.recordNotice(now, b, e.Notice)
 	inv := &l.Inventory
 	inv.OrderPending = false
 	if e.Adapter.Adapter == "" {
--- a/internal/reducer/outcome.go
+++ b/internal/reducer/outcome.go
@@ -74,12 +74,13 @@
 	ReasonMailboxFull
 	ReasonBadRequest
 	ReasonTooLarge
+	ReasonDraining
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{
 	"none", "no_catalogue", "no_route", "no_key", "over_rate", "no_backend_server", "full", "not_loaded", "timeout", "broken",
-	"retries_spent", "mailbox_full", "bad_request", "too_large",
+	"retries_spent", "mailbox_full", "bad_request", "too_large", "draining",
 }
 
 // String returns the name of the reason in logs and counters.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -55,7 +55,8 @@
 	return now.Sub(r.ArrivedAt)+delay > r.Route.LatencyTarget
 }
 
-// waitForCapacity queues a request for a fraction of its route's target, and then refuses it as not run.
+// waitForCapacity queues a request for a fraction of its route's target, and then refuses it as not run. It refuses the request at once if
+// no backend server becomes usable in that time.
 func (s *State) waitForCapacity(now time.Time, r *Request) {
 	if r.Phase == PhaseAwaitingAdapter {
 		s.stopWaiting(r)
@@ -63,7 +64,9 @@
 	}
 	r.Phase = PhaseQueued
 	r.Backend = ""
-	if now.Sub(r.WaitSince) < r.Route.LatencyTarget/queueWaitDivisor {
+	limit := r.Route.LatencyTarget / queueWaitDivisor
+	waited := now.Sub(r.WaitSince)
+	if wait, ends := s.usableIn(now, r.Service); waited < limit && !(ends && waited+wait > limit) {
 		return
 	}
 	s.refuseUnplaced(now, r, ReasonNoBackend)
@@ -76,7 +79,11 @@
 		refuse(s, now, r, ReasonBroken, 0)
 		return
 	}
-	refuse(s, now, r, reason, defaultRetryAfter)
+	retryAfter := defaultRetryAfter
+	if wait, ends := s.usableIn(now, r.Service); ends {
+		retryAfter = min(max(retryAfter, wait), maxRetryAfter)
+	}
+	refuse(s, now, r, reason, retryAfter)
 }
 
 // maxAdapterWait returns how long a request may wait for its adapter: longer once the adapter is known to be loading.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -17,6 +17,10 @@
 		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts,
 		Phase: PhaseQueued, WaitSince: now,
 	}
+	if s.refusesArrivals(now) {
+		refuse(s, now, r, ReasonDraining, drainRetryAfter)
+		return
+	}
 	if s.Documents.Catalogue == nil {
 		refuse(s, now, r, ReasonNoCatalogue, defaultRetryAfter)
 		return
@@ -149,6 +153,7 @@
 	if !ok {
 		return
 	}
+	s.recordNotice(now, b, e.Notice)
 	if adapter, ok := b.Adapters[r.Adapter]; ok && adapter.Stage != StageAbsent {
 		adapter.Stage = StageReady
 		adapter.UpdatedAt = now
@@ -196,8 +201,7 @@
 	if !ok || r.Attempt != e.Attempt {
 		return
 	}
-	b, known := s.Backends[e.Backend]
-	if known {
+	if b, known := s.Backends[e.Backend]; known && !b.FirstSeenAt.After(r.SentAt) {
 		s.recordOutcome(now, b, r, e)
 	}
 	s.detachBackend(now, r)
@@ -239,6 +243,7 @@
 
 // recordOutcome updates the state of the backend server from the outcome of an attempt.
 func (s *State) recordOutcome(now time.Time, b *Backend, r *Request, e DispatchEnded) {
+	s.recordNotice(now, b, e.Notice)
 	if e.Load.Known {
 		b.ReportedLoad = e.Load
 		b.ReportedAt = now
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -157,7 +157,11 @@
 	// stays in use.
 	Expired bool
 	// EjectedUntil is the time until which this host sends the server no requests, because of failed exchanges with it.
-	EjectedUntil        time.Time
+	EjectedUntil time.Time
+	// LeavingSince is when a response first told this host that the server drains; zero before.
+	LeavingSince time.Time
+	// BackoffUntil is the time until which the server has asked this host to send nothing.
+	BackoffUntil        time.Time
 	ConsecutiveFailures int
 	// FailureRate is the decayed share of this host's exchanges with the server that failed.
 	FailureRate float64
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -60,13 +60,17 @@
 
 // BackendStatus is the state of a backend server as known to this host.
 type BackendStatus struct {
-	ID          string  `json:"id"`
-	Service     string  `json:"service"`
-	Usable      bool    `json:"usable"`
-	Holder      string  `json:"holder"`
-	Running     int     `json:"running"`
-	FailureRate float64 `json:"loss"`
-	Adapters    int     `json:"adapters"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Usable  bool   `json:"usable"`
+	// State is why the server gets no new requests from this host, or allowed or cold.
+	State string `json:"state"`
+	// StateEndsInMs is the time until the state ends by itself; 0 if it does not.
+	StateEndsInMs int64   `json:"state_ends_in_ms"`
+	Holder        string  `json:"holder"`
+	Running       int     `json:"running"`
+	FailureRate   float64 `json:"loss"`
+	Adapters      int     `json:"adapters"`
 }
 
 // AccountStatus is the state of a client account, or another account with a fleet-wide quota, on this host.
@@ -106,8 +110,13 @@
 	}
 	for _, id := range sortedKeys(s.Backends) {
 		b := s.Backends[id]
+		state, until := s.sendState(now, b)
+		endsIn := int64(0)
+		if !until.IsZero() {
+			endsIn = until.Sub(now).Milliseconds()
+		}
 		v.Backends = append(v.Backends, BackendStatus{
-			ID: id, Service: b.Info.Service, Usable: s.usable(now, b), Holder: s.holderOf(now, id), Running: b.Running,
+			ID: id, Service: b.Info.Service, Usable: state.Usable(), State: state.String(), StateEndsInMs: endsIn, Holder: s.holderOf(now, id), Running: b.Running,
 			FailureRate: b.FailureRate, Adapters: len(b.Adapters),
 		})
 	}
