Send small envelopes as datagrams and heartbeats as tables

Cause: a host among 195 spent 6% of a core and 34 KB/s for three requests a second; 55% of its samples were system calls of HTTP/2 for unary calls, and 82% of the bytes between hosts were heartbeats of 16 bytes a host.

Change: an envelope of up to 8 KiB to a host that says so in its record is one UDP datagram in each direction, with stamps in place of calls for replies; larger ones, seeds and hosts of the former build use the call as before. Heartbeats go in tables of two bytes a host, in an order on which both sides agree by digests of 32 groups; groups that differ exchange their records, in place of random unchanged records. A record carries the heartbeat of its last change, so that a change is not lost behind a later heartbeat. Grants that arrive twice count once.

--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -62,17 +62,21 @@
 	rec := &recorder.Recorder{
 		Out: os.Stdout, Host: settings.HostID, Level: log.ParseLevel(settings.LogLevel), BytesPerSecond: settings.LogBytesPerSecond,
 	}
+	startedAt := clocker.Now()
 	self := reducer.Self{
 		HostID: settings.HostID, Incarnation: incarnation, Address: settings.Address, PeerAddress: settings.PeerAddress,
-		FailureDomain: settings.FailureDomain, Region: settings.Region, StartedAt: clocker.Now(), StartedUnixMs: time.Now().UnixMilli(),
-		Seeds: settings.Seeds,
+		FailureDomain: settings.FailureDomain, Region: settings.Region, StartedAt: startedAt, StartedUnixMs: time.Now().UnixMilli(),
+		Seeds: settings.Seeds, CapacityMillicores: settings.CapacityMillicores(),
 	}
 	control := &executor.Control[policy, platform.Codec, *listener.Sink]{
 		State: reducer.NewState(self, reducerLimits(settings.Bounds), incarnation),
 		Worker: &executor.Worker[platform.Codec, *listener.Sink]{
-			Messenger: &messenger.Client[platform.Codec]{HostID: settings.HostID, Incarnation: incarnation},
-			Watcher:   &watcher.Watcher[platform.Codec]{Address: settings.Platform, Recorder: rec},
-			Backends:  &dispatcher.Client[platform.Codec, *listener.Sink]{},
+			Messenger: &messenger.Client[platform.Codec]{
+				HostID: settings.HostID, Incarnation: incarnation,
+				Datagrams: &messenger.Datagrams{HostID: settings.HostID, Incarnation: incarnation, StartedAt: startedAt},
+			},
+			Watcher:  &watcher.Watcher[platform.Codec]{Address: settings.Platform, Recorder: rec},
+			Backends: &dispatcher.Client[platform.Codec, *listener.Sink]{},
 		},
 		Recorder:    rec,
 		Waiters:     &executor.Waiters{},
@@ -126,6 +130,7 @@
 		return err
 	}
 	go d.control.Run(ctx)
+	go d.control.Worker.Messenger.Datagrams.Run(ctx)
 	d.recorder.Record(recorder.EventStarted, reducer.Field{Name: "address", Value: d.settings.Address})
 	d.awaitStop(ctx, signals)
 	err = d.drain(ctx, signals)
@@ -218,6 +223,9 @@
 		d.settings.DirectoryAddress:  {Handler: d.callers.Directory()},
 		d.settings.ReadinessAddress:  {Handler: d.callers.Readiness()},
 	}
+	if err := d.control.Worker.Messenger.Datagrams.Listen(d.settings.PeerListenAddress); err != nil {
+		return nil, err
+	}
 	for address, server := range servers {
 		if err := listen(server, address); err != nil {
 			return nil, err
--- a/e2e/proxy_test.go
+++ b/e2e/proxy_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -31,6 +32,7 @@
 	t.Cleanup(func() { _ = socket.Close() })
 	p := &proxy{address: socket.Addr().String(), target: target, conns: map[net.Conn]bool{}}
 	p.changed = sync.NewCond(&p.mutex)
+	p.relayDatagrams(t)
 	go func() {
 		for {
 			conn, err := socket.Accept()
@@ -43,6 +45,35 @@
 	return p
 }
 
+// relayDatagrams forwards the datagrams that arrive at the proxy's address to the target. They are dropped while bytes to the target are
+// held; datagrams from the target do not pass the proxy.
+func (p *proxy) relayDatagrams(t *testing.T) {
+	local, err := net.ResolveUDPAddr("udp", p.address)
+	assert.NilError(t, err)
+	from, err := net.ListenUDP("udp", local)
+	assert.NilError(t, err)
+	to, err := net.Dial("udp", p.target)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = from.Close(), to.Close() })
+	go func() {
+		buffer := make([]byte, 64<<10)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			p.mutex.Lock()
+			held, delay := p.holdToTarget, p.delay
+			p.mutex.Unlock()
+			if held {
+				continue
+			}
+			datagram := bytes.Clone(buffer[:n])
+			time.AfterFunc(delay, func() { _, _ = to.Write(datagram) })
+		}
+	}()
+}
+
 // setFaults sets the faults of new and open connections.
 func (p *proxy) setFaults(delay time.Duration, holdToTarget, holdFromTarget bool) {
 	p.mutex.Lock()
--- a/internal/executor/control.go
+++ b/internal/executor/control.go
@@ -58,6 +58,9 @@
 	c.callerLimits.Store(&cataloguer.CallerLimits{})
 	c.Worker.Results = c.results
 	c.Worker.Messenger.Results = c.results
+	if c.Worker.Messenger.Datagrams != nil {
+		c.Worker.Messenger.Datagrams.Results = c.results
+	}
 }
 
 // Run reduces events until the context ends. Its goroutine is the only one that accesses the state.
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -42,6 +42,8 @@
 	Codec       C
 	// Results receives the envelopes that peers return in their responses.
 	Results chan<- reducer.Event
+	// Datagrams, if set, sends small envelopes to the peers that receive datagrams.
+	Datagrams *Datagrams
 
 	once        sync.Once
 	httpClient  *http.Client
@@ -74,11 +76,15 @@
 	return peerv1connect.NewPeerServiceClient(c.httpClient, "http://"+address, connect.WithReadMaxBytes(maxMessageSize))
 }
 
-// Send queues an envelope for a peer and reports whether the queue had room. Envelopes to one peer are sent in order.
+// Send sends an envelope as a datagram, or queues it for a call and reports whether the queue had room. It does not block. Envelopes that are
+// queued for one peer are sent in order.
 func (c *Client[C]) Send(ctx context.Context, envelope reducer.SendPeer) bool {
 	if envelope.Address == "" {
 		return false
 	}
+	if envelope.Datagram && c.Datagrams != nil && c.Datagrams.Send(envelope) {
+		return true
+	}
 	c.once.Do(c.setUp)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -118,7 +118,7 @@
 // tokens.
 func receiveTokenGrant[P selector.Policy](s *State, now time.Time, m TokenGrant) {
 	a, ok := s.Accounts[m.Account]
-	if !ok {
+	if !ok || a.recordGrant(m.Sequence) {
 		return
 	}
 	a.Level += m.Tokens
@@ -132,6 +132,17 @@
 	}
 }
 
+// grantsRemembered is the number of grants among which a repeated one is recognized.
+const grantsRemembered = 16
+
+// recordGrant records that a grant has arrived, and reports whether it has arrived before.
+func (a *Account) recordGrant(sequence uint64) (repeated bool) {
+	slot := &a.Granted[sequence%grantsRemembered]
+	repeated = *slot == sequence
+	*slot = sequence
+	return repeated
+}
+
 // admitWaiting places the waiting requests that the granted tokens cover.
 //
 // A positive wait means that there are too few tokens, and the other requests are refused. With a wait of 0 they arrived after the tokens
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -17,6 +17,10 @@
 	Messages []Message
 	// NotAfter is the time after which the envelope must not be sent: the ages in it count from when it was made.
 	NotAfter time.Time
+	// Datagram is set if the peer receives datagrams.
+	Datagram bool
+	// ReplyTo is the stamp of the envelope to which this one replies; it is zero for another one.
+	ReplyTo Stamp
 }
 
 // Refuse ends a request with a response from this host.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -19,10 +19,18 @@
 	Messages    []Message
 	// ReplyID identifies the call that waits for the reply envelope; it is empty if none waits.
 	ReplyID string
+	// Stamp identifies an envelope that arrived as a datagram, so that the reply can name it; it is zero for one that a call carried.
+	Stamp Stamp
 	// RequestedAt is when the envelope was sent to which this one replies; it is zero for an unsolicited envelope, which may be of any age.
 	RequestedAt time.Time
 }
 
+// Stamp identifies an envelope by the process that sent it and the time since that process started.
+type Stamp struct {
+	Incarnation uint64
+	Uptime      time.Duration
+}
+
 // RequestArrived reports a new request from a caller.
 type RequestArrived struct {
 	// ID is unique on this host; CallerID is the caller's name for the request.
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -12,13 +12,18 @@
 	s.Gossip.NextAt = now.Add(s.roundInterval())
 	s.Gossip.Heartbeat++
 	records := s.hostRecords(now)
-	messages := s.gossipMessages(now, records)
-	if !s.votersKnown() {
-		messages = append(messages, MembershipRequest{})
-	}
+	changed := s.changedRecords(now, records)
 	for _, id := range s.gossipTargets(now) {
-		for _, m := range messages {
-			s.send(id, m)
+		for _, r := range changed {
+			s.send(id, r)
+		}
+		if s.Hosts[id].Record.Datagrams {
+			s.send(id, s.heartbeatTable(now))
+		} else {
+			s.sendHeartbeats(id, records)
+		}
+		if !s.votersKnown() {
+			s.send(id, MembershipRequest{})
 		}
 	}
 	contactSeeds(s, now, records)
@@ -65,46 +70,55 @@
 		ids = ids[:maxGossipRecords]
 	}
 	for _, id := range ids {
-		r := s.Hosts[id].Record
-		r.HeartbeatAge = now.Sub(s.Hosts[id].LastHeartbeatAt)
-		r.PromotionIn = max(s.Hosts[id].PromoteAt.Sub(now), 0)
-		records = append(records, r)
+		records = append(records, s.recordOf(now, id))
 	}
 	return records
 }
 
-// gossipMessages returns the records that changed recently in full and heartbeats in place of the others. Some unchanged records are sent
-// in full in each round too, so that a host that missed a change receives it.
-func (s *State) gossipMessages(now time.Time, records []HostRecord) []Message {
-	var messages []Message
-	var heartbeats Heartbeats
+// changedRecords returns the records that changed recently. Other hosts receive older changes through their heartbeat tables.
+func (s *State) changedRecords(now time.Time, records []HostRecord) []HostRecord {
+	var changed []HostRecord
 	for i, r := range records {
-		changed := i == 0 && (s.selfChanged(now, r) || !s.votersKnown())
+		recently := i == 0 && (s.selfChanged(now, &r) || !s.votersKnown())
 		if h, ok := s.Hosts[r.ID]; ok {
-			changed = now.Sub(h.ChangedAt) < fullRecordPeriod
+			recently = now.Sub(h.ChangedAt) < fullRecordPeriod
 		}
-		if changed || s.random()%uint64(max(fullRecordRounds, len(records)/2)) == 0 {
-			messages = append(messages, r)
-			continue
+		if recently {
+			changed = append(changed, r)
+		}
+	}
+	return changed
+}
+
+// sendHeartbeats sends a host of an older build, which knows no heartbeat tables, the heartbeats by incarnation. Some unchanged records are
+// sent in full in each round too, so that such a host receives a change that it missed.
+func (s *State) sendHeartbeats(to string, records []HostRecord) {
+	var heartbeats Heartbeats
+	for _, r := range records {
+		if s.random()%uint64(max(fullRecordRounds, len(records)/2)) == 0 {
+			s.send(to, r)
 		}
 		heartbeats.Hosts = append(heartbeats.Hosts, HostHeartbeat{
 			Incarnation: r.Incarnation, Heartbeat: r.Heartbeat, HeartbeatAge: r.HeartbeatAge,
 		})
 	}
-	return append(messages, heartbeats)
+	s.send(to, heartbeats)
 }
 
 // selfChanged reports whether this host's own record changed recently, and records a change.
-func (s *State) selfChanged(now time.Time, r HostRecord) bool {
-	if !s.Gossip.LastRecord.sameContent(r) {
-		s.Gossip.LastRecord = r
+func (s *State) selfChanged(now time.Time, r *HostRecord) bool {
+	if !s.Gossip.LastRecord.sameContent(*r) {
+		s.Gossip.LastRecord = *r
 		s.Gossip.RecordChangedAt = now
+		s.Gossip.RecordChangedHeartbeat = s.Gossip.Heartbeat
+		r.ChangedAtHeartbeat = s.Gossip.Heartbeat
+		s.Index.GroupsIndexed = false
 	}
 	return now.Sub(s.Gossip.RecordChangedAt) < fullRecordPeriod
 }
 
-// fullRecordPeriod is how long a changed record is sent in full in each round; later it is sent in full in one of fullRecordRounds rounds
-// on average, or less often in a large fleet.
+// fullRecordPeriod is how long a changed record is sent in each round. A host of an older build is sent each record in one of
+// fullRecordRounds rounds on average, or less often in a large fleet.
 const (
 	fullRecordPeriod = 1500 * time.Millisecond
 	fullRecordRounds = 8
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -56,6 +56,8 @@
 		PeerAddress: s.Self.PeerAddress, FailureDomain: s.Self.FailureDomain, Ready: s.Ready, Draining: s.Draining.Active,
 		Voter: s.Membership.Voter, PromotionIn: max(s.Membership.PromoteAt.Sub(now), 0),
 	}
+	record.ChangedAtHeartbeat, record.Datagrams = s.Gossip.RecordChangedHeartbeat, true
+	record.CapacityMillicores = s.Self.CapacityMillicores
 	if s.votersKnown() {
 		record.Term = s.currentTerm(now)
 	}
@@ -79,16 +81,24 @@
 		return
 	}
 	h, known := s.Hosts[r.ID]
+	if !known && r.HeartbeatAge > rejoinAge {
+		return
+	}
 	if !known {
 		h = &Host{}
 		s.Hosts[r.ID] = h
 		s.Membership.HostDiscoveredAt = now
 		s.logEvent(EventHostJoined, Field{"peer", r.ID}, Field{"address", r.PeerAddress})
 	}
-	if known && (r.Incarnation < h.Record.Incarnation || r.Incarnation == h.Record.Incarnation && r.Heartbeat <= h.Record.Heartbeat) {
+	if known && !r.newerThan(h.Record) {
 		s.mergeVoter(now, h, r)
 		return
 	}
+	heartbeat, lastHeartbeatAt := r.Heartbeat, now.Add(-r.HeartbeatAge)
+	if r.Incarnation == h.Record.Incarnation && h.Record.Heartbeat > heartbeat {
+		// A heartbeat table has brought a later heartbeat ahead of the change of the record.
+		heartbeat, lastHeartbeatAt = h.Record.Heartbeat, h.LastHeartbeatAt
+	}
 	r.Voter = r.Voter && r.Incarnation > h.EvictedIncarnation || h.Record.Voter
 	s.invalidateHostIndex()
 	s.recordHolders(r)
@@ -105,12 +115,27 @@
 	}
 	moved := h.Record.PeerAddress != r.PeerAddress
 	h.Record = r
-	h.LastHeartbeatAt = now.Add(-r.HeartbeatAge)
+	h.Record.Heartbeat, h.LastHeartbeatAt = heartbeat, lastHeartbeatAt
 	if moved {
 		dropReplacedHosts(s, r)
 	}
 }
 
+// rejoinAge is the age of the last heartbeat from which the record of an unknown host is not added: the host is about to be dropped.
+const rejoinAge = tombstoneTTL * 9 / 10
+
+// newerThan reports whether a record of a host supersedes another one of the same host: by its incarnation, by the heartbeat of its last
+// change, or else by its heartbeat. An older build states no heartbeat of its last change.
+func (r HostRecord) newerThan(other HostRecord) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	if r.ChangedAtHeartbeat != other.ChangedAtHeartbeat {
+		return r.ChangedAtHeartbeat > other.ChangedAtHeartbeat
+	}
+	return r.Heartbeat > other.Heartbeat
+}
+
 // mergeVoter makes a host a voter if an older record of the host says that it is one, unless this host has evicted that incarnation.
 func (s *State) mergeVoter(now time.Time, h *Host, r HostRecord) {
 	if !r.Voter || h.Record.Voter || r.Incarnation <= h.EvictedIncarnation {
@@ -133,12 +158,7 @@
 		if !ok || h.Record.Incarnation != b.Incarnation || b.Heartbeat <= h.Record.Heartbeat {
 			continue
 		}
-		unreachable := !s.reachable(now, h.Record.ID)
-		h.Record.Heartbeat = b.Heartbeat
-		h.LastHeartbeatAt = now.Add(-b.HeartbeatAge)
-		if unreachable {
-			s.invalidateHostIndex()
-		}
+		s.recordHeartbeat(now, h, b.Heartbeat, b.HeartbeatAge)
 	}
 }
 
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -15,6 +15,10 @@
 	Holders map[string]string
 	// Incarnations holds the host of each known incarnation.
 	Incarnations map[uint64]string
+	// GroupsIndexed is set while Groups and GroupDigests, the hosts of each group of a HeartbeatTable and their digests, are up to date.
+	GroupsIndexed bool
+	Groups        [][]string
+	GroupDigests  []uint32
 	// HostsIndexedAt is the time as of which Active, Recent, Reachable and Voters are up to date.
 	HostsIndexedAt time.Time
 	Active         []string
@@ -34,7 +38,10 @@
 func (s *State) invalidateBackendIndex() { s.Index.BackendsIndexed = false }
 
 // invalidateHostIndex marks the index of hosts as out of date.
-func (s *State) invalidateHostIndex() { s.Index.HostsIndexedAt = time.Time{} }
+func (s *State) invalidateHostIndex() {
+	s.Index.HostsIndexedAt = time.Time{}
+	s.Index.GroupsIndexed = false
+}
 
 // indexBackends rebuilds the index of backend servers if it is out of date.
 func (s *State) indexBackends() {
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -25,6 +25,12 @@
 	Leases []string
 	// Term is the host's current term when it made the record; 0 while it does not know the voter set.
 	Term int64
+	// ChangedAtHeartbeat is the host's heartbeat when it last changed its record in more than the heartbeat; 0 from an older build.
+	ChangedAtHeartbeat uint64
+	// Datagrams is set for a host that receives datagrams, and heartbeat tables in them.
+	Datagrams bool
+	// CapacityMillicores is the processor capacity of the host in thousandths of a core; 0 if it is not known.
+	CapacityMillicores int
 }
 
 // MembershipRequest asks for all host records that the receiver has; the sender does not know the voter set yet.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -67,6 +67,7 @@
 	if e.From == s.Self.HostID {
 		return
 	}
+	s.replyTo = replyTarget{Host: e.From, Stamp: e.Stamp}
 	for _, m := range e.Messages {
 		receiveMessage[P](s, now, e, m)
 	}
@@ -78,6 +79,10 @@
 		receiveHostRecord(s, now, m)
 	case Heartbeats:
 		receiveHeartbeats(s, now, m)
+	case HeartbeatTable:
+		receiveHeartbeatTable(s, now, e.From, m)
+	case RecordRequest:
+		sendRecords(s, now, e.From, m.Groups)
 	case DocumentSummary:
 		receiveDocumentSummary(s, now, e, m)
 	case MembershipRequest:
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -41,7 +41,9 @@
 	effects     []Effect
 	outbox      map[string][]Message
 	outboxOrder []string
-	wake        time.Time
+	// replyTo is the sender of the envelope that this Reduce call handles.
+	replyTo replyTarget
+	wake    time.Time
 }
 
 // Self is the identity of this host, from its settings.
@@ -57,6 +59,14 @@
 	// those of an earlier voter set that all voters have lost.
 	StartedUnixMs int64
 	Seeds         []string
+	// CapacityMillicores is the processor capacity of this host in thousandths of a core; 0 if it is not known.
+	CapacityMillicores int
+}
+
+// replyTarget is the sender of an envelope, with the envelope's stamp.
+type replyTarget struct {
+	Host  string
+	Stamp Stamp
 }
 
 // Host is the state of another host, as this host knows it.
@@ -86,6 +96,8 @@
 	// LastRecord is this host's own record as of its last change in more than the heartbeat, and RecordChangedAt the time of that change.
 	LastRecord      HostRecord
 	RecordChangedAt time.Time
+	// RecordChangedHeartbeat is the heartbeat at that change.
+	RecordChangedHeartbeat uint64
 }
 
 // AdapterKey identifies an adapter of a model; Adapter is empty for the model itself.
@@ -124,6 +136,8 @@
 	Demand      limiter.DecayingRate
 	Sequence    uint64
 	RequestedAt time.Time
+	// Granted holds the sequences of the last grants received, since a datagram may arrive twice.
+	Granted [grantsRemembered]uint64
 	// Fallback holds this host's equal share of the rate, used while the quota coordinator does not respond.
 	Fallback limiter.Bucket
 	Waiting  []string
@@ -327,11 +341,19 @@
 func (s *State) flush(now time.Time) []Effect {
 	for _, to := range s.outboxOrder {
 		if h, ok := s.Hosts[to]; ok {
-			s.emit(SendPeer{To: to, Address: h.Record.PeerAddress, Messages: append([]Message{s.documentSummary(now)}, s.outbox[to]...), NotAfter: now.Add(envelopeTTL)})
+			envelope := SendPeer{
+				To: to, Address: h.Record.PeerAddress, Messages: append([]Message{s.documentSummary(now)}, s.outbox[to]...),
+				NotAfter: now.Add(envelopeTTL), Datagram: h.Record.Datagrams,
+			}
+			if to == s.replyTo.Host {
+				envelope.ReplyTo = s.replyTo.Stamp
+			}
+			s.emit(envelope)
 		}
 		delete(s.outbox, to)
 	}
 	s.outboxOrder = s.outboxOrder[:0]
+	s.replyTo = replyTarget{}
 	if !s.wake.IsZero() {
 		s.emit(WakeAt{At: s.wake})
 		s.wake = time.Time{}
--- a/internal/translator/messages.go
+++ b/internal/translator/messages.go
@@ -13,6 +13,7 @@
 		Id: r.ID, Incarnation: r.Incarnation, Beat: r.Heartbeat, Address: r.Address, PeerAddress: r.PeerAddress,
 		FailureDomain: r.FailureDomain, Ready: r.Ready, Leaving: r.Draining, Holds: r.Leases,
 		SilentForUs: r.HeartbeatAge.Microseconds(), Seated: r.Voter, SeatInMs: uint64(r.PromotionIn.Milliseconds()), Term: r.Term,
+		ChangedAtHeartbeat: r.ChangedAtHeartbeat, Datagrams: r.Datagrams, CapacityMillicores: uint32(max(r.CapacityMillicores, 0)),
 	}
 }
 
@@ -21,6 +22,18 @@
 		ID: w.GetId(), Incarnation: w.GetIncarnation(), Heartbeat: w.GetBeat(), Address: w.GetAddress(), PeerAddress: w.GetPeerAddress(),
 		FailureDomain: w.GetFailureDomain(), Ready: w.GetReady(), Draining: w.GetLeaving(), Leases: w.GetHolds(),
 		HeartbeatAge: microseconds(w.GetSilentForUs()), Voter: w.GetSeated(), PromotionIn: time.Duration(w.GetSeatInMs()) * time.Millisecond, Term: w.GetTerm(),
+		ChangedAtHeartbeat: w.GetChangedAtHeartbeat(), Datagrams: w.GetDatagrams(),
+		CapacityMillicores: int(min(w.GetCapacityMillicores(), maxCapacityMillicores)),
+	}
+}
+
+// maxCapacityMillicores bounds the capacity that a record may state.
+const maxCapacityMillicores = 1 << 20
+
+func decodeHeartbeatTable(w *peerv1.HeartbeatTable) reducer.HeartbeatTable {
+	return reducer.HeartbeatTable{
+		AgeUnit: time.Duration(w.GetAgeUnitUs()) * time.Microsecond, Digests: w.GetDigests(), Sizes: w.GetSizes(), Counters: w.GetCounters(), Ages: w.GetAges(),
+		Term: w.GetTerm(),
 	}
 }
 
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -40,6 +40,12 @@
 		return &peerv1.Message{Kind: &peerv1.Message_RosterRequest{RosterRequest: &peerv1.RosterRequest{}}}
 	case reducer.MembershipReply:
 		return &peerv1.Message{Kind: &peerv1.Message_RosterReply{RosterReply: &peerv1.RosterReply{Settled: v.VotersKnown, Term: v.Term}}}
+	case reducer.HeartbeatTable:
+		return &peerv1.Message{Kind: &peerv1.Message_HeartbeatTable{HeartbeatTable: &peerv1.HeartbeatTable{
+			AgeUnitUs: uint32(v.AgeUnit.Microseconds()), Digests: v.Digests, Sizes: v.Sizes, Counters: v.Counters, Ages: v.Ages, Term: v.Term,
+		}}}
+	case reducer.RecordRequest:
+		return &peerv1.Message{Kind: &peerv1.Message_RecordRequest{RecordRequest: &peerv1.RecordRequest{Groups: v.Groups}}}
 	case reducer.DocumentSummary:
 		return &peerv1.Message{Kind: &peerv1.Message_Summary{Summary: &peerv1.Summary{
 			Revision: v.SignificantRevision, ConfirmedAgeUs: v.ConfirmedAge.Microseconds(),
@@ -86,6 +92,10 @@
 		return decodeHostRecord(v.HostRecord)
 	case *peerv1.Message_HostBeats:
 		return decodeHeartbeats(v.HostBeats)
+	case *peerv1.Message_HeartbeatTable:
+		return decodeHeartbeatTable(v.HeartbeatTable)
+	case *peerv1.Message_RecordRequest:
+		return reducer.RecordRequest{Groups: v.RecordRequest.GetGroups()}
 	case *peerv1.Message_RosterRequest:
 		return reducer.MembershipRequest{}
 	case *peerv1.Message_RosterReply:
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -39,6 +39,10 @@
 	MailboxSize int `yaml:"mailbox_size,omitempty"`
 	// MemoryMB is the memory limit of the process, in megabytes; 0 sets none.
 	MemoryMB int `yaml:"memory_mb,omitempty"`
+	// CPUShare is the share of each core that the host may use, and Cores the number of its cores, by which callers are directed to larger
+	// hosts more often. A share of 0 means that the capacity is not known. Default of Cores: 1.
+	CPUShare float64 `yaml:"cpu_share,omitempty"`
+	Cores    float64 `yaml:"cores,omitempty"`
 	// LogLevel is debug, info, warn or error. Default: DefaultLogLevel.
 	LogLevel string `yaml:"log_level,omitempty"`
 	// LogBytesPerSecond is the largest rate of log output. Default: DefaultLogBytesPerSecond.
@@ -86,6 +90,12 @@
 	DefaultLogBytesPerSecond = 64 << 10
 )
 
+// maxCores is the largest number of cores of a host.
+const maxCores = 1024
+
+// CapacityMillicores returns the processor capacity of the host in thousandths of a core; 0 if it is not known.
+func (s Settings) CapacityMillicores() int { return int(1000 * s.CPUShare * s.Cores) }
+
 // Read reads and validates a settings file. Every error is a *decoder.FieldError that names the file, the line and the field.
 func Read(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -174,6 +184,10 @@
 		return document.ErrorAt("must not be negative", "mailbox_size")
 	case s.MemoryMB < 0:
 		return document.ErrorAt("must not be negative", "memory_mb")
+	case !(s.CPUShare >= 0 && s.CPUShare <= 1):
+		return document.ErrorAt("must be between 0 and 1", "cpu_share")
+	case !(s.Cores >= 0 && s.Cores <= maxCores):
+		return document.ErrorAt("must be between 0 and 1024", "cores")
 	case s.LogBytesPerSecond < 0:
 		return document.ErrorAt("must not be negative", "log_bytes_per_second")
 	case s.PeerListenAddress != "" && !cataloguer.ValidAddress(s.PeerListenAddress):
@@ -195,6 +209,9 @@
 	if s.PeerListenAddress == "" {
 		s.PeerListenAddress = s.PeerAddress
 	}
+	if s.Cores == 0 {
+		s.Cores = 1
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
