--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -94,10 +94,16 @@
 
 // Find returns the entry of an event number, and false if the catalogue has none.
 func Find(number int) (Entry, bool) {
+	e, ok := entriesByNumber[number]
+	return e, ok
+}
+
+var entriesByNumber = indexEntries()
+
+func indexEntries() map[int]Entry {
+	index := make(map[int]Entry, len(entries))
 	for _, e := range entries {
-		if e.Number == number {
-			return e, true
-		}
+		index[e.Number] = e
 	}
-	return Entry{}, false
+	return index
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// flushInterval is the interval at which Run writes out buffered lines, and so the longest time that a line waits.
+	// flushInterval is the time from the first buffered line to when Run writes out the lines, and so the longest time that a line waits.
 	flushInterval = 100 * time.Millisecond
 	// maxBufferedBytes is the number of buffered bytes above which lines are dropped because the log's reader is slow.
 	maxBufferedBytes = 256 << 10
@@ -35,6 +35,9 @@
 	// BytesPerSecond limits the bytes written per second; 0 means no limit.
 	BytesPerSecond int
 
+	once sync.Once
+	// buffered receives a value when the first line is buffered after a flush.
+	buffered      chan struct{}
 	mutex         sync.Mutex
 	logger        *log.Logger
 	pending       []byte
@@ -47,6 +50,8 @@
 	flushing     bool
 }
 
+func (r *Recorder) setUp() { r.buffered = make(chan struct{}, 1) }
+
 // Record buffers one event of the catalogue, or counts the event as dropped if the budget of this second is exhausted.
 func (r *Recorder) Record(number int, fields ...reducer.Field) {
 	r.mutex.Lock()
@@ -102,6 +107,13 @@
 }
 
 func (r *Recorder) write(entry Entry, fields []reducer.Field) {
+	r.once.Do(r.setUp)
+	if len(r.pending) == 0 {
+		select {
+		case r.buffered <- struct{}{}:
+		default:
+		}
+	}
 	if r.logger == nil {
 		r.logger = &log.Logger{Level: r.Level, Writer: &log.IOWriter{Writer: pendingWriter{r}}, TimeFormat: log.TimeFormatUnixMs}
 	}
@@ -127,16 +139,23 @@
 	return len(p), nil
 }
 
-// Run writes out buffered lines at regular intervals until ctx is done, and then the rest.
+// Run writes out buffered lines flushInterval after the first of them until ctx is done, and then the rest. It sleeps while there are none.
 func (r *Recorder) Run(ctx context.Context) {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
+	r.once.Do(r.setUp)
+	defer r.Flush()
+	delay := time.NewTimer(flushInterval)
+	defer delay.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			r.Flush()
 			return
-		case <-ticker.C:
+		case <-r.buffered:
+		}
+		delay.Reset(flushInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-delay.C:
 			r.Flush()
 		}
 	}
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -238,33 +238,6 @@
 	s.logEvent(number, Field{"peer", id}, ageField("heard_age_ms", now, h.LastHeartbeatAt), boolField("leaving", h.Record.Draining))
 }
 
-// locate replies with the addresses of the hosts that callers may use.
-func locate(s *State, now time.Time, e LocateRequested) {
-	resp := LocateResponse{ReplyID: e.ReplyID, TTL: min(s.Limits.DirectoryTTL, maxDirectoryTTL)}
-	for _, id := range s.activeHosts(now) {
-		if id == s.Self.HostID {
-			if s.Ready {
-				resp.Addresses = append(resp.Addresses, s.Self.Address)
-			}
-			continue
-		}
-		if s.Hosts[id].Record.Ready {
-			resp.Addresses = append(resp.Addresses, s.Hosts[id].Record.Address)
-		}
-	}
-	if len(resp.Addresses) > maxDirectoryAddresses {
-		s.shuffle(resp.Addresses)
-		resp.Addresses = resp.Addresses[:maxDirectoryAddresses]
-	}
-	s.emit(resp)
-}
-
-// maxDirectoryAddresses is the most addresses in one response to a caller, and maxDirectoryTTL the longest time for which callers keep it.
-const (
-	maxDirectoryAddresses = 64
-	maxDirectoryTTL       = 2 * time.Second
-)
-
 // updateReadiness notifies the executor when the host becomes ready or stops being ready.
 func updateReadiness(s *State, now time.Time) {
 	ready := !s.Draining.Active && s.Documents.Catalogue != nil && s.uptime(now) > readyAfter
