--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -32,7 +32,7 @@
 		b := s.Backends[candidates[i].Backend]
 		if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
 			if s.needsAdapterLoad(now, r, b) {
-				if r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && r.wouldMissTarget(now, candidates[i].Delay) {
+				if r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.wouldMissTarget(now, r, b, candidates[i].Delay) {
 					s.refuseUnplaced(now, r, ReasonNotLoaded)
 					return
 				}
@@ -51,10 +51,18 @@
 
 // wouldMissTarget reports whether a response whose first piece takes the given time would miss the route's target, so that loading the
 // adapter would be useless.
-func (r *Request) wouldMissTarget(now time.Time, delay time.Duration) bool {
-	return now.Sub(r.ArrivedAt)+delay > r.Route.LatencyTarget
+//
+// A large prompt may take most of the target by itself. Such a request is judged by the time that its own prompt needs, or the largest
+// requests of a route would hardly ever be served.
+func (s *State) wouldMissTarget(now time.Time, r *Request, b *Backend, delay time.Duration) bool {
+	prefill := float64(s.uncachedTokens(now, r, b)) / s.service(b.Info.Service).PrefillRate
+	limit := max(r.Route.LatencyTarget, time.Duration(largePromptAllowance*prefill*float64(time.Second)))
+	return now.Sub(r.ArrivedAt)+delay > limit
 }
 
+// largePromptAllowance is the multiple of the prefill time of a request's own prompt that the request may take at least.
+const largePromptAllowance = 2
+
 // waitForCapacity queues a request for a fraction of its route's target, and then refuses it as not run. It refuses the request at once if
 // no backend server becomes usable in that time.
 func (s *State) waitForCapacity(now time.Time, r *Request) {
