--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,13 @@
 mutate:
 	go test ./internal/exerciser -run TestMutationsAreDetected -mutate -v -timeout 1h | grep -E '^ +--- |detected|FAIL|ok'
 
+FUZZTIME ?= 1m
+
 fuzz:
-	go test ./platform -run '^$$' -fuzz FuzzDocument -fuzztime 30s
-	go test ./platform -run '^$$' -fuzz FuzzPage -fuzztime 30s
+	for target in FuzzDocument FuzzPage FuzzReport FuzzResponse FuzzCallerRequest; do \
+		go test ./platform -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) || exit 1; done
+	go test ./internal/messenger -run '^$$' -fuzz FuzzDatagram -fuzztime $(FUZZTIME)
+	go test ./pkg/configurer -run '^$$' -fuzz FuzzSettings -fuzztime $(FUZZTIME)
 
 capacity:
 	go test ./internal/exerciser -run TestCapacity -capacity -v -timeout 20m
--- a/pkg/configurer/configurer_test.go
+++ b/pkg/configurer/configurer_test.go
@@ -37,6 +37,9 @@
 		{"\"127.0.0.1:2\"", "\"localhost:2\"", "f:5: readiness_address: must be an IP address and a port"},
 		{"contact_ms: 3000", "contact_ms: 0", "f:11: bounds.contact_ms: must be above 0"},
 		{"quota_slack: 110000", "quota_slack: -1", "bounds.quota_slack: must not be negative"},
+		{"region: r", "region: r\ncpu_share: 1.5", "f:4: cpu_share: must be between 0 and 1"},
+		{"region: r", "region: r\ncpu_share: .nan", "f:4: cpu_share: must be between 0 and 1"},
+		{"region: r", "region: r\ncores: -1", "f:4: cores: must be between 0 and 1024"},
 		{"region: r", "region: r\nregoin: x", "f:4: regoin: unknown field"},
 	} {
 		_, err := Parse("f", []byte(strings.Replace(validSettings, c.from, c.to, 1)))
@@ -54,3 +57,21 @@
 		assert.Assert(t, strings.Contains(string(template), "  "+field+": {{bounds."), field)
 	}
 }
+
+func TestCapacityFollowsFromShareAndCores(t *testing.T) {
+	s, err := Parse("f", []byte(validSettings+"cpu_share: 0.192\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.CapacityMillicores(), 192)
+	s, err = Parse("f", []byte(validSettings+"cpu_share: 0.5\ncores: 4\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.CapacityMillicores(), 2000)
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(validSettings))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := Parse("f", data); err == nil && (s.HostID == "" || s.CapacityMillicores() < 0) {
+			t.Fatalf("%q was accepted as %+v", data, s)
+		}
+	})
+}
