Ask for newer confirmations, discover faster, send fewer records at a start

Cause: among 195 hosts confirmations reached many so late that they read the configuration service themselves (57 calls/s in virtual time, calm); a host without the voter set was sent all records by every host in every round (571 KB a host at a start of all), and rounds were slower than the tables of heartbeats now need.

Change: a host that is sent a newer confirmation asks for it, so that confirmations spread in both directions, in replies as before; hosts without the voter set exchange records by their tables, in rounds of 150 ms, and at most 32 changed records go in an envelope; one of the two targets of a round is in the host's own failure domain; rounds are 300 ms up to 250 hosts. In virtual time replies are datagrams with stamps too, and may be lost.

TestControlCostAtScale keeps the bounds.

--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -52,25 +52,14 @@
 	if to == nil || !to.Up || !s.connected(h.ID, to.ID) || s.rng.Float64() < s.Options.DropRate || s.lost() {
 		return
 	}
-	event := reducer.PeerReceived{From: h.ID, Incarnation: h.State.Self.Incarnation, Messages: e.Messages, ReplyID: h.ID}
-	toIncarnation, sentAt := to.Incarnation, s.Now
-	s.after(s.messageDelay(), func() {
-		s.runOnHost(to, toIncarnation, func() {
-			s.envelopeSentAt = sentAt
-			s.reduce(to, event)
-		})
-	})
-}
-
-// replyToPeer delivers the reply to an envelope to its sender; the reply may be lost.
-func (s *Simulation[P]) replyToPeer(h *Host, e reducer.SendPeer) {
-	s.countEnvelope(h, e)
-	to := s.host(e.To)
-	if to == nil || !s.connected(h.ID, to.ID) || s.lost() {
-		return
+	event := reducer.PeerReceived{
+		From: h.ID, Incarnation: h.State.Self.Incarnation, Messages: e.Messages,
+		Stamp: reducer.Stamp{Incarnation: h.Incarnation, Uptime: s.Now.Sub(h.StartedAt)}, Reply: e.ReplyTo != reducer.Stamp{},
+	}
+	if event.Reply && e.ReplyTo.Incarnation == to.Incarnation {
+		event.RequestedAt = to.StartedAt.Add(e.ReplyTo.Uptime)
 	}
 	incarnation := to.Incarnation
-	event := reducer.PeerReceived{From: h.ID, Incarnation: h.State.Self.Incarnation, Messages: e.Messages, RequestedAt: s.envelopeSentAt}
 	s.after(s.messageDelay(), func() { s.post(to, incarnation, event) })
 }
 
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -88,8 +88,6 @@
 	// configServiceDown is set while the configuration service responds to no host.
 	configServiceDown bool
 	partitions        []*partition
-	// envelopeSentAt is when the envelope that a host is processing was sent.
-	envelopeSentAt time.Time
 	// lossRate is the probability, set by DropEnvelopes, that an envelope or a reply to one is lost.
 	lossRate float64
 	// leaseHolders holds, by backend server, the hosts that were last seen holding its lease.
@@ -306,14 +304,7 @@
 	for _, v := range asserter.Check(h.State, s.Now, effects) {
 		s.Checker.addViolation(s.Now, v.Rule, h.ID+": "+v.Detail)
 	}
-	received, _ := event.(reducer.PeerReceived)
-	replied := false
 	for _, e := range effects {
-		if envelope, ok := e.(reducer.SendPeer); ok && received.ReplyID != "" && !replied && envelope.To == received.From {
-			replied = true
-			s.replyToPeer(h, envelope)
-			continue
-		}
 		s.executeEffect(h, e)
 	}
 	return effects
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -147,7 +147,7 @@
 	// A lost envelope is not repeated here: the reducer sends its content again in the next round.
 	if err == nil && resp.Msg.GetEnvelope() != nil {
 		event := translator.DecodeEnvelope(resp.Msg.GetEnvelope())
-		event.RequestedAt = sentAt
+		event.Reply, event.RequestedAt = true, sentAt
 		c.report(ctx, event)
 	}
 	return err
--- a/internal/messenger/datagram.go
+++ b/internal/messenger/datagram.go
@@ -110,7 +110,7 @@
 	}
 	event = translator.DecodeEnvelope(w)
 	event.Stamp = reducer.Stamp{Incarnation: w.GetIncarnation(), Uptime: time.Duration(w.GetSentAtUs()) * time.Microsecond}
-	event.RequestedAt = d.requestedAt(now, w)
+	event.Reply, event.RequestedAt = w.GetReplyToUs() != 0, d.requestedAt(now, w)
 	return event, true
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -21,7 +21,9 @@
 	ReplyID string
 	// Stamp identifies an envelope that arrived as a datagram, so that the reply can name it; it is zero for one that a call carried.
 	Stamp Stamp
-	// RequestedAt is when the envelope was sent to which this one replies; it is zero for an unsolicited envelope, which may be of any age.
+	// Reply is set for an envelope that replies to one of this host, and RequestedAt is when that one was sent. It is zero for an unsolicited
+	// envelope, which may be of any age, and for a reply to an earlier process.
+	Reply       bool
 	RequestedAt time.Time
 }
 
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -1,6 +1,9 @@
 package reducer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // tickGossip runs a round of gossip when one is due, and contacts the seeds that are not reached.
 func tickGossip(s *State, now time.Time) {
@@ -9,7 +12,7 @@
 	}
 	pruneHosts(s, now)
 	pruneLeaseGrants(s, now)
-	s.Gossip.NextAt = now.Add(s.roundInterval())
+	s.Gossip.NextAt = now.Add(s.nextRoundIn())
 	s.Gossip.Heartbeat++
 	records := s.hostRecords(now)
 	changed := s.changedRecords(now, records)
@@ -29,11 +32,16 @@
 	contactSeeds(s, now, records)
 }
 
-// gossipTargets returns the reachable hosts, in a larger fleet only gossipFanout random ones, and one random unreachable host.
+// gossipTargets returns the reachable hosts, in a larger fleet only gossipFanout random ones, and one random unreachable host. The first
+// random one is in this host's failure domain, if that has another host, since bytes between failure domains cost more.
 func (s *State) gossipTargets(now time.Time) []string {
 	targets := s.selectHosts(func(id string) bool { return id != s.Self.HostID && s.reachable(now, id) })
 	if len(targets) >= smallFleet {
 		s.shuffle(targets)
+		near := slices.IndexFunc(targets, func(id string) bool { return s.Hosts[id].Record.FailureDomain == s.Self.FailureDomain })
+		if near > 0 {
+			targets[0], targets[near] = targets[near], targets[0]
+		}
 		targets = targets[:gossipFanout]
 	}
 	unreachable := s.selectHosts(func(id string) bool { return id != s.Self.HostID && !s.reachable(now, id) })
@@ -51,6 +59,17 @@
 	return gossipInterval
 }
 
+// nextRoundIn returns the time to the next round, which is shorter while this host does not know the voter set: it has to discover the fleet.
+func (s *State) nextRoundIn() time.Duration {
+	if !s.votersKnown() {
+		return min(s.roundInterval(), discoveryInterval)
+	}
+	return s.roundInterval()
+}
+
+// discoveryInterval is the time between rounds of gossip of a host that does not know the voter set.
+const discoveryInterval = gossipInterval / 2
+
 func (s *State) shuffle(ids []string) {
 	for i := len(ids) - 1; i > 0; i-- {
 		j := int(s.random() % uint64(i+1))
@@ -75,7 +94,8 @@
 	return records
 }
 
-// changedRecords returns the records that changed recently. Other hosts receive older changes through their heartbeat tables.
+// changedRecords returns the records that changed recently, this host's own first; of many it returns some at random, so that an envelope
+// stays small when all hosts start at once. Other hosts receive the other changes through their heartbeat tables.
 func (s *State) changedRecords(now time.Time, records []HostRecord) []HostRecord {
 	var changed []HostRecord
 	for i, r := range records {
@@ -87,9 +107,24 @@
 			changed = append(changed, r)
 		}
 	}
+	if len(changed) > maxChangedRecords {
+		first := 0
+		if changed[0].ID == s.Self.HostID {
+			first = 1
+		}
+		others := changed[first:]
+		for i := len(others) - 1; i > 0; i-- {
+			j := int(s.random() % uint64(i+1))
+			others[i], others[j] = others[j], others[i]
+		}
+		changed = changed[:maxChangedRecords]
+	}
 	return changed
 }
 
+// maxChangedRecords bounds the changed records in one envelope.
+const maxChangedRecords = 32
+
 // sendHeartbeats sends a host of an older build, which knows no heartbeat tables, the heartbeats by incarnation. Some unchanged records are
 // sent in full in each round too, so that such a host receives a change that it missed.
 func (s *State) sendHeartbeats(to string, records []HostRecord) {
--- a/internal/reducer/heartbeattable.go
+++ b/internal/reducer/heartbeattable.go
@@ -14,7 +14,7 @@
 	// heartbeatGroups is the number of groups in a table.
 	heartbeatGroups = 32
 	// maxRequestedGroups bounds the groups whose records one envelope requests.
-	maxRequestedGroups = 2
+	maxRequestedGroups = 4
 	// ageUnitsPerTimeout is the number of units of age in the time after which a host counts as unreachable.
 	ageUnitsPerTimeout = 200
 	// unknownAge is the age of a heartbeat that is too old to be of use.
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -36,7 +36,7 @@
 	smallFleet = 8
 	// gossipFanout is the number of reachable hosts that each round goes to from smallFleet on.
 	gossipFanout = 2
-	largeFleet   = 120
+	largeFleet   = 250
 	// envelopeTTL is how long an envelope may wait for earlier envelopes to the same peer; the ages that it states were taken when it was
 	// made.
 	envelopeTTL = 600 * time.Millisecond
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -240,8 +240,12 @@
 		msField("up_ms", s.uptime(now)))
 }
 
-// sendMembership replies to a host that does not know the voter set with all host records that this host has.
+// sendMembership replies to a host that does not know the voter set with all host records that this host has. Hosts that do not know the
+// voter set receive each other's records through their heartbeat tables.
 func sendMembership(s *State, now time.Time, to string) {
+	if h, ok := s.Hosts[to]; ok && h.Record.Datagrams && !s.votersKnown() {
+		return
+	}
 	for _, r := range s.hostRecords(now) {
 		s.send(to, r)
 	}
--- a/internal/reducer/updates.go
+++ b/internal/reducer/updates.go
@@ -39,51 +39,53 @@
 
 // documentSummary returns the summary of this host's documents.
 func (s *State) documentSummary(now time.Time) DocumentSummary {
-	age := time.Duration(-1)
-	if !s.Watch.ConfirmedAt.IsZero() {
-		age = now.Sub(s.Watch.ConfirmedAt)
-	}
-	return DocumentSummary{SignificantRevision: s.Documents.SignificantRevision, ConfirmedAge: age}
+	return DocumentSummary{SignificantRevision: s.Documents.SignificantRevision, ConfirmedAge: s.confirmedAge(now)}
 }
 
 // receiveDocumentSummary requests the documents that the peer has and this host lacks, or accepts the peer's confirmation that nothing
-// newer was published. A peer with an older confirmation than this host's gets a reply.
+// newer was published.
 //
 // Only confirmations in replies count, dated from when the request was sent. An unsolicited envelope may have been delayed, and a
 // confirmation that is dated too late at each host would be passed on forever.
 func receiveDocumentSummary(s *State, now time.Time, e PeerReceived, m DocumentSummary) {
-	from := e.From
-	h, ok := s.Hosts[from]
+	h, ok := s.Hosts[e.From]
 	if !ok {
 		return
 	}
 	h.SignificantRevision = m.SignificantRevision
 	if m.SignificantRevision > s.Documents.Revision {
-		requestUpdates(s, now, from, h)
-		return
-	}
-	if e.RequestedAt.IsZero() {
-		s.offerConfirmation(now, from, m)
+		requestUpdates(s, now, e.From, h)
 		return
 	}
-	if m.ConfirmedAge >= 0 {
+	if !e.RequestedAt.IsZero() && m.ConfirmedAge >= 0 {
 		s.confirm(now, e.RequestedAt.Add(-m.ConfirmedAge))
 	}
+	s.exchangeConfirmations(now, e, m)
 }
 
-// offerConfirmation replies to a peer whose confirmation is older than this host's.
-func (s *State) offerConfirmation(now time.Time, to string, m DocumentSummary) {
-	if s.Watch.ConfirmedAt.IsZero() {
-		return
-	}
-	if m.ConfirmedAge < 0 || m.ConfirmedAge-now.Sub(s.Watch.ConfirmedAt) > confirmationLead {
-		s.sendSummary(to)
+// exchangeConfirmations replies to a peer whose confirmation is older than this host's, and asks a peer for its confirmation that has sent a
+// newer one by itself. A reply is never asked about, so that an exchange ends after the second reply.
+func (s *State) exchangeConfirmations(now time.Time, e PeerReceived, m DocumentSummary) {
+	lead := s.confirmedAge(now) - m.ConfirmedAge
+	switch {
+	case !s.Watch.ConfirmedAt.IsZero() && (m.ConfirmedAge < 0 || -lead > confirmationLead):
+		s.sendSummary(e.From)
+	case !e.Reply && m.ConfirmedAge >= 0 && (s.Watch.ConfirmedAt.IsZero() || lead > confirmationLead):
+		s.sendSummary(e.From)
 	}
 }
 
-// confirmationLead is how much newer than a peer's a host's confirmation must be to be worth a reply.
+// confirmationLead is how much newer than the other's a host's confirmation must be to be worth an exchange.
 const confirmationLead = gossipInterval / 2
 
+// confirmedAge returns the time since this host's documents were last confirmed up to date; negative if never.
+func (s *State) confirmedAge(now time.Time) time.Duration {
+	if s.Watch.ConfirmedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.Watch.ConfirmedAt)
+}
+
 // requestUpdates requests documents from a peer, unless another request is still in progress.
 func requestUpdates(s *State, now time.Time, from string, h *Host) {
 	if s.Watch.ReadingPeer && now.Before(s.Watch.PeerReadDeadline) {
