Count the load that an engine reports with its responses

Cause: the delay expected at an engine counted own requests and what the lease holder told of other hosts up to 0.8 s ago, not the fresher report.

--- a/internal/reducer/delay.go
+++ b/internal/reducer/delay.go
@@ -15,6 +15,9 @@
 		tokens += b.OtherHosts.Tokens
 		prefill += b.OtherHosts.PrefillTokens
 	}
+	if b.ReportedLoad.Known && now.Sub(b.ReportedAt) < loadReportTTL {
+		running = max(running, b.ReportedLoad.Running+b.ReportedLoad.Waiting)
+	}
 	delay := time.Duration(float64(prefill) / s.service(b.Info.Service).PrefillRate * float64(time.Second))
 	if excess := running - engine.Slots + 1; excess > 0 {
 		delay += time.Duration(excess) * batchSlotDelay
