--- a/internal/reducer/directory.go
+++ b/internal/reducer/directory.go
@@ -36,7 +36,7 @@
 		resp.Addresses = append(resp.Addresses, h.Address)
 	}
 	if len(resp.Addresses) > maxDirectoryAddresses {
-		s.shuffle(resp.Addresses)
+		shuffle(s, resp.Addresses)
 		resp.Addresses = resp.Addresses[:maxDirectoryAddresses]
 	}
 	s.emit(resp)
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -37,7 +37,7 @@
 func (s *State) gossipTargets(now time.Time) []string {
 	targets := s.selectHosts(func(id string) bool { return id != s.Self.HostID && s.reachable(now, id) })
 	if len(targets) >= smallFleet {
-		s.shuffle(targets)
+		shuffle(s, targets)
 		near := slices.IndexFunc(targets, func(id string) bool { return s.Hosts[id].Record.FailureDomain == s.Self.FailureDomain })
 		if near > 0 {
 			targets[0], targets[near] = targets[near], targets[0]
@@ -70,10 +70,11 @@
 // discoveryInterval is the time between rounds of gossip of a host that does not know the voter set.
 const discoveryInterval = gossipInterval / 2
 
-func (s *State) shuffle(ids []string) {
-	for i := len(ids) - 1; i > 0; i-- {
+// shuffle puts a list in a random order.
+func shuffle[T any](s *State, list []T) {
+	for i := len(list) - 1; i > 0; i-- {
 		j := int(s.random() % uint64(i+1))
-		ids[i], ids[j] = ids[j], ids[i]
+		list[i], list[j] = list[j], list[i]
 	}
 }
 
@@ -85,7 +86,7 @@
 		return id != s.Self.HostID && (now.Sub(s.Hosts[id].LastHeartbeatAt) < voterTimeout || s.Hosts[id].Record.Voter)
 	})
 	if len(ids) > maxGossipRecords {
-		s.shuffle(ids)
+		shuffle(s, ids)
 		ids = ids[:maxGossipRecords]
 	}
 	for _, id := range ids {
@@ -112,11 +113,7 @@
 		if changed[0].ID == s.Self.HostID {
 			first = 1
 		}
-		others := changed[first:]
-		for i := len(others) - 1; i > 0; i-- {
-			j := int(s.random() % uint64(i+1))
-			others[i], others[j] = others[j], others[i]
-		}
+		shuffle(s, changed[first:])
 		changed = changed[:maxChangedRecords]
 	}
 	return changed
