Keep what a quota coordinator knows while other hosts roll

Cause: after each change of the active hosts a coordinator counted the use of every host as unknown until the host asked for tokens again.

Change: only a host that was unreachable or has restarted counts as unknown, from when it is back until it reports; a change elsewhere leaves the rest.

--- a/internal/reducer/heartbeattable.go
+++ b/internal/reducer/heartbeattable.go
@@ -150,6 +150,7 @@
 	h.Record.Heartbeat = counter
 	h.LastHeartbeatAt = now.Add(-age)
 	if unreachable {
+		h.ReachableSince = now
 		s.invalidateHostIndex()
 	}
 }
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -113,6 +113,9 @@
 	if r.PromotionIn > 0 {
 		h.PromoteAt = now.Add(r.PromotionIn)
 	}
+	if !known || !s.reachable(now, r.ID) || h.Record.Incarnation != r.Incarnation {
+		h.ReachableSince = now
+	}
 	moved := h.Record.PeerAddress != r.PeerAddress
 	h.Record = r
 	h.Record.Heartbeat, h.LastHeartbeatAt = heartbeat, lastHeartbeatAt
--- a/internal/reducer/quota.go
+++ b/internal/reducer/quota.go
@@ -25,6 +25,8 @@
 	// SpentKnownSince is the time since which the host has a record of its spending; zero until the host reports its
 	// spending to this coordinator.
 	SpentKnownSince time.Time
+	// ReportedAt is when the host last reported its spending.
+	ReportedAt time.Time
 	// ReceivedAt is the time of the last request from the host.
 	ReceivedAt time.Time
 }
@@ -39,9 +41,6 @@
 }
 
 // tickQuotas handles a change of the active hosts: it drops the quotas that another host coordinates now.
-//
-// For the quotas that remain, another host may have made grants until now, on the other side of a partition or while this host was
-// suspended. Their usage counts as unknown until now.
 func tickQuotas(s *State, now time.Time) {
 	s.indexHosts(now)
 	if s.QuotasCheckedAt.Equal(s.Index.ActiveChangedAt) {
@@ -51,12 +50,6 @@
 	for _, name := range sortedKeys(s.Quotas) {
 		if s.coordinatorOf(now, name) != s.Self.HostID {
 			delete(s.Quotas, name)
-			continue
-		}
-		u := s.Quotas[name]
-		u.CoordinatorSince = now
-		for _, h := range u.Hosts {
-			h.SpentKnownSince = time.Time{}
 		}
 	}
 }
@@ -124,7 +117,7 @@
 	h.Outstanding = max(h.Outstanding-m.Returned, 0)
 	if m.SpentPeriod > 0 {
 		h.Outstanding = m.Unspent
-		h.SpentKnownSince = now.Add(-m.SpentPeriod)
+		h.SpentKnownSince, h.ReportedAt = now.Add(-m.SpentPeriod), now
 		h.Spent = limiter.Window{Length: window}
 		for i, spent := range m.Spent {
 			h.Spent.Add(now, time.Duration(i)*window/time.Duration(len(m.Spent)), spent)
@@ -156,15 +149,19 @@
 
 // unknownFraction returns the fraction of the window's usage that this coordinator cannot know.
 //
-// It counts an equal share for each reachable host and for the time before this host became the coordinator, unless the host has reported
-// what it spent then. A host that restarted has lost that record.
+// It counts an equal share for each reachable host and for the time before this host became the coordinator, or before the host became
+// reachable again, unless the host has since reported what it spent then. Until then another host may have made grants to it, on the other
+// side of a partition or while this host was suspended. A host that restarted has lost that record.
 func (s *State) unknownFraction(now time.Time, q Quota, u *QuotaUsage) float64 {
 	// A draining host still spends tokens, so all reachable hosts count.
 	hosts := s.reachableHosts(now)
 	unknown := time.Duration(0)
 	for _, id := range hosts {
 		until := u.CoordinatorSince
-		if h, ok := u.Hosts[id]; ok && !h.SpentKnownSince.IsZero() && h.SpentKnownSince.Before(until) {
+		if remote, ok := s.Hosts[id]; ok {
+			until = later(until, remote.ReachableSince)
+		}
+		if h, ok := u.Hosts[id]; ok && h.knownSince(until) {
 			until = h.SpentKnownSince
 		}
 		unknown += max(until.Sub(now.Add(-q.Window)), 0)
@@ -172,6 +169,11 @@
 	return min(float64(unknown)/float64(q.Window)/float64(len(hosts)), 1)
 }
 
+// knownSince reports whether the host has reported, at the given time or later, what it spent before that time.
+func (h *HostQuotaUsage) knownSince(at time.Time) bool {
+	return !h.SpentKnownSince.IsZero() && h.SpentKnownSince.Before(at) && !h.ReportedAt.Before(at)
+}
+
 // reachableShare returns the fraction of the fleet that this host sees as active; a coordinator grants at most that part of a quota.
 func (s *State) reachableShare(now time.Time) float64 {
 	return min(float64(len(s.activeHosts(now)))/float64(s.shareCount(now)), 1)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -74,6 +74,8 @@
 	Record HostRecord
 	// LastHeartbeatAt is when the host's heartbeat counter last increased.
 	LastHeartbeatAt time.Time
+	// ReachableSince is when a heartbeat last made the present incarnation of the host reachable.
+	ReachableSince time.Time
 	// ChangedAt is when the host's record last changed in anything but the heartbeat.
 	ChangedAt time.Time
 	// PromoteAt is when the host, as a new one, becomes a voter; zero if it seeks no promotion.
