--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// told returns what the server has told the present process of a host.
+// toldTo returns what the server has told the present process of a host.
 func (b *Backend) toldTo(h *Host) *toldHost {
 	t, ok := b.told[h.ID]
 	if !ok || t.incarnation != h.Incarnation {
--- a/internal/messenger/datagram.go
+++ b/internal/messenger/datagram.go
@@ -19,6 +19,9 @@
 // maxDatagramSize is the size in bytes up to which an envelope is sent as a datagram; a larger one is sent in a call.
 const maxDatagramSize = 8 << 10
 
+// receiveRetryDelay is the pause after a failed receive.
+const receiveRetryDelay = 10 * time.Millisecond
+
 // Datagrams sends and receives small envelopes as UDP datagrams: they need no connection, and a lost one is not sent again, because the
 // reducer sends its content anew in the next round. Its exported fields are set before Listen.
 type Datagrams struct {
@@ -51,8 +54,8 @@
 	return &unix.SockaddrInet6{Port: int(to.Port()), Addr: to.Addr().As16()}
 }
 
-// Send sends an envelope without blocking and reports whether that is done with it: it is false for an envelope that is too large for a
-// datagram. An envelope that the socket does not accept at once is dropped.
+// Send sends an envelope without blocking. It reports false for an envelope that cannot be sent as a datagram, because it is too large or its
+// address is invalid; one that the socket does not accept at once is dropped.
 func (d *Datagrams) Send(envelope reducer.SendPeer) bool {
 	address, err := netip.ParseAddrPort(envelope.Address)
 	if d.conn == nil || err != nil {
@@ -87,7 +90,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil || n > maxDatagramSize {
+		if err != nil {
+			// A pause keeps an error that persists from making a loop without waiting.
+			time.Sleep(receiveRetryDelay)
+			continue
+		}
+		if n > maxDatagramSize {
 			continue
 		}
 		event, ok := d.decode(clocker.Now(), buffer[:n])
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -25,8 +25,6 @@
 	HealthySince     time.Time
 	ReadingPeer      bool
 	PeerReadDeadline time.Time
-	// NotifiedAt is not used.
-	NotifiedAt time.Time
 }
 
 // maxConfirmationAge returns the age of the last confirmation from which a host reads the configuration service itself.
