--- a/internal/reducer/quota_test.go
+++ b/internal/reducer/quota_test.go
@@ -48,4 +48,12 @@
 	assert.Assert(t, fraction > 0.16 && fraction < 0.17, "one of six hosts is unknown, not %v", fraction)
 	u.update(f.now.Add(time.Second), q.Window, "host-4", TokenRequest{SpentPeriod: time.Second})
 	assert.Assert(t, f.state.unknownFraction(f.now.Add(q.Window), q, u) < 0.03)
+
+	f.now = f.now.Add(f.state.suspectAfter() - 50*time.Millisecond)
+	keepAlive("host-0", "host-1", "host-2", "host-4")
+	f.now = f.now.Add(100 * time.Millisecond)
+	assert.Assert(t, !f.state.reachable(f.now, "host-3"))
+	keepAlive("host-3")
+	assert.Assert(t, f.state.Hosts["host-3"].ReachableSince.Equal(f.now), "a host that was away is known")
+	assert.Assert(t, f.state.Hosts["host-0"].ReachableSince.Equal(u.CoordinatorSince))
 }
