Log the shared parts of prompts and how far a failed answer had come

Cause: 202 and 205 named neither the content of a request nor its progress, so that the request which crashes a server looked like those that were lost through it.

Change: parts in 202 and 205; disconnected and events in 205.

The content of the request is the cause; nothing here remembers it.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -115,6 +115,10 @@
 	Mismatched int
 	// Delivered is set once the response, or the start of a stream, went to the sink.
 	Delivered bool
+	// Disconnected is set if the server closed or reset the connection before the response was complete.
+	Disconnected bool
+	// Events is the number of complete events of a stream that went to the caller.
+	Events int
 	// FailureResponse is the response with which the backend server reported a failure.
 	FailureResponse *Response
 	// LastEventID is the id of the last event of a stream that went to the caller.
@@ -337,6 +341,7 @@
 				return
 			}
 			x.result.LastEventID = events.lastID
+			x.result.Events = events.count
 			x.setReadTimeout(x.dispatch.StreamIdleTimeout)
 		}
 		if events.tooLong() {
@@ -380,6 +385,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.result.Outcome = reducer.OutcomeTimeout
 	}
+	x.result.Disconnected = connectionClosed(err) && !errors.Is(err, net.ErrClosed)
 	resetOnClose(x.conn.Conn)
 	x.client.pool.closeConn(x.conn)
 }
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -14,6 +14,8 @@
 	incomplete []byte
 	// lastID is the id of the last complete event that has one.
 	lastID string
+	// count is the number of complete events.
+	count int
 }
 
 // eventTerminators are the byte sequences that end an event, with LF and with CRLF line ends.
@@ -31,7 +33,7 @@
 	end += from
 	events := s.incomplete[:end]
 	s.incomplete = append([]byte(nil), s.incomplete[end:]...)
-	s.readID(events)
+	s.scan(events)
 	return events
 }
 
@@ -52,9 +54,12 @@
 // tooLong reports whether the incomplete event exceeds the size limit.
 func (s *eventSplitter) tooLong() bool { return len(s.incomplete) > maxEventSize }
 
-// readID records the last id field of complete events.
-func (s *eventSplitter) readID(events []byte) {
+// scan counts complete events and records their last id field.
+func (s *eventSplitter) scan(events []byte) {
 	for line := range strings.Lines(string(events)) {
+		if strings.TrimRight(line, "\r\n") == "" {
+			s.count++
+		}
 		if id, ok := strings.CutPrefix(line, "id:"); ok {
 			s.lastID = strings.TrimSpace(id)
 		}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -99,7 +99,11 @@
 	Mismatched int
 	// Delivered is set once a piece of the response has been sent to the caller.
 	Delivered bool
-	Took      time.Duration
+	// Disconnected is set if the server closed or reset the connection before the response was complete.
+	Disconnected bool
+	// Events is the number of complete events of a stream that the attempt delivered.
+	Events int
+	Took   time.Duration
 }
 
 // Load is the load that a backend server reports with a response.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -250,7 +250,8 @@
 	}
 	s.Counters.Dispatches++
 	s.logEvent(EventRequestSent, s.requestFields(now, r, intField("running", b.Running), intField("others_running", b.OtherHosts.Running),
-		intField("prefill_tokens", r.PrefillTokens), ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))...)
+		intField("prefill_tokens", r.PrefillTokens), Field{"parts", sharedPartNames(r)},
+		ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))...)
 	s.emit(Dispatch{
 		ID: r.ID, Attempt: r.Attempt, Backend: b.Info.ID, Address: b.Info.Address, Account: r.Account, Priority: -1,
 		Version: r.Version, Stream: r.Route.RetryPolicy == cataloguer.RetryStream, Resumable: r.Route.Resumable,
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -216,7 +217,8 @@
 		return
 	}
 	s.logEvent(EventAttemptFailed, s.requestFields(now, r, Field{"outcome", e.Outcome.String()}, intField("status", e.Status),
-		msField("took_ms", e.Took), boolField("delivered", e.Delivered))...)
+		msField("took_ms", e.Took), boolField("delivered", e.Delivered), boolField("disconnected", e.Disconnected), intField("events", e.Events),
+		Field{"parts", sharedPartNames(r)})...)
 	retryOrFail[P](s, now, r, e)
 }
 
@@ -392,3 +394,20 @@
 	s.Counters.RequestsFailed++
 	refuse(s, now, r, ReasonTimeout, defaultRetryAfter)
 }
+
+// sharedParts returns the parts of a request's prompt that other requests may share: all but the last, which belongs to the request itself.
+func (r *Request) sharedParts() []Part {
+	if len(r.Parts) == 0 {
+		return nil
+	}
+	return r.Parts[:len(r.Parts)-1]
+}
+
+// sharedPartNames returns the IDs of the shared parts for the log, separated by commas.
+func sharedPartNames(r *Request) string {
+	var names []string
+	for _, part := range r.sharedParts() {
+		names = append(names, part.ID)
+	}
+	return strings.Join(names, ",")
+}
