--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -107,6 +107,7 @@
 	b.Up = true
 	b.DrainingAt, b.leaving = time.Time{}, false
 	b.told = map[string]*toldHost{}
+	b.answers, b.refuses = nil, false
 	b.Info = cataloguer.Backend{ID: id, Service: service, Address: id, FailureDomain: domain, StartedUnixMs: s.Now.UnixMilli(), Slots: 6}
 	if service == engineService {
 		b.Info.Slots = s.Options.EngineSpec.Slots
@@ -220,6 +221,7 @@
 		}
 		firstTokenAt, outcome := b.Engine.StartRequest(s.Now, key, e.Version, r.event.PromptTokens)
 		s.Checker.checkRetryBudget(s.Now, s.Options.Limits, b.Info.Service, r)
+		s.checkDeadlyArrival(h, r)
 		// The users' rules on cold starts and drains do not count requests that are rejected because the adapter is not loaded.
 		if outcome != reducer.OutcomeNotLoaded {
 			s.Checker.checkNotices(s.Now, s.Options.Limits.DrainDeadline, s.faultFree(h), b, h)
@@ -267,16 +269,31 @@
 	if b.Info.Service == engineService {
 		processingTime = firstTokenAt.Sub(s.Now)
 	}
+	a := &answer{}
+	a.abort = func() {
+		event.Disconnected = true
+		s.post(h, incarnation, event)
+	}
+	b.answers = append(b.answers, a)
 	interrupted := func() bool { return !b.Up || b.Info.StartedUnixMs != startedUnixMs || !s.connected(h.ID, e.Backend) }
 	s.after(processingTime, func() {
+		if a.aborted {
+			return
+		}
 		if interrupted() {
+			b.endAnswer(a)
 			s.post(h, incarnation, event)
 			return
 		}
 		event.Notice = s.notice(h, b, reducer.OutcomeDone)
 		s.post(h, incarnation, reducer.ResponseStarted{ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt), Notice: event.Notice})
+		event.Delivered = true
+		s.answerBegan(b, r)
 		s.after(time.Duration(r.event.OutputTokens)*s.Options.EngineSpec.TokenTime, func() {
-			event.Delivered = true
+			if a.aborted {
+				return
+			}
+			b.endAnswer(a)
 			if !interrupted() {
 				b.Engine.FinishRequest(s.Now, key)
 				event.Outcome = reducer.OutcomeDone
--- /dev/null
+++ b/internal/exerciser/deadly_part_test.go
@@ -0,0 +1,43 @@
+package exerciser
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/selector"
+)
+
+// deadlyPartRate is the number of requests with the deadly part per second over all hosts.
+const deadlyPartRate = 2
+
+// generationShare is the share of the simulated requests that run on engines.
+const generationShare = 3.0 / 5
+
+// TestRequestsWithADeadlyPartStopReachingEngines guards against requests that crash one engine after the other through the same part of
+// their prompts, sent by hosts that each learn of it anew.
+func TestRequestsWithADeadlyPartStopReachingEngines(t *testing.T) {
+	for _, c := range []struct{ hosts, engines, rate, position int }{
+		{6, 9, 24, 0}, {6, 9, 24, 1}, {6, 9, 24, 2}, {40, 30, 80, 1}, {195, 40, 80, 2},
+	} {
+		t.Run(fmt.Sprintf("hosts_%d/position_%d", c.hosts, c.position), func(t *testing.T) {
+			t.Parallel()
+			o := defaultOptions(uint64(c.position + 1))
+			o.Hosts, o.Engines = c.hosts, c.engines
+			sim := New[selector.LeastDelay](o)
+			sim.Run(warmUpDuration)
+			sim.StartDeadlyPart(0, c.position)
+			sim.StartTraffic(float64(c.rate))
+			sim.Run(6 * time.Second)
+			sim.DeadlyPart.Share = deadlyPartRate / (float64(c.rate) * generationShare)
+			sim.Run(25 * time.Second)
+			d := sim.DeadlyPart
+			t.Logf("crashes %d, late arrivals %d, sound before %+v, after %+v", len(d.CrashTimes), d.LateArrivals, d.Before, d.After)
+			assert.Assert(t, len(d.CrashTimes) > 0)
+			assert.Equal(t, len(sim.Checker.Violations), 0, "%v", sim.Checker.Violations)
+			assert.Assert(t, d.After.Begun*d.Before.Sent*2 >= d.Before.Begun*d.After.Sent, "sound requests before %+v, after %+v", d.Before, d.After)
+		})
+	}
+}
--- /dev/null
+++ b/internal/exerciser/deadly_parts.go
@@ -0,0 +1,148 @@
+package exerciser
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+// DeadlyPart is a part of prompts that crashes each engine that begins to answer a request with it.
+type DeadlyPart struct {
+	// Share is the probability that a generation has the part; the others are sound.
+	Share float64
+	// Position is the index of the part in the prompt, from 0; the last part of a prompt belongs to the request itself.
+	Position int
+	// CrashTimes holds when the part crashed an engine.
+	CrashTimes []time.Time
+	// LateArrivals counts the requests with the part that hosts without faults sent to engines after they had to know the part.
+	LateArrivals int
+	// Before and After count the sound requests with the same first part before the first crash, and after hosts had to know the part.
+	Before, After SoundRequests
+
+	rng *rand.Rand
+}
+
+// SoundRequests counts sound requests and those of them whose answer began.
+type SoundRequests struct {
+	Sent  int
+	Begun int
+}
+
+// answer is an answer in progress at a backend server.
+type answer struct {
+	aborted bool
+	// abort breaks the answer off.
+	abort func()
+}
+
+// Numbers of the parts that prompts share, with a DeadlyPart.
+const (
+	deadlyPartName  = "deadly"
+	commonParts     = 3
+	customerParts   = 31
+	crashDelay      = 30 * time.Millisecond
+	crashedDuration = 3200 * time.Millisecond
+	// deadlyCrashes is the crash from which hosts have the time HostTimeout to learn the part, and maxLateArrivals the number of requests
+	// with the part that may reach engines later.
+	deadlyCrashes   = 5
+	maxLateArrivals = 3
+)
+
+// StartDeadlyPart adds a deadly part to a share of the generations from now on.
+func (s *Simulation[P]) StartDeadlyPart(share float64, position int) {
+	s.DeadlyPart = &DeadlyPart{Share: share, Position: position, rng: rand.New(rand.NewPCG(s.Options.Seed, 4))}
+}
+
+// drawParts draws the parts of a generation's prompt. A request with the deadly part shares its caller and its other parts with sound ones.
+func (s *Simulation[P]) drawParts(r *Request, e *reducer.RequestArrived) {
+	d := s.DeadlyPart
+	if d == nil || e.Adapter == "" {
+		return
+	}
+	common, customer := d.rng.IntN(commonParts), d.rng.IntN(customerParts)
+	r.deadly = d.rng.Float64() < d.Share
+	if r.deadly {
+		common, customer = 0, 0
+	}
+	e.Parts = []reducer.Part{
+		{ID: fmt.Sprintf("common-%d", common), Tokens: e.PromptTokens / 4}, {ID: fmt.Sprintf("customer-%d", customer), Tokens: e.PromptTokens / 4},
+		{ID: "own-" + e.ID, Tokens: e.PromptTokens / 2},
+	}
+	if r.deadly {
+		e.Parts = slices.Insert(e.Parts, d.Position, reducer.Part{ID: deadlyPartName, Tokens: 100})
+		return
+	}
+	if common == 0 {
+		r.sound = s.soundRequests()
+	}
+	if r.sound != nil {
+		r.sound.Sent++
+	}
+}
+
+// soundRequests returns the count for a sound request that is sent now; nil in the time in which hosts may still learn the part.
+func (s *Simulation[P]) soundRequests() *SoundRequests {
+	switch d := s.DeadlyPart; {
+	case len(d.CrashTimes) == 0:
+		return &d.Before
+	case s.deadlyPartMustBeKnown(2 * s.Options.Limits.HostTimeout):
+		return &d.After
+	}
+	return nil
+}
+
+// deadlyPartMustBeKnown reports whether the crash by which hosts must know the part was longer ago than a delay.
+func (s *Simulation[P]) deadlyPartMustBeKnown(delay time.Duration) bool {
+	crashes := s.DeadlyPart.CrashTimes
+	return len(crashes) >= deadlyCrashes && s.Now.Sub(crashes[deadlyCrashes-1]) > delay
+}
+
+// checkDeadlyArrival counts the requests with the deadly part that reach engines after hosts had to know it.
+func (s *Simulation[P]) checkDeadlyArrival(h *Host, r *Request) {
+	if !r.deadly || !s.faultFree(h) || !s.deadlyPartMustBeKnown(s.Options.Limits.HostTimeout) {
+		return
+	}
+	if s.DeadlyPart.LateArrivals++; s.DeadlyPart.LateArrivals == maxLateArrivals+1 {
+		s.Checker.addViolation(s.Now, "deadly_part", fmt.Sprintf("request %s is the %dth with the part after %d crashes", r.event.ID, maxLateArrivals+1,
+			len(s.DeadlyPart.CrashTimes)))
+	}
+}
+
+// answerBegan crashes the engine soon after it has begun to answer a request with the deadly part.
+func (s *Simulation[P]) answerBegan(b *Backend, r *Request) {
+	if r.sound != nil {
+		r.sound.Begun++
+		r.sound = nil
+	}
+	if !r.deadly {
+		return
+	}
+	startedUnixMs := b.Info.StartedUnixMs
+	s.after(crashDelay, func() {
+		if b.Up && b.Info.StartedUnixMs == startedUnixMs {
+			s.DeadlyPart.CrashTimes = append(s.DeadlyPart.CrashTimes, s.Now)
+			s.crashByRequest(b)
+		}
+	})
+}
+
+// crashByRequest crashes an engine: its connections are closed at once, and it is back after crashedDuration.
+func (s *Simulation[P]) crashByRequest(b *Backend) {
+	s.crashBackend(b)
+	b.refuses = true
+	answers := b.answers
+	b.answers = nil
+	for _, a := range answers {
+		a.aborted = true
+		s.after(s.messageDelay(), a.abort)
+	}
+	s.after(crashedDuration, func() { s.startBackend(b.Info.ID, b.Info.Service, b.Info.FailureDomain) })
+}
+
+// endAnswer removes an answer that has ended.
+func (b *Backend) endAnswer(a *answer) {
+	b.answers = slices.DeleteFunc(b.answers, func(other *answer) bool { return other == a })
+}
--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -178,7 +178,11 @@
 	b, ok := s.Backends[e.Backend]
 	if !ok || !b.Up || !s.connected(h.ID, e.Backend) || b.Info.StartedUnixMs != e.StartedUnixMs {
 		event.Failed = true
-		s.after(callTimeout, func() { s.post(h, incarnation, event) })
+		delay := callTimeout
+		if ok && b.refuses {
+			delay = 2 * s.Options.Latency
+		}
+		s.after(delay, func() { s.post(h, incarnation, event) })
 		return
 	}
 	s.after(s.messageDelay(), func() {
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -70,6 +70,8 @@
 	Messages           map[string]int
 	MessageBytes       map[string]int
 	ConfigServiceCalls int
+	// DeadlyPart, if set, makes a part of some prompts crash engines.
+	DeadlyPart *DeadlyPart
 	// FaultLog describes the faults injected by a schedule (scheduled_faults.go).
 	FaultLog []string
 
@@ -136,6 +138,11 @@
 
 	// leaving is set while the server says in its responses that it drains.
 	leaving bool
+	// answers holds the answers in progress.
+	answers []*answer
+	// refuses is set after a crash until the restart: connections are refused at once.
+	refuses bool
+
 	// told holds what the server has told each process of a host about itself, by host ID.
 	told map[string]*toldHost
 }
--- a/internal/exerciser/traffic.go
+++ b/internal/exerciser/traffic.go
@@ -40,6 +40,10 @@
 	// arrivalCount counts the arrivals of the request at backend servers.
 	arrivalCount int
 	outcome      string
+	// deadly is set for a request that crashes the engine which begins to answer it.
+	deadly bool
+	// sound is where a sound request is counted once its answer begins, if it shares a part with the deadly ones.
+	sound *SoundRequests
 	// reportedNotRun is set once the caller has received a response stating that the request has not run.
 	reportedNotRun bool
 }
@@ -78,6 +82,7 @@
 		e.Path, r.atMostOnce = "/stream/x", true
 		s.drawGeneration(&e)
 	}
+	s.drawParts(r, &e)
 	service := engineService
 	if e.Adapter == "" {
 		service = unaryService
