Quarantine the parts of prompts that crash engines, over the whole fleet

Callers saw: streams broken off at one engine after the other, and the rest of the service slow, for as long as requests with the part came.

Cause: a failed attempt counted only against the server (ejection). No host remembered what the attempt had contained, so that each host sent the next request with the same content to the next engine. Class: the fault is in the request, and the failure is attributed to the server.

Change: a host that loses requests when a server closes their connections requests the server's report; without one, the server has crashed, and the shared parts of the requests that had just begun or not yet begun are suspects. Hosts tell each other of suspects, and of answers, which excuse a part. After three separate crashes with different requests the part that explains them best is refused as not run (event 148) for quarantine_seconds, and attempts that have not begun are canceled. internal/isolator keeps the evidence as plain state, without I/O.

TestCrashesByOtherCausesQuarantineNothing holds the other side.

--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -69,7 +69,7 @@
 		Seeds: settings.Seeds, CapacityMillicores: settings.CapacityMillicores(),
 	}
 	control := &executor.Control[policy, platform.Codec, *listener.Sink]{
-		State: reducer.NewState(self, reducerLimits(settings.Bounds), incarnation),
+		State: reducer.NewState(self, reducerLimits(settings), incarnation),
 		Worker: &executor.Worker[platform.Codec, *listener.Sink]{
 			Messenger: &messenger.Client[platform.Codec]{
 				HostID: settings.HostID, Incarnation: incarnation,
@@ -94,14 +94,15 @@
 	}
 }
 
-func reducerLimits(b configurer.Bounds) reducer.Limits {
+func reducerLimits(s configurer.Settings) reducer.Limits {
+	b := s.Bounds
 	return reducer.Limits{
 		ConfigDeadline: configurer.Milliseconds(b.ConfigMs), DrainDeadline: configurer.Milliseconds(b.DrainMs),
 		HostTimeout: configurer.Milliseconds(b.ContactMs), GracePeriod: configurer.Seconds(b.GraceSeconds),
 		OrderLeaseDuration: configurer.Milliseconds(b.OrderLeaseMs), RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		QuotaWindow: configurer.Seconds(b.QuotaWindowSeconds), QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack,
 		LoadWindow:   configurer.Seconds(b.LoadWindowSeconds),
-		DirectoryTTL: configurer.Seconds(b.DirectorySeconds),
+		DirectoryTTL: configurer.Seconds(b.DirectorySeconds), Quarantine: configurer.Seconds(s.QuarantineSeconds),
 	}
 }
 
@@ -188,7 +189,7 @@
 	d.recorder.Record(recorder.EventSettingsReloaded,
 		reducer.Field{Name: "changed", Value: fmt.Sprint(!reflect.DeepEqual(settings, d.settings))})
 	d.recorder.Adjust(log.ParseLevel(settings.LogLevel), settings.LogBytesPerSecond)
-	d.control.Report(ctx, reducer.SettingsRead{Limits: reducerLimits(settings.Bounds), Seeds: settings.Seeds})
+	d.control.Report(ctx, reducer.SettingsRead{Limits: reducerLimits(settings), Seeds: settings.Seeds})
 	d.settings = settings
 }
 
--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
@@ -53,6 +54,9 @@
 	if now.Before(b.BackoffUntil) {
 		violations = append(violations, Violation{"backoff_is_kept", dispatch.ID + " to " + dispatch.Backend})
 	}
+	if slices.ContainsFunc(r.Parts, func(p reducer.Part) bool { return s.Isolation.Parts.InQuarantine(now, p.ID) }) {
+		violations = append(violations, Violation{"quarantine_is_kept", dispatch.ID + " to " + dispatch.Backend})
+	}
 	if r.PossibleRuns > 0 && r.Route.RetryPolicy != cataloguer.RetrySafe && !r.Route.Resumable {
 		violations = append(violations, Violation{"at_most_once", dispatch.ID})
 	}
--- a/internal/exerciser/deadly_part_test.go
+++ b/internal/exerciser/deadly_part_test.go
@@ -41,3 +41,34 @@
 		})
 	}
 }
+
+// TestCrashesByOtherCausesQuarantineNothing guards against refusing sound requests because engines crash for reasons of their own: one after
+// the other, and several at once.
+func TestCrashesByOtherCausesQuarantineNothing(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4} {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
+			o := defaultOptions(seed)
+			o.Engines = 24
+			sim := New[selector.LeastDelay](o)
+			sim.Run(warmUpDuration)
+			sim.StartDeadlyPart(0, 0)
+			sim.StartTraffic(80)
+			sim.Run(5 * time.Second)
+			for i := range 25 {
+				for j := range 1 + i%3 {
+					if b := sim.Backends[fmt.Sprintf("engine-%02d", (3*i+j)%o.Engines)]; b.Up {
+						sim.crashByRequest(b)
+					}
+				}
+				sim.Run(1300 * time.Millisecond)
+			}
+			crashes := uint64(0)
+			for _, h := range sim.Hosts {
+				crashes += h.State.Counters.BackendCrashes
+				assert.Equal(t, h.State.Counters.Quarantines, uint64(0), h.ID)
+			}
+			assert.Assert(t, crashes > 20, "hosts saw only %d crashes", crashes)
+		})
+	}
+}
--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -29,7 +29,7 @@
 		Limits: reducer.Limits{
 			ConfigDeadline: 2 * time.Second, DrainDeadline: 2 * time.Second, HostTimeout: 3 * time.Second, GracePeriod: 8 * time.Second,
 			OrderLeaseDuration: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 52, QuotaWindow: quotaWindow, QuotaOvershoot: quotaOvershoot,
-			QuotaSlack: quotaSlack, LoadWindow: 5 * time.Second, DirectoryTTL: 5 * time.Second,
+			QuotaSlack: quotaSlack, LoadWindow: 5 * time.Second, DirectoryTTL: 5 * time.Second, Quarantine: 5 * time.Minute,
 		},
 	}
 }
--- /dev/null
+++ b/internal/isolator/isolator.go
@@ -0,0 +1,356 @@
+package isolator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Crash is one crash of a server process at which requests were lost.
+type Crash struct {
+	// Server identifies the process, and Request one of the lost requests that had the suspect content.
+	Server  uint64
+	Request uint64
+	At      time.Time
+}
+
+// Suspect is content that requests may share, with the crashes that it may have caused.
+type Suspect[K cmp.Ordered] struct {
+	Key K
+	// Crashes holds the crashes at which a request with the content was lost, and after which no request with it was answered; the oldest
+	// first.
+	Crashes []Crash
+	// SoundAt is when a request with the content was last answered completely, which the content does not survive if it crashes servers;
+	// zero if that is not known.
+	SoundAt time.Time
+	// Depth is the position of the content in its requests; deeper content is shared by fewer of them.
+	Depth int
+	// QuarantinedUntil is the end of the quarantine; zero for none.
+	QuarantinedUntil time.Time
+	// ClearedAt is when the last quarantine ended; earlier crashes do not count any more.
+	ClearedAt time.Time
+	// Strikes counts the quarantines; content with a strike is quarantined again after a single crash.
+	Strikes int
+	// ChangedAt is when the crashes or the quarantine last changed on this host.
+	ChangedAt time.Time
+}
+
+// Tracker holds the suspects of one host.
+type Tracker[K cmp.Ordered] struct {
+	Suspects map[K]*Suspect[K]
+	// SoundAt holds when requests with each content were last answered completely at this host.
+	SoundAt map[K]time.Time
+	// JudgeAt is when the evidence is next judged; zero if there is none.
+	JudgeAt time.Time
+	// PrunedAt is when old state was last removed.
+	PrunedAt time.Time
+}
+
+// Bounds of the evidence.
+const (
+	// minIncidents is the number of incidents that quarantines content for the first time, and minRequests the number of different requests
+	// that must have been lost in them: a single request, sent again by its caller, may be lost several times by accident.
+	minIncidents = 3
+	minRequests  = 2
+	// incidentGap is the time within which crashes count as one incident, since a failure of a whole failure domain takes many servers at
+	// once, and any content with them.
+	incidentGap = 500 * time.Millisecond
+	// settleTime is the age from which a crash counts: by then other hosts have told which content they have seen answered since.
+	settleTime = 600 * time.Millisecond
+	// soundMargin is the error of the times that hosts tell each other, by which an answer must be later than a crash.
+	soundMargin = 500 * time.Millisecond
+	// crashTTL is how long a crash counts, and strikeTTL how long content is remembered after its quarantine.
+	crashTTL  = 10 * time.Minute
+	strikeTTL = time.Hour
+	// maxDoublings bounds how often the length of the quarantine doubles.
+	maxDoublings = 4
+	// maxCrashes, maxSuspects and maxSound bound the memory.
+	maxCrashes  = 16
+	maxSuspects = 1024
+	maxSound    = 8192
+	// pruneInterval is the time between two removals of old state.
+	pruneInterval = 10 * time.Second
+	// shareTime is how long a change is told to other hosts.
+	shareTime = 1500 * time.Millisecond
+)
+
+// NewTracker returns a tracker without suspects.
+func NewTracker[K cmp.Ordered]() Tracker[K] {
+	return Tracker[K]{Suspects: map[K]*Suspect[K]{}, SoundAt: map[K]time.Time{}}
+}
+
+// RecordCrash records that a request with the given content, in the order of the request, was lost at a crash.
+func (t *Tracker[K]) RecordCrash(now time.Time, crash Crash, content []K) {
+	for depth, key := range content {
+		s := t.suspect(key)
+		s.Depth = max(s.Depth, depth)
+		if s.addCrash(crash) {
+			t.changed(now, s)
+		}
+	}
+}
+
+// RecordSound records that a request with the given content was answered completely, and returns the content whose quarantine that ends.
+func (t *Tracker[K]) RecordSound(now time.Time, content []K) (released []K) {
+	for _, key := range content {
+		t.SoundAt[key] = now
+		s, ok := t.Suspects[key]
+		if !ok {
+			continue
+		}
+		s.SoundAt = now
+		if t.excuse(now, s) {
+			released = append(released, key)
+		}
+		if len(s.Crashes) == 0 {
+			s.Strikes = 0
+		}
+	}
+	return released
+}
+
+// Merge adds what another host knows of a suspect, and reports whether that ends or begins its quarantine.
+func (t *Tracker[K]) Merge(now time.Time, other Suspect[K]) (released, quarantined bool) {
+	s := t.suspect(other.Key)
+	s.Depth = max(s.Depth, other.Depth)
+	if other.SoundAt.After(s.SoundAt) {
+		s.SoundAt = other.SoundAt
+	}
+	for _, crash := range other.Crashes {
+		if s.addCrash(crash) {
+			t.changed(now, s)
+		}
+	}
+	released = t.excuse(now, s)
+	if !other.QuarantinedUntil.After(s.QuarantinedUntil.Add(soundMargin)) || len(s.Crashes) == 0 {
+		return released, false
+	}
+	quarantined = s.QuarantinedUntil.IsZero()
+	s.QuarantinedUntil, s.Strikes = other.QuarantinedUntil, max(s.Strikes, other.Strikes)
+	t.changed(now, s)
+	return released, quarantined
+}
+
+// Quarantined returns the first of the given content that is in quarantine, and the end of that.
+func (t *Tracker[K]) Quarantined(now time.Time, content []K) (key K, until time.Time, ok bool) {
+	for _, key := range content {
+		if t.InQuarantine(now, key) {
+			return key, t.Suspects[key].QuarantinedUntil, true
+		}
+	}
+	return key, until, false
+}
+
+// InQuarantine reports whether content is in quarantine.
+func (t *Tracker[K]) InQuarantine(now time.Time, key K) bool {
+	s, ok := t.Suspects[key]
+	return ok && now.Before(s.QuarantinedUntil)
+}
+
+// Judge quarantines, for the given time, the content that explains the crashes so far, and returns it. Content that shares its crashes with
+// quarantined content is not quarantined for these.
+func (t *Tracker[K]) Judge(now time.Time, quarantine time.Duration) (quarantined []K) {
+	if t.JudgeAt.IsZero() || now.Before(t.JudgeAt) {
+		return nil
+	}
+	t.JudgeAt = time.Time{}
+	explained := t.explainedServers()
+	for {
+		worst, found := t.worst(now, explained)
+		if !found {
+			return quarantined
+		}
+		s := t.Suspects[worst]
+		s.Strikes++
+		s.QuarantinedUntil = now.Add(quarantine << min(s.Strikes-1, maxDoublings))
+		s.ChangedAt = now
+		quarantined = append(quarantined, worst)
+		for _, crash := range s.Crashes {
+			explained[crash.Server] = true
+		}
+	}
+}
+
+// explainedServers returns the crashes of the content in quarantine.
+func (t *Tracker[K]) explainedServers() map[uint64]bool {
+	explained := map[uint64]bool{}
+	for _, s := range t.Suspects {
+		if s.QuarantinedUntil.IsZero() {
+			continue
+		}
+		for _, crash := range s.Crashes {
+			explained[crash.Server] = true
+		}
+	}
+	return explained
+}
+
+// worst returns the content that has to be quarantined first: the one with the most incidents, of these the one that was answered least
+// recently, and of these the one that the fewest requests share. Crashes that are not settled are judged later.
+func (t *Tracker[K]) worst(now time.Time, explained map[uint64]bool) (worst K, found bool) {
+	most := evidence[K]{}
+	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
+		s := t.Suspects[key]
+		if !s.QuarantinedUntil.IsZero() {
+			continue
+		}
+		e := gather(now, s, explained)
+		if e.unsettled {
+			t.judgeAt(now.Add(settleTime / 4))
+		}
+		if e.sufficient() && (!found || e.worseThan(most)) {
+			worst, most, found = key, e, true
+		}
+	}
+	return worst, found
+}
+
+// Tick ends quarantines that are over and returns their content, and removes old state.
+func (t *Tracker[K]) Tick(now time.Time) (released []K) {
+	for key, s := range t.Suspects {
+		if !s.QuarantinedUntil.IsZero() && !now.Before(s.QuarantinedUntil) {
+			s.QuarantinedUntil, s.Crashes, s.ChangedAt, s.ClearedAt = time.Time{}, nil, now, now
+			released = append(released, key)
+		}
+	}
+	slices.Sort(released)
+	if now.Sub(t.PrunedAt) >= pruneInterval {
+		t.PrunedAt = now
+		t.prune(now)
+	}
+	return released
+}
+
+// prune removes old suspects, and the oldest ones and the oldest answers where there are too many.
+func (t *Tracker[K]) prune(now time.Time) {
+	maps.DeleteFunc(t.Suspects, func(_ K, s *Suspect[K]) bool { return s.forgettable(now) })
+	evictOldest(t.Suspects, maxSuspects, func(s *Suspect[K]) time.Time { return later(s.ChangedAt, s.QuarantinedUntil) })
+	evictOldest(t.SoundAt, maxSound, func(at time.Time) time.Time { return at })
+}
+
+// Limit shortens the quarantines to at most the given time from now.
+func (t *Tracker[K]) Limit(now time.Time, quarantine time.Duration) {
+	for _, s := range t.Suspects {
+		if limit := now.Add(quarantine << min(max(s.Strikes-1, 0), maxDoublings)); s.QuarantinedUntil.After(limit) {
+			s.QuarantinedUntil = limit
+		}
+	}
+}
+
+// Shared returns up to count suspects to tell other hosts: those that changed recently or are in quarantine, the ones in quarantine and then
+// those with the most crashes first.
+func (t *Tracker[K]) Shared(now time.Time, count int) []Suspect[K] {
+	var shared []Suspect[K]
+	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
+		if s := t.Suspects[key]; now.Before(s.QuarantinedUntil) || now.Sub(s.ChangedAt) < shareTime {
+			told := *s
+			told.Crashes = slices.Clone(s.Crashes)
+			shared = append(shared, told)
+		}
+	}
+	slices.SortStableFunc(shared, func(a, b Suspect[K]) int {
+		if c := b.QuarantinedUntil.Compare(a.QuarantinedUntil); c != 0 {
+			return c
+		}
+		return cmp.Compare(len(b.Crashes), len(a.Crashes))
+	})
+	return shared[:min(len(shared), count)]
+}
+
+// ChangedSince reports whether a suspect changed after a time.
+func (t *Tracker[K]) ChangedSince(at time.Time) bool {
+	for _, s := range t.Suspects {
+		if s.ChangedAt.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspect returns the suspect with a key and creates it if needed.
+func (t *Tracker[K]) suspect(key K) *Suspect[K] {
+	s, ok := t.Suspects[key]
+	if !ok {
+		s = &Suspect[K]{Key: key, SoundAt: t.SoundAt[key]}
+		t.Suspects[key] = s
+	}
+	return s
+}
+
+// changed records a change of a suspect, after which the evidence is judged.
+func (t *Tracker[K]) changed(now time.Time, s *Suspect[K]) {
+	s.ChangedAt = now
+	t.judgeAt(now)
+}
+
+func (t *Tracker[K]) judgeAt(at time.Time) {
+	if t.JudgeAt.IsZero() || at.Before(t.JudgeAt) {
+		t.JudgeAt = at
+	}
+}
+
+// excuse drops the crashes of a suspect after which it was answered, and reports whether that ends its quarantine.
+func (t *Tracker[K]) excuse(now time.Time, s *Suspect[K]) (released bool) {
+	left := slices.DeleteFunc(s.Crashes, func(c Crash) bool { return s.excuses(c) })
+	if len(left) == len(s.Crashes) {
+		return false
+	}
+	s.Crashes = left
+	s.ChangedAt = now
+	if len(left) > 0 {
+		return false
+	}
+	released = !s.QuarantinedUntil.IsZero()
+	s.QuarantinedUntil, s.Strikes = time.Time{}, 0
+	return released
+}
+
+// excuses reports whether an answer after a crash shows that the content did not cause it.
+func (s *Suspect[K]) excuses(c Crash) bool { return s.SoundAt.After(c.At.Add(soundMargin)) }
+
+// addCrash adds a crash that is not known and not excused, and reports whether it did.
+func (s *Suspect[K]) addCrash(crash Crash) bool {
+	known := slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.Server == crash.Server })
+	if known || s.excuses(crash) || !crash.At.After(s.ClearedAt) {
+		return false
+	}
+	s.Crashes = append(s.Crashes, crash)
+	slices.SortStableFunc(s.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	if len(s.Crashes) > maxCrashes {
+		s.Crashes = slices.Delete(s.Crashes, 0, 1)
+	}
+	return true
+}
+
+// forgettable reports whether a suspect is of no further use.
+func (s *Suspect[K]) forgettable(now time.Time) bool {
+	if !s.QuarantinedUntil.IsZero() || now.Sub(s.ChangedAt) < shareTime {
+		return false
+	}
+	s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return now.Sub(c.At) > crashTTL })
+	return len(s.Crashes) == 0 && (s.Strikes == 0 || now.Sub(s.ChangedAt) > strikeTTL)
+}
+
+// evictOldest removes the oldest entries of a map that has more than limit of them.
+func evictOldest[K cmp.Ordered, V any](entries map[K]V, limit int, at func(V) time.Time) {
+	if len(entries) <= limit {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(entries), func(a, b K) int {
+		if c := at(entries[a]).Compare(at(entries[b])); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	for _, key := range keys[:len(entries)-limit] {
+		delete(entries, key)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -30,6 +30,7 @@
 	b, known := s.Backends[info.ID]
 	if !known || b.Info.StartedUnixMs != info.StartedUnixMs || b.Info.Address != info.Address {
 		if known {
+			s.confirmCrash(now, b)
 			dropBackend(s, b)
 		}
 		b = addBackend(s, now, info)
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -29,8 +29,12 @@
 	StaleConfigurations uint64 `json:"confirmations_old_total"`
 	Ejections           uint64 `json:"ejections_total"`
 	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
-	LeavingNotices      uint64              `json:"leaving_notices_total"`
-	Backoffs            uint64              `json:"backoffs_total"`
+	LeavingNotices uint64 `json:"leaving_notices_total"`
+	Backoffs       uint64 `json:"backoffs_total"`
+	// BackendCrashes counts the crashes of backend servers at which this host lost requests, and Quarantines the quarantines of parts of
+	// prompts that began on this host.
+	BackendCrashes      uint64              `json:"backend_crashes_total"`
+	Quarantines         uint64              `json:"quarantines_total"`
 	MismatchedResponses uint64              `json:"foreign_answers_total"`
 	RefusedByReason     [ReasonCount]uint64 `json:"refused_by_reason"`
 }
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -28,6 +28,7 @@
 		if !s.votersKnown() {
 			s.send(id, MembershipRequest{})
 		}
+		s.sendSuspects(now, id)
 	}
 	contactSeeds(s, now, records)
 }
--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -286,6 +286,9 @@
 func backendReported[P selector.Policy](s *State, now time.Time, e BackendReported) {
 	l, ok := s.Leases[e.Backend]
 	b, known := s.Backends[e.Backend]
+	if known && b.Info.StartedUnixMs == e.StartedUnixMs {
+		s.checkLosses(now, b, e)
+	}
 	if !ok || !known || b.Info.StartedUnixMs != e.StartedUnixMs {
 		return
 	}
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -39,6 +39,9 @@
 	EventBackendEjected           = 144
 	EventBackendLeaving           = 145
 	EventBackendBackoff           = 146
+	EventBackendCrashed           = 147
+	EventPartQuarantined          = 148
+	EventPartReleased             = 149
 	EventOrderSent                = 151
 	EventOrderFailed              = 152
 	EventAdapterLoaded            = 153
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -181,6 +181,33 @@
 	Origin Origin
 }
 
+// Suspects tells which parts of prompts may crash backend servers, and which are in quarantine.
+type Suspects struct {
+	Parts []SuspectPart
+}
+
+// SuspectPart is what the sender knows of one part.
+type SuspectPart struct {
+	Part string
+	// Depth is the position of the part in its prompts.
+	Depth   int
+	Crashes []SuspectCrash
+	// Answered is set if a request with the part was answered completely, as far as the sender knows, and AnsweredAge the time since then.
+	Answered    bool
+	AnsweredAge time.Duration
+	// QuarantineLeft is the time to the end of the quarantine; 0 for none. Strikes counts the quarantines of the part.
+	QuarantineLeft time.Duration
+	Strikes        int
+}
+
+// SuspectCrash is a crash of a backend server at which a request with a suspect part was lost.
+type SuspectCrash struct {
+	// Server identifies the incarnation of the backend server, and Request the request.
+	Server  uint64
+	Request uint64
+	Age     time.Duration
+}
+
 // TokenGrant replies to the TokenRequest with the same Sequence. If the coordinator could not grant all needed tokens, Wait is the time
 // until it has them; otherwise Wait is 0.
 type TokenGrant struct {
--- a/internal/reducer/outcome.go
+++ b/internal/reducer/outcome.go
@@ -75,12 +75,14 @@
 	ReasonBadRequest
 	ReasonTooLarge
 	ReasonDraining
+	ReasonQuarantined
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{
 	"none", "no_catalogue", "no_route", "no_key", "over_rate", "no_backend_server", "full", "not_loaded", "timeout", "broken",
 	"retries_spent", "mailbox_full", "bad_request", "too_large", "draining",
+	"quarantined",
 }
 
 // String returns the name of the reason in logs and counters.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -17,6 +17,9 @@
 		expireRequest(s, now, r)
 		return
 	}
+	if refuseQuarantined(s, now, r) {
+		return
+	}
 	service, ok := s.Documents.Services[r.Service]
 	if !ok {
 		s.refuseUnplaced(now, r, ReasonNoBackend)
@@ -232,7 +235,7 @@
 	r.Phase = PhaseRunning
 	r.Backend = b.Info.ID
 	r.Attempt++
-	r.SentAt = now
+	r.SentAt, r.RespondedAt = now, time.Time{}
 	r.PrefillTokens = s.uncachedTokens(now, r, b)
 	b.LastDispatchAt = now
 	s.InUse[b.Info.ID] = true
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -37,6 +37,7 @@
 		updatesRead[P](s, now, e)
 	case SettingsRead:
 		s.Limits, s.Self.Seeds = e.Limits, e.Seeds
+		s.Isolation.Parts.Limit(now, s.Limits.Quarantine)
 	case StatusRequested:
 		statusRequested(s, now, e)
 	case DrainRequested:
@@ -56,6 +57,7 @@
 	tickBackends(s, now)
 	tickLeases(s, now)
 	tickAccounts[P](s, now)
+	tickIsolation(s, now)
 	tickWatch(s, now)
 	tickDrain(s, now)
 	updateReadiness(s, now)
@@ -107,5 +109,7 @@
 		receiveTokenRequest(s, now, e.From, m)
 	case TokenGrant:
 		receiveTokenGrant[P](s, now, m)
+	case Suspects:
+		receiveSuspects(s, now, e.From, m)
 	}
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -50,6 +49,9 @@
 	r.Service = s.pickService(route)
 	s.depositRetry(now, r.Service)
 	s.Requests[r.ID] = r
+	if refuseQuarantined(s, now, r) {
+		return
+	}
 	if known && !chargeRequest(s, now, r, s.Documents.Accounts[name]) {
 		r.Phase = PhaseAwaitingTokens
 		return
@@ -88,7 +90,7 @@
 func refuse(s *State, now time.Time, r *Request, reason Reason, retryAfter time.Duration) {
 	s.Counters.RefusedByReason[reason]++
 	s.logEvent(EventRequestRefused, s.requestFields(now, r, Field{"reason", reason.String()}, boolField("may_have_run", r.PossibleRuns > 0),
-		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastFailure.String()})...)
+		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastFailure.String()}, Field{"part", r.QuarantinedPart})...)
 	s.emit(Refuse{ID: r.ID, Reason: reason, MayHaveRun: r.PossibleRuns > 0, RetryAfter: retryAfter})
 	s.endRequest(now, r, "refused_"+reason.String())
 }
@@ -150,6 +152,7 @@
 		return
 	}
 	r.Phase = PhaseResponding
+	r.RespondedAt = now
 	b, ok := s.Backends[r.Backend]
 	if !ok {
 		return
@@ -251,10 +254,16 @@
 		b.ReportedAt = now
 	}
 	switch e.Outcome {
-	case OutcomeDone, OutcomeFailed:
+	case OutcomeDone:
+		s.recordSuccess(b)
+		s.recordSoundParts(now, r)
+	case OutcomeFailed:
 		s.recordSuccess(b)
 	case OutcomeNotSent, OutcomeBroken, OutcomeTimeout:
 		s.recordFailure(now, b, 1)
+		if e.Disconnected {
+			s.recordLoss(now, b, r)
+		}
 	case OutcomeFull:
 		s.recordFailure(now, b, fullFailureWeight)
 	case OutcomeMisdirected:
@@ -394,20 +403,3 @@
 	s.Counters.RequestsFailed++
 	refuse(s, now, r, ReasonTimeout, defaultRetryAfter)
 }
-
-// sharedParts returns the parts of a request's prompt that other requests may share: all but the last, which belongs to the request itself.
-func (r *Request) sharedParts() []Part {
-	if len(r.Parts) == 0 {
-		return nil
-	}
-	return r.Parts[:len(r.Parts)-1]
-}
-
-// sharedPartNames returns the IDs of the shared parts for the log, separated by commas.
-func sharedPartNames(r *Request) string {
-	var names []string
-	for _, part := range r.sharedParts() {
-		names = append(names, part.ID)
-	}
-	return strings.Join(names, ",")
-}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
+	"github.com/redwingpick/redwingpick/internal/isolator"
 	"github.com/redwingpick/redwingpick/internal/limiter"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
@@ -33,6 +34,7 @@
 	Watch       Watch
 	Gossip      Gossip
 	Membership  Membership
+	Isolation   Isolation
 	Ready       bool
 	Draining    Draining
 	Counters    Counters
@@ -201,6 +203,10 @@
 	// PartsPrunedAt is when old prompt parts were last removed.
 	PartsPrunedAt time.Time
 	MeanLatency   time.Duration
+	// Lost holds the requests that this host lost there when the server closed their connections, until it is known whether the server has
+	// crashed; CrashedAt is when that was confirmed.
+	Lost      []LostRequest
+	CrashedAt time.Time
 }
 
 // Residency is the state of an adapter on a backend server, as this host knows it, and the requests that wait for the adapter.
@@ -273,9 +279,13 @@
 	// TriedBackends holds the backend servers at which an attempt failed for another reason than an absent adapter.
 	TriedBackends []string
 	SentAt        time.Time
-	RetryAt       time.Time
-	WaitSince     time.Time
-	LastFailure   Reason
+	// RespondedAt is when the response of the present attempt began; zero before.
+	RespondedAt time.Time
+	RetryAt     time.Time
+	WaitSince   time.Time
+	LastFailure Reason
+	// QuarantinedPart is the part of the prompt for which the request is refused with ReasonQuarantined.
+	QuarantinedPart string
 	// PrefillTokens is the prompt tokens that count at the backend server until the response begins.
 	PrefillTokens int
 	// Delivered is set once a piece of a response has been sent to the caller: no other response can follow, only the rest of that one.
@@ -308,6 +318,7 @@
 		LeaseGrants: map[string]*LeaseGrant{},
 		Requests:    map[string]*Request{},
 		Watch:       Watch{ListNext: true},
+		Isolation:   Isolation{Parts: isolator.NewTracker[string]()},
 		outbox:      map[string][]Message{},
 	}
 }
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -4,20 +4,22 @@
 
 // Status is the state of a host as shown to operators; times are in milliseconds.
 type Status struct {
-	Host               string          `json:"host"`
-	Incarnation        uint64          `json:"incarnation"`
-	Ready              bool            `json:"ready"`
-	Draining           bool            `json:"leaving"`
-	CatalogueVersion   int64           `json:"catalogue_version"`
-	Revision           int64           `json:"revision"`
-	ConfirmedAgeMs     int64           `json:"confirmed_age_ms"`
-	WithdrawnDomains   []string        `json:"withdrawn_domains"`
-	Documents          map[string]int  `json:"documents"`
-	Hosts              []HostStatus    `json:"hosts"`
-	Backends           []BackendStatus `json:"backend_servers"`
-	Accounts           []AccountStatus `json:"accounts"`
-	RequestsInProgress int             `json:"requests_in_progress"`
-	Gauges             Gauges          `json:"gauges"`
+	Host             string          `json:"host"`
+	Incarnation      uint64          `json:"incarnation"`
+	Ready            bool            `json:"ready"`
+	Draining         bool            `json:"leaving"`
+	CatalogueVersion int64           `json:"catalogue_version"`
+	Revision         int64           `json:"revision"`
+	ConfirmedAgeMs   int64           `json:"confirmed_age_ms"`
+	WithdrawnDomains []string        `json:"withdrawn_domains"`
+	Documents        map[string]int  `json:"documents"`
+	Hosts            []HostStatus    `json:"hosts"`
+	Backends         []BackendStatus `json:"backend_servers"`
+	Accounts         []AccountStatus `json:"accounts"`
+	// Quarantined lists the parts of prompts whose requests are refused.
+	Quarantined        []QuarantineStatus `json:"quarantined_parts"`
+	RequestsInProgress int                `json:"requests_in_progress"`
+	Gauges             Gauges             `json:"gauges"`
 }
 
 // Gauges holds the current queue lengths, quotas and ages of a host; the number of gauges does not grow with the number of hosts.
@@ -49,6 +51,14 @@
 	MaxQuotaUsed      float64 `json:"budget_used_most"`
 }
 
+// QuarantineStatus is a part of prompts in quarantine.
+type QuarantineStatus struct {
+	Part string `json:"part"`
+	// Crashes is the number of crashes of backend servers that the part explains, and EndsInMs the time to the end of the quarantine.
+	Crashes  int   `json:"crashes"`
+	EndsInMs int64 `json:"ends_in_ms"`
+}
+
 // HostStatus is the state of another host as known to this one.
 type HostStatus struct {
 	ID         string `json:"id"`
@@ -101,6 +111,13 @@
 			v.WithdrawnDomains = append(v.WithdrawnDomains, domain)
 		}
 	}
+	for _, part := range sortedKeys(s.Isolation.Parts.Suspects) {
+		if suspect := s.Isolation.Parts.Suspects[part]; now.Before(suspect.QuarantinedUntil) {
+			v.Quarantined = append(v.Quarantined, QuarantineStatus{
+				Part: part, Crashes: len(suspect.Crashes), EndsInMs: suspect.QuarantinedUntil.Sub(now).Milliseconds(),
+			})
+		}
+	}
 	for _, id := range sortedKeys(s.Hosts) {
 		h := s.Hosts[id]
 		v.Hosts = append(v.Hosts, HostStatus{
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -77,6 +77,8 @@
 			Account: v.Account, Sequence: v.Sequence, Needed: v.Needed, Wanted: v.Reserve, Returned: v.Returned,
 			Spent: v.Spent, KnownForUs: v.SpentPeriod.Microseconds(), Held: v.Unspent, Origin: encodeOrigin(v.Origin),
 		}}}
+	case reducer.Suspects:
+		return &peerv1.Message{Kind: &peerv1.Message_Suspects{Suspects: encodeSuspects(v)}}
 	case reducer.TokenGrant:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenGrant{TokenGrant: &peerv1.TokenGrant{
 			Account: v.Account, Sequence: v.Sequence, Tokens: v.Tokens, WaitUs: v.Wait.Microseconds(),
@@ -132,6 +134,8 @@
 			SpentPeriod: microseconds(v.TokenRequest.GetKnownForUs()), Unspent: v.TokenRequest.GetHeld(),
 			Origin: decodeOrigin(v.TokenRequest.GetOrigin()),
 		}
+	case *peerv1.Message_Suspects:
+		return decodeSuspects(v.Suspects)
 	case *peerv1.Message_TokenGrant:
 		return reducer.TokenGrant{
 			Account: v.TokenGrant.GetAccount(), Sequence: v.TokenGrant.GetSequence(), Tokens: v.TokenGrant.GetTokens(),
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -43,6 +43,9 @@
 	// hosts more often. A share of 0 means that the capacity is not known. Default of Cores: 1.
 	CPUShare float64 `yaml:"cpu_share,omitempty"`
 	Cores    float64 `yaml:"cores,omitempty"`
+	// QuarantineSeconds is how long requests are refused whose prompts have a part that crashes backend servers, counted from when the fleet
+	// has found the part; the time doubles if the part crashes servers again after that. Default: DefaultQuarantineSeconds.
+	QuarantineSeconds float64 `yaml:"quarantine_seconds,omitempty"`
 	// LogLevel is debug, info, warn or error. Default: DefaultLogLevel.
 	LogLevel string `yaml:"log_level,omitempty"`
 	// LogBytesPerSecond is the largest rate of log output. Default: DefaultLogBytesPerSecond.
@@ -86,6 +89,7 @@
 // Default values of the optional settings.
 const (
 	DefaultMailboxSize       = 4096
+	DefaultQuarantineSeconds = 300
 	DefaultLogLevel          = "info"
 	DefaultLogBytesPerSecond = 64 << 10
 )
@@ -93,6 +97,9 @@
 // maxCores is the largest number of cores of a host.
 const maxCores = 1024
 
+// maxQuarantineSeconds is the longest first quarantine; a longer one would outlast most causes.
+const maxQuarantineSeconds = 24 * 60 * 60
+
 // CapacityMillicores returns the processor capacity of the host in thousandths of a core; 0 if it is not known.
 func (s Settings) CapacityMillicores() int { return int(1000 * s.CPUShare * s.Cores) }
 
@@ -188,6 +195,8 @@
 		return document.ErrorAt("must be between 0 and 1", "cpu_share")
 	case !(s.Cores >= 0 && s.Cores <= maxCores):
 		return document.ErrorAt("must be between 0 and 1024", "cores")
+	case !(s.QuarantineSeconds >= 0 && s.QuarantineSeconds <= maxQuarantineSeconds):
+		return document.ErrorAt("must be between 0 and 86400", "quarantine_seconds")
 	case s.LogBytesPerSecond < 0:
 		return document.ErrorAt("must not be negative", "log_bytes_per_second")
 	case s.PeerListenAddress != "" && !cataloguer.ValidAddress(s.PeerListenAddress):
@@ -212,6 +221,9 @@
 	if s.Cores == 0 {
 		s.Cores = 1
 	}
+	if s.QuarantineSeconds == 0 {
+		s.QuarantineSeconds = DefaultQuarantineSeconds
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
