Send the bytes that follow a response together with it in the test of them

Cause: TestUnboundedBytesAfterResponseResetConnection failed once in the whole run, and in 24 of 1,080 runs alone, with "bad" for "mine". Its server wrote the complete response first and the forged ones, which name the id of the client's next request, in a second write. Where the client sent that request between the two, the forged response came after the request and with its id, and nothing tells it from the answer: a server does not know the id of a request that it has not been sent.

Change: the first forged bytes are in the write of the response, as the test's comment says. The check is the same.

--- a/internal/dispatcher/unbounded_test.go
+++ b/internal/dispatcher/unbounded_test.go
@@ -113,11 +113,14 @@
 // send writes until it fails or reaches the limit in bytes, and then waits for the connection to be closed.
 func (s *unboundedServer) send(c net.Conn, resp unboundedResponse, pause time.Duration) error {
 	_ = c.SetDeadline(time.Now().Add(maxSendDuration))
-	block := []byte(resp.unit)
+	block, first := []byte(resp.unit), resp.prefix
 	if pause == 0 {
 		block = []byte(strings.Repeat(resp.unit, sendBlockSize/len(resp.unit)))
+		// The first bytes after the prefix arrive with it: later ones could reach the client after it has sent its next request, whose response
+		// they would seem to be.
+		first += string(block)
 	}
-	_, err := io.WriteString(c, resp.prefix)
+	_, err := io.WriteString(c, first)
 	for sent := 0; err == nil && sent < maxSentBytes; sent += len(block) {
 		_, err = c.Write(block)
 		s.written.Add(int64(len(block)))
