Quarantine a part after two crashes as an answer begins, and retry no request lost so

Change: a lost request whose answer had begun without an event is marked; two incidents of such with different requests suffice, and once the crash of its server is confirmed the retry of such a request is canceled. The fleet in virtual time counts events of interrupted answers, and its test checks sound requests also where fewer than five engines crashed.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -241,6 +241,9 @@
 	})
 }
 
+// tokensPerEvent is the number of tokens in one event of a stream.
+const tokensPerEvent = 5
+
 // fullBackoff is how long a full engine wants no request from the host whose request it has rejected.
 const fullBackoff = 1500 * time.Millisecond
 
@@ -272,6 +275,9 @@
 	a := &answer{}
 	a.abort = func() {
 		event.Disconnected = true
+		if event.Delivered {
+			event.Events = int(s.Now.Sub(firstTokenAt) / (tokensPerEvent * s.Options.EngineSpec.TokenTime))
+		}
 		s.post(h, incarnation, event)
 	}
 	b.answers = append(b.answers, a)
--- a/internal/exerciser/deadly_part_test.go
+++ b/internal/exerciser/deadly_part_test.go
@@ -37,6 +37,7 @@
 			t.Logf("crashes %d, late arrivals %d, sound before %+v, after %+v", len(d.CrashTimes), d.LateArrivals, d.Before, d.After)
 			assert.Assert(t, len(d.CrashTimes) > 0)
 			assert.Equal(t, len(sim.Checker.Violations), 0, "%v", sim.Checker.Violations)
+			assert.Assert(t, d.After.Sent > 0)
 			assert.Assert(t, d.After.Begun*d.Before.Sent*2 >= d.Before.Begun*d.After.Sent, "sound requests before %+v, after %+v", d.Before, d.After)
 		})
 	}
--- a/internal/exerciser/deadly_parts.go
+++ b/internal/exerciser/deadly_parts.go
@@ -43,7 +43,7 @@
 	deadlyPartName  = "deadly"
 	commonParts     = 3
 	customerParts   = 31
-	crashDelay      = 30 * time.Millisecond
+	crashDelay      = 20 * time.Millisecond
 	crashedDuration = 3200 * time.Millisecond
 	// deadlyCrashes is the crash from which hosts have the time HostTimeout to learn the part, and maxLateArrivals the number of requests
 	// with the part that may reach engines later.
@@ -85,29 +85,26 @@
 
 // soundRequests returns the count for a sound request that is sent now; nil in the time in which hosts may still learn the part.
 func (s *Simulation[P]) soundRequests() *SoundRequests {
-	switch d := s.DeadlyPart; {
-	case len(d.CrashTimes) == 0:
+	d := s.DeadlyPart
+	if len(d.CrashTimes) == 0 {
 		return &d.Before
-	case s.deadlyPartMustBeKnown(2 * s.Options.Limits.HostTimeout):
+	}
+	known := d.CrashTimes[min(len(d.CrashTimes), deadlyCrashes)-1]
+	if s.Now.Sub(known) > 2*s.Options.Limits.HostTimeout {
 		return &d.After
 	}
 	return nil
 }
 
-// deadlyPartMustBeKnown reports whether the crash by which hosts must know the part was longer ago than a delay.
-func (s *Simulation[P]) deadlyPartMustBeKnown(delay time.Duration) bool {
-	crashes := s.DeadlyPart.CrashTimes
-	return len(crashes) >= deadlyCrashes && s.Now.Sub(crashes[deadlyCrashes-1]) > delay
-}
-
 // checkDeadlyArrival counts the requests with the deadly part that reach engines after hosts had to know it.
 func (s *Simulation[P]) checkDeadlyArrival(h *Host, r *Request) {
-	if !r.deadly || !s.faultFree(h) || !s.deadlyPartMustBeKnown(s.Options.Limits.HostTimeout) {
+	d := s.DeadlyPart
+	if !r.deadly || !s.faultFree(h) || len(d.CrashTimes) < deadlyCrashes || s.Now.Sub(d.CrashTimes[deadlyCrashes-1]) <= s.Options.Limits.HostTimeout {
 		return
 	}
-	if s.DeadlyPart.LateArrivals++; s.DeadlyPart.LateArrivals == maxLateArrivals+1 {
+	if d.LateArrivals++; d.LateArrivals == maxLateArrivals+1 {
 		s.Checker.addViolation(s.Now, "deadly_part", fmt.Sprintf("request %s is the %dth with the part after %d crashes", r.event.ID, maxLateArrivals+1,
-			len(s.DeadlyPart.CrashTimes)))
+			len(d.CrashTimes)))
 	}
 }
 
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -7,18 +7,35 @@
 
 // evidence is what speaks against a suspect.
 type evidence[K cmp.Ordered] struct {
-	suspect   *Suspect[K]
-	incidents int
-	requests  int
+	suspect *Suspect[K]
+	// all counts all crashes, and begun those in which the answer to the lost request had just begun.
+	all, begun tally
 	// unsettled is set if the suspect has crashes that are too recent to count.
 	unsettled bool
 }
 
+// tally counts crashes as incidents, and the different requests that were lost in them.
+type tally struct {
+	incidents  int
+	incidentAt time.Time
+	requests   map[uint64]bool
+}
+
+// add counts one crash; crashes are added in the order of their times.
+func (t *tally) add(c Crash) {
+	if t.requests == nil {
+		t.requests = map[uint64]bool{}
+	}
+	t.requests[c.Request] = true
+	if t.incidents == 0 || c.At.Sub(t.incidentAt) >= incidentGap {
+		t.incidentAt = c.At
+		t.incidents++
+	}
+}
+
 // gather returns the evidence against a suspect from its settled crashes, without those that quarantined content explains.
 func gather[K cmp.Ordered](now time.Time, s *Suspect[K], explained map[uint64]bool) evidence[K] {
 	e := evidence[K]{suspect: s}
-	requests := map[uint64]bool{}
-	var incidentAt time.Time
 	for _, crash := range s.Crashes {
 		if explained[crash.Server] {
 			continue
@@ -27,28 +44,30 @@
 			e.unsettled = true
 			continue
 		}
-		requests[crash.Request] = true
-		if incidentAt.IsZero() || crash.At.Sub(incidentAt) >= incidentGap {
-			incidentAt = crash.At
-			e.incidents++
+		e.all.add(crash)
+		if crash.AnswerBegun {
+			e.begun.add(crash)
 		}
 	}
-	e.requests = len(requests)
 	return e
 }
 
 // sufficient reports whether the suspect has to be quarantined.
 func (e evidence[K]) sufficient() bool {
 	if e.suspect.Strikes > 0 {
-		return e.incidents > 0
+		return e.all.incidents > 0
 	}
-	return e.incidents >= minIncidents && e.requests >= minRequests
+	return e.all.incidents >= minIncidents && len(e.all.requests) >= minRequests ||
+		e.begun.incidents >= minBegunIncidents && len(e.begun.requests) >= minRequests
 }
 
 // worseThan reports whether the suspect explains the crashes better than another one.
 func (e evidence[K]) worseThan(other evidence[K]) bool {
-	if e.incidents != other.incidents {
-		return e.incidents > other.incidents
+	if e.begun.incidents != other.begun.incidents {
+		return e.begun.incidents > other.begun.incidents
+	}
+	if e.all.incidents != other.all.incidents {
+		return e.all.incidents > other.all.incidents
 	}
 	if c := e.suspect.SoundAt.Compare(other.suspect.SoundAt); c != 0 {
 		return c < 0
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -13,6 +13,9 @@
 	Server  uint64
 	Request uint64
 	At      time.Time
+	// AnswerBegun is set if the answer to the request had just begun: that is when deadly content strikes, and few other requests are lost
+	// in that moment.
+	AnswerBegun bool
 }
 
 // Suspect is content that requests may share, with the crashes that it may have caused.
@@ -53,6 +56,8 @@
 	// that must have been lost in them: a single request, sent again by its caller, may be lost several times by accident.
 	minIncidents = 3
 	minRequests  = 2
+	// minBegunIncidents is the number of incidents that suffices if the answers to all the requests had just begun.
+	minBegunIncidents = 2
 	// incidentGap is the time within which crashes count as one incident, since a failure of a whole failure domain takes many servers at
 	// once, and any content with them.
 	incidentGap = 500 * time.Millisecond
@@ -132,14 +137,14 @@
 	return released, quarantined
 }
 
-// Quarantined returns the first of the given content that is in quarantine, and the end of that.
-func (t *Tracker[K]) Quarantined(now time.Time, content []K) (key K, until time.Time, ok bool) {
+// Quarantined returns the first of the given content that is in quarantine.
+func (t *Tracker[K]) Quarantined(now time.Time, content []K) (key K, ok bool) {
 	for _, key := range content {
 		if t.InQuarantine(now, key) {
-			return key, t.Suspects[key].QuarantinedUntil, true
+			return key, true
 		}
 	}
-	return key, until, false
+	return key, false
 }
 
 // InQuarantine reports whether content is in quarantine.
@@ -186,8 +191,8 @@
 	return explained
 }
 
-// worst returns the content that has to be quarantined first: the one with the most incidents, of these the one that was answered least
-// recently, and of these the one that the fewest requests share. Crashes that are not settled are judged later.
+// worst returns the content that has to be quarantined first: the one with the most incidents, those in which an answer had just begun first,
+// of these the one that was answered least recently, and of these the one that the fewest requests share. Crashes that are not settled are judged later.
 func (t *Tracker[K]) worst(now time.Time, explained map[uint64]bool) (worst K, found bool) {
 	most := evidence[K]{}
 	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
@@ -309,12 +314,18 @@
 // excuses reports whether an answer after a crash shows that the content did not cause it.
 func (s *Suspect[K]) excuses(c Crash) bool { return s.SoundAt.After(c.At.Add(soundMargin)) }
 
-// addCrash adds a crash that is not known and not excused, and reports whether it did.
+// addCrash adds a crash that is not excused, and reports whether it adds to the evidence.
 func (s *Suspect[K]) addCrash(crash Crash) bool {
-	known := slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.Server == crash.Server })
-	if known || s.excuses(crash) || !crash.At.After(s.ClearedAt) {
+	if s.excuses(crash) || !crash.At.After(s.ClearedAt) {
 		return false
 	}
+	if i := slices.IndexFunc(s.Crashes, func(c Crash) bool { return c.Server == crash.Server }); i >= 0 {
+		if !crash.AnswerBegun || s.Crashes[i].AnswerBegun {
+			return false
+		}
+		s.Crashes[i].Request, s.Crashes[i].AnswerBegun = crash.Request, true
+		return true
+	}
 	s.Crashes = append(s.Crashes, crash)
 	slices.SortStableFunc(s.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 	if len(s.Crashes) > maxCrashes {
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -47,9 +47,9 @@
 	f.crash(3, "common", "deadly")
 	assert.Equal(t, len(f.tracker.Judge(f.now, quarantine)), 0, "the last crash has not settled")
 	assert.DeepEqual(t, f.judge(), []string{"deadly"})
-	_, _, ok := f.tracker.Quarantined(f.now, []string{"other", "deadly"})
+	_, ok := f.tracker.Quarantined(f.now, []string{"other", "deadly"})
 	assert.Assert(t, ok)
-	_, _, ok = f.tracker.Quarantined(f.now, []string{"common"})
+	_, ok = f.tracker.Quarantined(f.now, []string{"common"})
 	assert.Assert(t, !ok, "the crashes are explained by the deeper content")
 }
 
@@ -196,3 +196,29 @@
 	f.tracker.Tick(f.now)
 	assert.Equal(t, len(f.tracker.Suspects), 0)
 }
+
+// Guards against a third server lost to a request that was lost twice in the moment in which deadly content strikes.
+func TestTwoCrashesAsAnAnswerBeginsSuffice(t *testing.T) {
+	f := newFixture()
+	begun := func(request uint64, content ...string) {
+		f.advance(time.Second)
+		f.servers++
+		f.tracker.RecordCrash(f.now, Crash{Server: f.servers, Request: request, At: f.now}, []string{"bystander"})
+		f.tracker.RecordCrash(f.now, Crash{Server: f.servers, Request: request, At: f.now, AnswerBegun: true}, content)
+	}
+	begun(1, "deadly")
+	begun(1, "deadly")
+	assert.Equal(t, len(f.judge()), 0, "the same request")
+	begun(2, "deadly")
+	assert.DeepEqual(t, f.judge(), []string{"deadly"})
+}
+
+// Guards against a crash that another host saw first, without the request that caused it.
+func TestLaterReportOfACrashAddsThatAnAnswerHadBegun(t *testing.T) {
+	f := newFixture()
+	for i := range uint64(2) {
+		f.crash(i, "deadly")
+		f.tracker.RecordCrash(f.now, Crash{Server: f.servers, Request: 10 + i, At: f.now, AnswerBegun: true}, []string{"deadly"})
+	}
+	assert.DeepEqual(t, f.judge(), []string{"deadly"})
+}
--- a/internal/reducer/isolation.go
+++ b/internal/reducer/isolation.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,11 +24,16 @@
 	Request uint64
 	Parts   []string
 	At      time.Time
+	// ID is the request's ID on this host, and AnswerBegun is set if its answer had just begun.
+	ID          string
+	AnswerBegun bool
 }
 
 const (
 	// maxCrashDelay is the longest time from the start of a response to a crash that the request has caused.
 	maxCrashDelay = time.Second
+	// maxBeginning is the time from the start of a response to its loss up to which the answer counts as just begun, if no event has come.
+	maxBeginning = 250 * time.Millisecond
 	// maxLost bounds the lost requests that are kept for one backend server.
 	maxLost = 64
 	// maxSuspectParts bounds the parts in one message.
@@ -36,12 +42,15 @@
 
 // recordLoss records that a backend server closed the connection of a request, and requests the server's report to learn whether the server
 // has crashed. A request whose response began long before cannot be the cause.
-func (s *State) recordLoss(now time.Time, b *Backend, r *Request) {
-	parts := partNames(r)
-	if len(parts) == 0 || !s.isEngine(b) || !r.RespondedAt.IsZero() && now.Sub(r.RespondedAt) > maxCrashDelay {
+func (s *State) recordLoss(now time.Time, b *Backend, r *Request, e DispatchEnded) {
+	parts, begun := partNames(r), !r.RespondedAt.IsZero()
+	age := now.Sub(r.RespondedAt)
+	if len(parts) == 0 || !s.isEngine(b) || begun && age > maxCrashDelay {
 		return
 	}
-	lost := LostRequest{Request: hasher.Key(r.Parts[len(r.Parts)-1].ID), Parts: parts, At: now}
+	lost := LostRequest{
+		Request: hasher.Key(r.Parts[len(r.Parts)-1].ID), Parts: parts, At: now, ID: r.ID, AnswerBegun: begun && age <= maxBeginning && e.Events == 0,
+	}
 	if !b.CrashedAt.IsZero() {
 		s.recordCrash(now, b, lost)
 		return
@@ -89,12 +98,17 @@
 	b.Lost = nil
 }
 
-// recordCrash records the parts of a request that was lost at a crash as suspects.
+// recordCrash records the parts of a request that was lost at a crash as suspects. A request whose answer had just begun has probably caused
+// the crash, so that its retry is given up.
 func (s *State) recordCrash(now time.Time, b *Backend, lost LostRequest) {
 	crash := isolator.Crash{
 		Server: hasher.Key(b.Info.ID + "@" + strconv.FormatInt(b.Info.StartedUnixMs, 10)), Request: lost.Request, At: lost.At,
+		AnswerBegun: lost.AnswerBegun,
 	}
 	s.Isolation.Parts.RecordCrash(now, crash, lost.Parts)
+	if r, ok := s.Requests[lost.ID]; ok && lost.AnswerBegun && r.Phase != PhaseResponding {
+		s.cancelRequest(now, r, ReasonBroken, 0)
+	}
 }
 
 // recordSoundParts records that a request was answered completely, so that none of its parts crashes backend servers.
@@ -130,14 +144,9 @@
 		if r.Phase == PhaseResponding {
 			continue
 		}
-		if _, _, ok := s.Isolation.Parts.Quarantined(now, partNames(r)); !ok {
-			continue
-		}
-		if r.Phase == PhaseRunning {
-			r.PossibleRuns++
-			s.emit(Cancel{ID: r.ID, Reason: ReasonQuarantined})
+		if slices.Contains(partNames(r), part) {
+			s.refuseForPart(now, r, part)
 		}
-		refuseQuarantined(s, now, r)
 	}
 }
 
@@ -149,13 +158,17 @@
 
 // refuseQuarantined refuses a request that has a part in quarantine, and reports whether it did.
 func refuseQuarantined(s *State, now time.Time, r *Request) bool {
-	part, until, ok := s.Isolation.Parts.Quarantined(now, partNames(r))
-	if !ok {
-		return false
+	part, ok := s.Isolation.Parts.Quarantined(now, partNames(r))
+	if ok {
+		s.refuseForPart(now, r, part)
 	}
+	return ok
+}
+
+// refuseForPart refuses a request for a part in quarantine and cancels its attempt if one is running.
+func (s *State) refuseForPart(now time.Time, r *Request, part string) {
 	r.QuarantinedPart = part
-	refuse(s, now, r, ReasonQuarantined, until.Sub(now))
-	return true
+	s.cancelRequest(now, r, ReasonQuarantined, s.Isolation.Parts.Suspects[part].QuarantinedUntil.Sub(now))
 }
 
 // sendSuspects sends a host the suspects that changed recently and those in quarantine.
@@ -170,7 +183,9 @@
 			part.AnsweredAge = now.Sub(suspect.SoundAt)
 		}
 		for _, crash := range suspect.Crashes {
-			part.Crashes = append(part.Crashes, SuspectCrash{Server: crash.Server, Request: crash.Request, Age: now.Sub(crash.At)})
+			part.Crashes = append(part.Crashes, SuspectCrash{
+				Server: crash.Server, Request: crash.Request, Age: now.Sub(crash.At), AnswerBegun: crash.AnswerBegun,
+			})
 		}
 		m.Parts = append(m.Parts, part)
 	}
@@ -190,7 +205,9 @@
 			suspect.QuarantinedUntil = now.Add(part.QuarantineLeft)
 		}
 		for _, crash := range part.Crashes {
-			suspect.Crashes = append(suspect.Crashes, isolator.Crash{Server: crash.Server, Request: crash.Request, At: now.Add(-crash.Age)})
+			suspect.Crashes = append(suspect.Crashes, isolator.Crash{
+				Server: crash.Server, Request: crash.Request, At: now.Add(-crash.Age), AnswerBegun: crash.AnswerBegun,
+			})
 		}
 		released, quarantined := s.Isolation.Parts.Merge(now, suspect)
 		if released {
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -206,6 +206,8 @@
 	Server  uint64
 	Request uint64
 	Age     time.Duration
+	// AnswerBegun is set if the answer to the request had just begun.
+	AnswerBegun bool
 }
 
 // TokenGrant replies to the TokenRequest with the same Sequence. If the coordinator could not grant all needed tokens, Wait is the time
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -262,7 +262,7 @@
 	case OutcomeNotSent, OutcomeBroken, OutcomeTimeout:
 		s.recordFailure(now, b, 1)
 		if e.Disconnected {
-			s.recordLoss(now, b, r)
+			s.recordLoss(now, b, r, e)
 		}
 	case OutcomeFull:
 		s.recordFailure(now, b, fullFailureWeight)
@@ -396,10 +396,15 @@
 
 // expireRequest refuses a request at its deadline and cancels its attempt if one is running.
 func expireRequest(s *State, now time.Time, r *Request) {
+	s.Counters.RequestsFailed++
+	s.cancelRequest(now, r, ReasonTimeout, defaultRetryAfter)
+}
+
+// cancelRequest cancels the attempt of a request, if one is running, and refuses the request.
+func (s *State) cancelRequest(now time.Time, r *Request, reason Reason, retryAfter time.Duration) {
 	if r.Phase == PhaseRunning || r.Phase == PhaseResponding {
 		r.PossibleRuns++
-		s.emit(Cancel{ID: r.ID, Reason: ReasonTimeout})
+		s.emit(Cancel{ID: r.ID, Reason: reason})
 	}
-	s.Counters.RequestsFailed++
-	refuse(s, now, r, ReasonTimeout, defaultRetryAfter)
+	refuse(s, now, r, reason, retryAfter)
 }
--- a/internal/translator/suspects.go
+++ b/internal/translator/suspects.go
@@ -25,7 +25,7 @@
 			part.AnsweredAgeMs = uint64(max(p.AnsweredAge.Milliseconds(), 0)) + 1
 		}
 		for _, c := range p.Crashes {
-			part.Crashes = append(part.Crashes, &peerv1.SuspectCrash{Server: c.Server, Request: c.Request, AgeMs: uint64(max(c.Age.Milliseconds(), 0))})
+			part.Crashes = append(part.Crashes, &peerv1.SuspectCrash{Server: c.Server, Request: c.Request, AgeMs: uint64(max(c.Age.Milliseconds(), 0)), AnswerBegun: c.AnswerBegun})
 		}
 		w.Parts = append(w.Parts, part)
 	}
@@ -43,7 +43,7 @@
 			part.AnsweredAge = boundedAge(p.GetAnsweredAgeMs() - 1)
 		}
 		for _, c := range p.GetCrashes()[:min(len(p.GetCrashes()), maxCrashesTold)] {
-			part.Crashes = append(part.Crashes, reducer.SuspectCrash{Server: c.GetServer(), Request: c.GetRequest(), Age: boundedAge(c.GetAgeMs())})
+			part.Crashes = append(part.Crashes, reducer.SuspectCrash{Server: c.GetServer(), Request: c.GetRequest(), Age: boundedAge(c.GetAgeMs()), AnswerBegun: c.GetAnswerBegun()})
 		}
 		m.Parts = append(m.Parts, part)
 	}
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -33,7 +33,7 @@
 		reducer.TokenRequest{Account: "a", Sequence: 5, Needed: 1.5, Reserve: 2.5, Returned: 3.5, Spent: []float64{1, 2}, SpentPeriod: time.Second, Unspent: 4.5, Origin: reducer.Origin{Request: "r"}},
 		reducer.Suspects{Parts: []reducer.SuspectPart{
 			{
-				Part: "p", Depth: 2, Crashes: []reducer.SuspectCrash{{Server: 5, Request: 6, Age: time.Second}}, Answered: true, AnsweredAge: 0,
+				Part: "p", Depth: 2, Crashes: []reducer.SuspectCrash{{Server: 5, Request: 6, Age: time.Second, AnswerBegun: true}}, Answered: true, AnsweredAge: 0,
 				QuarantineLeft: time.Minute, Strikes: 1,
 			},
 			{Part: "q"},
