Treat a stream that ends within an event as broken off in any framing

Callers would have seen a stream that ends as complete with half an event.

Cause: only a stream that ended with its connection was checked; one with a length or with chunks was complete where its framing ended.

Evidence: TestStreamThatEndsWithinAnEventIsBroken failed before for a length and for chunks. TestResponseThatEndsWithinItsHeadIsBroken, for the report of a head that broke off, passed before: every cut of a head ends the attempt as broken.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -348,13 +348,12 @@
 			x.fail(ErrTooLong)
 			return
 		}
-		if errors.Is(err, io.EOF) && len(events.incomplete) > 0 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			// A response that ends by closing the connection, in the middle of an event, was cut off.
+		if errors.Is(err, io.EOF) && len(events.incomplete) > 0 {
+			// A stream that ends in the middle of an event was cut off, however its response is framed.
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
 			x.result.Outcome = reducer.OutcomeDone
-			_ = x.sink.Write(events.incomplete)
 			x.releaseConn(resp, nil)
 			return
 		}
