Continue an interrupted stream only with its later events

Callers would have seen the body of another response, or events that they had, in the middle of their stream.

Cause: after a break the next server's response was relayed if its status was a success. A success that is no stream of events, or a stream that starts anew, was appended to what the caller had received. A failure of the next server was not: it aborts the stream, as before.

Change: a continuation must be a stream of events whose first id is above the last one delivered; else the attempt is broken. A success that is no stream of events is delivered whole at the start of a request, and a failure without its response aborts in place of an empty success.

Evidence: TestOnlyEventsContinueAStream and TestStreamIsNotContinuedWithEarlierEvents failed before. The tests of the package pass.

--- a/internal/dispatcher/broken_stream_test.go
+++ b/internal/dispatcher/broken_stream_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -49,3 +50,45 @@
 		}
 	}
 }
+
+// continueStream continues an interrupted stream, of which event 2 was the last, at a server with the given response.
+func continueStream(t *testing.T, response string) (Result, *sink) {
+	return send(&Client[codec, *sink]{}, startRawServer(t, response), "one", func(c *Call, d *reducer.Dispatch) {
+		d.Stream, c.ResumeAfter, c.Continues = true, "2", true
+	})
+}
+
+// Guards against another kind of response in the middle of a stream that was interrupted.
+func TestOnlyEventsContinueAStream(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nId: one\r\nContent-Type: application/json\r\nContent-Length: 13\r\n\r\n{\"error\":\"x\"}",
+		"HTTP/1.1 200 OK\r\nId: one\r\nContent-Type: text/html; charset=utf-8\r\nContent-Length: 2\r\n\r\n\n\n",
+	} {
+		result, s := continueStream(t, response)
+		assert.Equal(t, result.Outcome, reducer.OutcomeBroken)
+		assert.Assert(t, !result.Delivered && s.body.Len() == 0)
+	}
+	result, s := continueStream(t, "HTTP/1.1 500 Failed\r\nId: one\r\nContent-Length: 4\r\n\r\noops")
+	assert.Equal(t, result.Outcome, reducer.OutcomeFailed)
+	assert.Assert(t, !result.Delivered && s.body.Len() == 0)
+}
+
+// Guards against events that the caller has received already, from a server that starts an interrupted stream anew.
+func TestStreamIsNotContinuedWithEarlierEvents(t *testing.T) {
+	events := "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	result, s := continueStream(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: %d\r\n\r\n%s", len(events), events))
+	assert.Equal(t, result.Outcome, reducer.OutcomeBroken)
+	assert.Equal(t, s.body.String(), "")
+	events = strings.TrimPrefix(events, "id: 2\ndata: b\n\n")
+	result, s = continueStream(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: %d\r\n\r\n%s", len(events), events))
+	assert.Equal(t, result.Outcome, reducer.OutcomeDone)
+	assert.Equal(t, s.body.String(), events)
+}
+
+// Guards against a complete body that is no stream being held back or cut as one.
+func TestResponseThatIsNoStreamIsDeliveredWhole(t *testing.T) {
+	address := startRawServer(t, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
+	result, s := send(&Client[codec, *sink]{}, address, "one", func(_ *Call, d *reducer.Dispatch) { d.Stream = true })
+	assert.Equal(t, result.Outcome, reducer.OutcomeDone)
+	assert.Equal(t, s.body.String(), "{}")
+}
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"os"
@@ -34,6 +35,9 @@
 // ErrUnidentified is returned for a response without a request id on a connection that has served other requests.
 var ErrUnidentified = merry.New("response on a reused connection does not name its request")
 
+// ErrNotContinued is returned when a response is no continuation of the stream that an earlier attempt has begun to deliver.
+var ErrNotContinued = merry.New("response does not continue the stream that was interrupted")
+
 // Call is a request as its caller sent it, with the headers that are forwarded to the backend server.
 type Call struct {
 	// CallerID is the id that the caller gave the request; a response with another id is mismatched.
@@ -47,6 +51,8 @@
 	Body     []byte
 	// ResumeAfter is the id of the last event that the caller has received of the stream; empty at its start.
 	ResumeAfter string
+	// Continues is set once an earlier attempt has begun to deliver a stream to the caller: only the rest of that stream can follow.
+	Continues bool
 }
 
 // Response is a complete response of a backend server.
@@ -294,7 +300,12 @@
 		x.releaseConn(resp, err)
 		return
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices || !x.dispatch.Stream {
+	success := resp.StatusCode < http.StatusMultipleChoices
+	if success && x.call.Continues && !isEventStream(resp) {
+		x.fail(ErrNotContinued)
+		return
+	}
+	if !success || !x.dispatch.Stream || !isEventStream(resp) {
 		x.handleBody(ctx, resp)
 		return
 	}
@@ -302,6 +313,13 @@
 	x.relayStream(resp)
 }
 
+// isEventStream reports whether a response is a stream of events; one that states no content type counts as such.
+func isEventStream(resp *http.Response) bool {
+	text := resp.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(text)
+	return text == "" || err == nil && mediaType == "text/event-stream"
+}
+
 // handleBody reads a complete response. It delivers a success; a failure goes into the result, since the reducer may retry the request.
 func (x *exchange[C, S]) handleBody(ctx context.Context, resp *http.Response) {
 	body, err := x.readBody(ctx, resp)
@@ -331,11 +349,19 @@
 	x.sink.BeginStream(resp.StatusCode, resp.Header)
 	x.result.Delivered = true
 	var events eventSplitter
+	if x.call.Continues {
+		events.resumeAfter = x.call.ResumeAfter
+	}
 	chunk := make([]byte, readBufferSize)
 	x.setReadTimeout(x.dispatch.StreamIdleTimeout)
 	for {
 		n, err := resp.Body.Read(chunk)
-		if complete := events.push(chunk[:n]); len(complete) > 0 {
+		complete := events.push(chunk[:n])
+		if events.repeated {
+			x.fail(ErrNotContinued)
+			return
+		}
+		if len(complete) > 0 {
 			if x.sink.Write(complete) != nil {
 				x.fail(err)
 				return
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 )
 
@@ -16,6 +17,9 @@
 	lastID string
 	// count is the number of complete events.
 	count int
+	// resumeAfter is the id of the last event before a continuation, or empty, and repeated is set if the first id is not above it.
+	resumeAfter string
+	repeated    bool
 }
 
 // eventTerminators are the byte sequences that end an event, with LF and with CRLF line ends.
@@ -61,7 +65,21 @@
 			s.count++
 		}
 		if id, ok := strings.CutPrefix(line, "id:"); ok {
-			s.lastID = strings.TrimSpace(id)
+			id = strings.TrimSpace(id)
+			if s.lastID == "" {
+				s.repeated = !follows(id, s.resumeAfter)
+			}
+			s.lastID = id
 		}
 	}
 }
+
+// follows reports whether an event may come after another one by their ids; ids that are not numbers may follow in any order.
+func follows(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	lastNumber, err := strconv.ParseUint(last, 10, 64)
+	return err != nil || number > lastNumber
+}
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -72,9 +72,11 @@
 		s.Sink.Refuse(e)
 		return true
 	case reducer.DeliverFailure:
-		if s.failureResponse != nil {
-			_ = s.Sink.WriteResponse(*s.failureResponse)
+		if s.failureResponse == nil {
+			s.Sink.Abort()
+			return true
 		}
+		_ = s.Sink.WriteResponse(*s.failureResponse)
 		return true
 	case reducer.Dispatch:
 		return s.dispatch(ctx, waiter, e)
@@ -104,6 +106,7 @@
 	if result.FailureResponse != nil {
 		s.failureResponse = result.FailureResponse
 	}
+	s.Call.Continues = s.Call.Continues || result.Delivered
 	if result.LastEventID != "" {
 		s.Call.ResumeAfter = result.LastEventID
 	}
