Answer every request at the end of a planned stop, and take none late that may outlast it

Callers would have seen their connections closed without an answer, also for requests that must not be repeated.

Cause: until half of the grace period a stopping host took requests whatever their time limits, and at its end the process exited with the requests that were left.

Evidence: reducer drain_test.go and e2e TestShutdownAnswersTheRequestsThatAreLeft failed before (EOF in place of an answer).

--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -52,6 +52,10 @@
 	if refuseQuarantined(s, now, r) {
 		return
 	}
+	if s.mayOutlastDrain(now, r) {
+		refuse(s, now, r, ReasonDraining, drainRetryAfter)
+		return
+	}
 	if known && !chargeRequest(s, now, r, s.Documents.Accounts[name]) {
 		r.Phase = PhaseAwaitingTokens
 		return
