--- a/internal/reducer/drain.go
+++ b/internal/reducer/drain.go
@@ -38,7 +38,9 @@
 }
 
 // drainEnd returns the time at which a drain ends, whatever is still in progress.
-func (s *State) drainEnd() time.Time { return s.Draining.Since.Add(s.Limits.GracePeriod - shutdownMargin) }
+func (s *State) drainEnd() time.Time {
+	return s.Draining.Since.Add(s.Limits.GracePeriod - shutdownMargin)
+}
 
 // tickDrain ends the drain when the host has no request left and its callers have had time to notice, or when its time is over.
 func tickDrain(s *State, now time.Time) {
