Quarantine versions of adapters that crash engines, like parts of prompts

Callers would have seen what a deadly part does: the same cause with other content.

Cause: any content that requests share can crash servers, and only parts of prompts were tracked. An adapter whose version crashes each engine that runs it reached one engine after the other.

Change: the content of a request, its adapter in the requested version and the shared parts of its prompt, is tracked under one name each. A new version is other content. Fields, messages and the status speak of content.

--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
@@ -54,7 +53,7 @@
 	if now.Before(b.BackoffUntil) {
 		violations = append(violations, Violation{"backoff_is_kept", dispatch.ID + " to " + dispatch.Backend})
 	}
-	if slices.ContainsFunc(r.Parts, func(p reducer.Part) bool { return s.Isolation.Parts.InQuarantine(now, p.ID) }) {
+	if _, quarantined := s.Isolation.Content.Quarantined(now, r.Content()); quarantined {
 		violations = append(violations, Violation{"quarantine_is_kept", dispatch.ID + " to " + dispatch.Backend})
 	}
 	if r.PossibleRuns > 0 && r.Route.RetryPolicy != cataloguer.RetrySafe && !r.Route.Resumable {
--- a/internal/commander/fleet.go
+++ b/internal/commander/fleet.go
@@ -54,7 +54,7 @@
 	o.printf("%s: ready %v, leaving %v, %d requests in progress\n", s.Host, s.Ready, s.Draining, s.RequestsInProgress)
 	o.printf("  catalogue version %d, revision %d, confirmed %d ms ago, withdrawn %v\n", s.CatalogueVersion, s.Revision, s.ConfirmedAgeMs, s.WithdrawnDomains)
 	for _, q := range s.Quarantined {
-		o.printf("  part %s in quarantine for %d ms more, %d crashes\n", q.Part, q.EndsInMs, q.Crashes)
+		o.printf("  requests with %s are refused for %d ms more, %d crashes\n", q.Content, q.EndsInMs, q.Crashes)
 	}
 	for _, h := range s.Hosts {
 		o.printf("  host %-24s alive %-5v ready %-5v heard %6d ms ago, orders %d backend servers\n", h.ID, h.Active, h.Ready, h.AgeMs, h.LeasesHeld)
--- a/internal/exerciser/deadly_parts.go
+++ b/internal/exerciser/deadly_parts.go
@@ -13,7 +13,8 @@
 type DeadlyPart struct {
 	// Share is the probability that a generation has the part; the others are sound.
 	Share float64
-	// Position is the index of the part in the prompt, from 0; the last part of a prompt belongs to the request itself.
+	// Position is the index of the part in the prompt, from 0; the last part of a prompt belongs to the request itself. With deadlyAdapter, the
+	// adapter of the request crashes engines instead.
 	Position int
 	// CrashTimes holds when the part crashed an engine.
 	CrashTimes []time.Time
@@ -38,6 +39,9 @@
 	abort func()
 }
 
+// deadlyAdapter is the position for an adapter that crashes engines.
+const deadlyAdapter = -1
+
 // Numbers of the parts that prompts share, with a DeadlyPart.
 const (
 	deadlyPartName  = "deadly"
@@ -64,13 +68,17 @@
 	}
 	common, customer := d.rng.IntN(commonParts), d.rng.IntN(customerParts)
 	r.deadly = d.rng.Float64() < d.Share
-	if r.deadly {
+	if r.deadly && d.Position != deadlyAdapter {
 		common, customer = 0, 0
 	}
 	e.Parts = []reducer.Part{
 		{ID: fmt.Sprintf("common-%d", common), Tokens: e.PromptTokens / 4}, {ID: fmt.Sprintf("customer-%d", customer), Tokens: e.PromptTokens / 4},
 		{ID: "own-" + e.ID, Tokens: e.PromptTokens / 2},
 	}
+	if r.deadly && d.Position == deadlyAdapter {
+		e.Adapter = deadlyPartName
+		return
+	}
 	if r.deadly {
 		e.Parts = slices.Insert(e.Parts, d.Position, reducer.Part{ID: deadlyPartName, Tokens: 100})
 		return
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -31,8 +31,8 @@
 	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
 	LeavingNotices uint64 `json:"leaving_notices_total"`
 	Backoffs       uint64 `json:"backoffs_total"`
-	// BackendCrashes counts the crashes of backend servers at which this host lost requests, and Quarantines the quarantines of parts of
-	// prompts that began on this host.
+	// BackendCrashes counts the crashes of backend servers at which this host lost requests, and Quarantines the quarantines of
+	// content that began on this host.
 	BackendCrashes      uint64              `json:"backend_crashes_total"`
 	Quarantines         uint64              `json:"quarantines_total"`
 	MismatchedResponses uint64              `json:"foreign_answers_total"`
--- a/internal/reducer/isolation.go
+++ b/internal/reducer/isolation.go
@@ -3,17 +3,16 @@
 import (
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/isolator"
 )
 
-// Isolation is what this host knows of the content that crashes backend servers.
+// Isolation is what this host knows of the content of requests that crashes backend servers.
 type Isolation struct {
-	// Parts tracks the shared parts of prompts by their IDs.
-	Parts isolator.Tracker[string]
+	// Content tracks the content that requests share, by the names that Request.Content returns.
+	Content isolator.Tracker[string]
 	// SharedAt is when changes were last sent to other hosts between two rounds of gossip.
 	SharedAt time.Time
 }
@@ -22,7 +21,7 @@
 type LostRequest struct {
 	// Request identifies the content of the request, so that it is the same when the caller sends the request again.
 	Request uint64
-	Parts   []string
+	Content []string
 	At      time.Time
 	// ID is the request's ID on this host, and AnswerBegun is set if its answer had just begun.
 	ID          string
@@ -36,20 +35,20 @@
 	maxBeginning = 250 * time.Millisecond
 	// maxLost bounds the lost requests that are kept for one backend server.
 	maxLost = 64
-	// maxSuspectParts bounds the parts in one message.
-	maxSuspectParts = 48
+	// maxSuspects bounds the suspects in one message.
+	maxSuspects = 48
 )
 
 // recordLoss records that a backend server closed the connection of a request, and requests the server's report to learn whether the server
 // has crashed. A request whose response began long before cannot be the cause.
 func (s *State) recordLoss(now time.Time, b *Backend, r *Request, e DispatchEnded) {
-	parts, begun := partNames(r), !r.RespondedAt.IsZero()
+	content, begun := r.Content(), !r.RespondedAt.IsZero()
 	age := now.Sub(r.RespondedAt)
-	if len(parts) == 0 || !s.isEngine(b) || begun && age > maxCrashDelay {
+	if len(content) == 0 || !s.isEngine(b) || begun && age > maxCrashDelay {
 		return
 	}
 	lost := LostRequest{
-		Request: hasher.Key(r.Parts[len(r.Parts)-1].ID), Parts: parts, At: now, ID: r.ID, AnswerBegun: begun && age <= maxBeginning && e.Events == 0,
+		Request: r.contentKey(), Content: content, At: now, ID: r.ID, AnswerBegun: begun && age <= maxBeginning && e.Events == 0,
 	}
 	if !b.CrashedAt.IsZero() {
 		s.recordCrash(now, b, lost)
@@ -98,32 +97,32 @@
 	b.Lost = nil
 }
 
-// recordCrash records the parts of a request that was lost at a crash as suspects. A request whose answer had just begun has probably caused
+// recordCrash records the content of a request that was lost at a crash as suspect. A request whose answer had just begun has probably caused
 // the crash, so that its retry is given up.
 func (s *State) recordCrash(now time.Time, b *Backend, lost LostRequest) {
 	crash := isolator.Crash{
 		Server: hasher.Key(b.Info.ID + "@" + strconv.FormatInt(b.Info.StartedUnixMs, 10)), Request: lost.Request, At: lost.At,
 		AnswerBegun: lost.AnswerBegun,
 	}
-	s.Isolation.Parts.RecordCrash(now, crash, lost.Parts)
+	s.Isolation.Content.RecordCrash(now, crash, lost.Content)
 	if r, ok := s.Requests[lost.ID]; ok && lost.AnswerBegun && r.Phase != PhaseResponding {
 		s.cancelRequest(now, r, ReasonBroken, 0)
 	}
 }
 
-// recordSoundParts records that a request was answered completely, so that none of its parts crashes backend servers.
-func (s *State) recordSoundParts(now time.Time, r *Request) {
-	s.logReleased(s.Isolation.Parts.RecordSound(now, partNames(r)))
+// recordSoundContent records that a request was answered completely, so that none of its content crashes backend servers.
+func (s *State) recordSoundContent(now time.Time, r *Request) {
+	s.logReleased(s.Isolation.Content.RecordSound(now, r.Content()))
 }
 
 // tickIsolation judges the suspects, ends quarantines and tells other hosts of changes.
 func tickIsolation(s *State, now time.Time) {
-	parts := &s.Isolation.Parts
-	s.logReleased(parts.Tick(now))
-	for _, part := range parts.Judge(now, s.Limits.Quarantine) {
-		s.quarantineBegan(now, part, "")
+	tracker := &s.Isolation.Content
+	s.logReleased(tracker.Tick(now))
+	for _, content := range tracker.Judge(now, s.Limits.Quarantine) {
+		s.quarantineBegan(now, content, "")
 	}
-	if !parts.ChangedSince(s.Isolation.SharedAt) {
+	if !tracker.ChangedSince(s.Isolation.SharedAt) {
 		return
 	}
 	s.Isolation.SharedAt = now
@@ -132,109 +131,107 @@
 	}
 }
 
-// quarantineBegan logs the quarantine of a part, which this host or another one has begun, and ends the requests with the part. A response
+// quarantineBegan logs the quarantine of content, which this host or another one has begun, and ends the requests with the content. A response
 // that has begun is left to end by itself.
-func (s *State) quarantineBegan(now time.Time, part, from string) {
-	suspect := s.Isolation.Parts.Suspects[part]
+func (s *State) quarantineBegan(now time.Time, content, from string) {
+	suspect := s.Isolation.Content.Suspects[content]
 	s.Counters.Quarantines++
-	s.logEvent(EventPartQuarantined, Field{"part", part}, Field{"peer", from}, intField("crashes", len(suspect.Crashes)),
+	s.logEvent(EventContentQuarantined, Field{"content", content}, Field{"peer", from}, intField("crashes", len(suspect.Crashes)),
 		ageField("answered_age_ms", now, suspect.SoundAt), msField("quarantine_ms", suspect.QuarantinedUntil.Sub(now)))
 	for _, id := range sortedKeys(s.Requests) {
 		r := s.Requests[id]
-		if r.Phase == PhaseResponding {
-			continue
-		}
-		if slices.Contains(partNames(r), part) {
-			s.refuseForPart(now, r, part)
+		if r.Phase != PhaseResponding && slices.Contains(r.Content(), content) {
+			s.refuseForContent(now, r, content)
 		}
 	}
 }
 
-func (s *State) logReleased(parts []string) {
-	for _, part := range parts {
-		s.logEvent(EventPartReleased, Field{"part", part})
+func (s *State) logReleased(contents []string) {
+	for _, content := range contents {
+		s.logEvent(EventContentReleased, Field{"content", content})
 	}
 }
 
-// refuseQuarantined refuses a request that has a part in quarantine, and reports whether it did.
+// refuseQuarantined refuses a request that has content in quarantine, and reports whether it did.
 func refuseQuarantined(s *State, now time.Time, r *Request) bool {
-	part, ok := s.Isolation.Parts.Quarantined(now, partNames(r))
+	content, ok := s.Isolation.Content.Quarantined(now, r.Content())
 	if ok {
-		s.refuseForPart(now, r, part)
+		s.refuseForContent(now, r, content)
 	}
 	return ok
 }
 
-// refuseForPart refuses a request for a part in quarantine and cancels its attempt if one is running.
-func (s *State) refuseForPart(now time.Time, r *Request, part string) {
-	r.QuarantinedPart = part
-	s.cancelRequest(now, r, ReasonQuarantined, s.Isolation.Parts.Suspects[part].QuarantinedUntil.Sub(now))
+// refuseForContent refuses a request for content in quarantine and cancels its attempt if one is running.
+func (s *State) refuseForContent(now time.Time, r *Request, content string) {
+	r.QuarantinedContent = content
+	s.cancelRequest(now, r, ReasonQuarantined, s.Isolation.Content.Suspects[content].QuarantinedUntil.Sub(now))
 }
 
 // sendSuspects sends a host the suspects that changed recently and those in quarantine.
 func (s *State) sendSuspects(now time.Time, to string) {
 	var m Suspects
-	for _, suspect := range s.Isolation.Parts.Shared(now, maxSuspectParts) {
-		part := SuspectPart{
-			Part: suspect.Key, Depth: suspect.Depth, Strikes: suspect.Strikes, QuarantineLeft: max(suspect.QuarantinedUntil.Sub(now), 0),
+	for _, suspect := range s.Isolation.Content.Shared(now, maxSuspects) {
+		told := SuspectContent{
+			Content: suspect.Key, Depth: suspect.Depth, Strikes: suspect.Strikes, QuarantineLeft: max(suspect.QuarantinedUntil.Sub(now), 0),
 			Answered: !suspect.SoundAt.IsZero(),
 		}
-		if part.Answered {
-			part.AnsweredAge = now.Sub(suspect.SoundAt)
+		if told.Answered {
+			told.AnsweredAge = now.Sub(suspect.SoundAt)
 		}
 		for _, crash := range suspect.Crashes {
-			part.Crashes = append(part.Crashes, SuspectCrash{
+			told.Crashes = append(told.Crashes, SuspectCrash{
 				Server: crash.Server, Request: crash.Request, Age: now.Sub(crash.At), AnswerBegun: crash.AnswerBegun,
 			})
 		}
-		m.Parts = append(m.Parts, part)
+		m.Contents = append(m.Contents, told)
 	}
-	if len(m.Parts) > 0 {
+	if len(m.Contents) > 0 {
 		s.send(to, m)
 	}
 }
 
-// receiveSuspects adds what another host knows of parts that may crash backend servers.
+// receiveSuspects adds what another host knows of content that may crash backend servers.
 func receiveSuspects(s *State, now time.Time, from string, m Suspects) {
-	for _, part := range m.Parts {
-		suspect := isolator.Suspect[string]{Key: part.Part, Depth: part.Depth, Strikes: part.Strikes}
-		if part.Answered {
-			suspect.SoundAt = now.Add(-part.AnsweredAge)
+	for _, told := range m.Contents {
+		suspect := isolator.Suspect[string]{Key: told.Content, Depth: told.Depth, Strikes: told.Strikes}
+		if told.Answered {
+			suspect.SoundAt = now.Add(-told.AnsweredAge)
 		}
-		if part.QuarantineLeft > 0 {
-			suspect.QuarantinedUntil = now.Add(part.QuarantineLeft)
+		if told.QuarantineLeft > 0 {
+			suspect.QuarantinedUntil = now.Add(told.QuarantineLeft)
 		}
-		for _, crash := range part.Crashes {
+		for _, crash := range told.Crashes {
 			suspect.Crashes = append(suspect.Crashes, isolator.Crash{
 				Server: crash.Server, Request: crash.Request, At: now.Add(-crash.Age), AnswerBegun: crash.AnswerBegun,
 			})
 		}
-		released, quarantined := s.Isolation.Parts.Merge(now, suspect)
+		released, quarantined := s.Isolation.Content.Merge(now, suspect)
 		if released {
-			s.logReleased([]string{part.Part})
+			s.logReleased([]string{told.Content})
 		}
 		if quarantined {
-			s.quarantineBegan(now, part.Part, from)
+			s.quarantineBegan(now, told.Content, from)
 		}
 	}
 }
 
-// sharedParts returns the parts of a request's prompt that other requests may share: all but the last, which belongs to the request itself.
-func (r *Request) sharedParts() []Part {
-	if len(r.Parts) == 0 {
-		return nil
-	}
-	return r.Parts[:len(r.Parts)-1]
-}
-
-// partNames returns the IDs of the shared parts.
-func partNames(r *Request) []string {
+// Content returns the names of the content of a request that other requests may share and that may crash a backend server: its adapter in the
+// requested version, and the parts of its prompt but for the last, which belongs to the request itself.
+func (r *Request) Content() []string {
 	var names []string
-	for _, part := range r.sharedParts() {
-		names = append(names, part.ID)
+	if r.Adapter.Adapter != "" {
+		names = append(names, "adapter/"+r.Adapter.Model+"/"+r.Adapter.Adapter+"@"+strconv.FormatInt(r.Version, 10))
+	}
+	for i := range len(r.Parts) - 1 {
+		names = append(names, "part/"+r.Parts[i].ID)
 	}
 	return names
 }
 
-// sharedPartNames returns the IDs of the shared parts for the log, separated by commas.
-func sharedPartNames(r *Request) string { return strings.Join(partNames(r), ",") }
+// contentKey identifies the content of a request that no other request shares: the last part of its prompt, or else the request itself.
+func (r *Request) contentKey() uint64 {
+	if len(r.Parts) == 0 {
+		return hasher.Key(r.CallerID)
+	}
+	return hasher.Key(r.Parts[len(r.Parts)-1].ID)
+}
--- a/internal/reducer/isolation_test.go
+++ b/internal/reducer/isolation_test.go
@@ -56,7 +56,7 @@
 		f.lose(must[Dispatch](f.t, f.generateWith("crash-"+strconv.Itoa(i), "common", part)))
 		f.advance(time.Second)
 	}
-	assert.Assert(f.t, f.state.Isolation.Parts.InQuarantine(f.now, part))
+	assert.Assert(f.t, f.state.Isolation.Content.InQuarantine(f.now, "part/"+part))
 }
 
 // Guards against requests with a part that crashes engines: they are refused as not run, and others are sent.
@@ -101,7 +101,7 @@
 		f.reduce(BackendReported{Backend: read.Backend, StartedUnixMs: read.StartedUnixMs, RequestedAt: f.now})
 		f.advance(time.Second)
 	}
-	assert.Equal(t, len(f.state.Isolation.Parts.Suspects), 0)
+	assert.Equal(t, len(f.state.Isolation.Content.Suspects), 0)
 }
 
 // Guards against a crash that goes unnoticed because the server is back before its report is requested.
@@ -110,7 +110,7 @@
 	d := must[Dispatch](t, f.generateWith("1", "part"))
 	f.reduce(DispatchEnded{ID: d.ID, Backend: d.Backend, Attempt: d.Attempt, Outcome: OutcomeBroken, Disconnected: true})
 	f.publishEngine(d.Backend, 2)
-	assert.Equal(t, len(f.state.Isolation.Parts.Suspects["part"].Crashes), 1)
+	assert.Equal(t, len(f.state.Isolation.Content.Suspects["part/part"].Crashes), 1)
 }
 
 // Guards against suspecting requests whose answer had begun long before the crash.
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -26,7 +26,7 @@
 	LoadWindow time.Duration
 	// DirectoryTTL is the longest time for which callers keep a response of the directory.
 	DirectoryTTL time.Duration
-	// Quarantine is how long requests with a part that crashes backend servers are refused, counted from when the part was found; the time
+	// Quarantine is how long requests with content that crashes backend servers are refused, counted from when the content was found; the time
 	// doubles when that happens again.
 	Quarantine time.Duration
 }
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -40,8 +40,8 @@
 	EventBackendLeaving           = 145
 	EventBackendBackoff           = 146
 	EventBackendCrashed           = 147
-	EventPartQuarantined          = 148
-	EventPartReleased             = 149
+	EventContentQuarantined       = 148
+	EventContentReleased          = 149
 	EventOrderSent                = 151
 	EventOrderFailed              = 152
 	EventAdapterLoaded            = 153
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -181,26 +181,26 @@
 	Origin Origin
 }
 
-// Suspects tells which parts of prompts may crash backend servers, and which are in quarantine.
+// Suspects tells which content of requests may crash backend servers, and which is in quarantine.
 type Suspects struct {
-	Parts []SuspectPart
+	Contents []SuspectContent
 }
 
-// SuspectPart is what the sender knows of one part.
-type SuspectPart struct {
-	Part string
-	// Depth is the position of the part in its prompts.
+// SuspectContent is what the sender knows of some content.
+type SuspectContent struct {
+	Content string
+	// Depth is the position of the content in its requests.
 	Depth   int
 	Crashes []SuspectCrash
-	// Answered is set if a request with the part was answered completely, as far as the sender knows, and AnsweredAge the time since then.
+	// Answered is set if a request with the content was answered completely, as far as the sender knows, and AnsweredAge the time since then.
 	Answered    bool
 	AnsweredAge time.Duration
-	// QuarantineLeft is the time to the end of the quarantine; 0 for none. Strikes counts the quarantines of the part.
+	// QuarantineLeft is the time to the end of the quarantine; 0 for none. Strikes counts the quarantines of the content.
 	QuarantineLeft time.Duration
 	Strikes        int
 }
 
-// SuspectCrash is a crash of a backend server at which a request with a suspect part was lost.
+// SuspectCrash is a crash of a backend server at which a request with suspect content was lost.
 type SuspectCrash struct {
 	// Server identifies the incarnation of the backend server, and Request the request.
 	Server  uint64
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/hasher"
@@ -17,9 +18,6 @@
 		expireRequest(s, now, r)
 		return
 	}
-	if refuseQuarantined(s, now, r) {
-		return
-	}
 	service, ok := s.Documents.Services[r.Service]
 	if !ok {
 		s.refuseUnplaced(now, r, ReasonNoBackend)
@@ -28,6 +26,9 @@
 	if r.PossibleRuns == 0 {
 		r.Version = max(r.Version, s.Documents.Versions[r.Adapter])
 	}
+	if refuseQuarantined(s, now, r) {
+		return
+	}
 	candidates := s.candidates(now, r, service)
 	for len(candidates) > 0 {
 		var policy P
@@ -253,7 +254,7 @@
 	}
 	s.Counters.Dispatches++
 	s.logEvent(EventRequestSent, s.requestFields(now, r, intField("running", b.Running), intField("others_running", b.OtherHosts.Running),
-		intField("prefill_tokens", r.PrefillTokens), Field{"parts", sharedPartNames(r)},
+		intField("prefill_tokens", r.PrefillTokens), Field{"content", strings.Join(r.Content(), ",")},
 		ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))...)
 	s.emit(Dispatch{
 		ID: r.ID, Attempt: r.Attempt, Backend: b.Info.ID, Address: b.Info.Address, Account: r.Account, Priority: -1,
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -37,7 +37,7 @@
 		updatesRead[P](s, now, e)
 	case SettingsRead:
 		s.Limits, s.Self.Seeds = e.Limits, e.Seeds
-		s.Isolation.Parts.Limit(now, s.Limits.Quarantine)
+		s.Isolation.Content.Limit(now, s.Limits.Quarantine)
 	case StatusRequested:
 		statusRequested(s, now, e)
 	case DrainRequested:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -94,7 +95,7 @@
 func refuse(s *State, now time.Time, r *Request, reason Reason, retryAfter time.Duration) {
 	s.Counters.RefusedByReason[reason]++
 	s.logEvent(EventRequestRefused, s.requestFields(now, r, Field{"reason", reason.String()}, boolField("may_have_run", r.PossibleRuns > 0),
-		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastFailure.String()}, Field{"part", r.QuarantinedPart})...)
+		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastFailure.String()}, Field{"content", r.QuarantinedContent})...)
 	s.emit(Refuse{ID: r.ID, Reason: reason, MayHaveRun: r.PossibleRuns > 0, RetryAfter: retryAfter})
 	s.endRequest(now, r, "refused_"+reason.String())
 }
@@ -225,7 +226,7 @@
 	}
 	s.logEvent(EventAttemptFailed, s.requestFields(now, r, Field{"outcome", e.Outcome.String()}, intField("status", e.Status),
 		msField("took_ms", e.Took), boolField("delivered", e.Delivered), boolField("disconnected", e.Disconnected), intField("events", e.Events),
-		Field{"parts", sharedPartNames(r)})...)
+		Field{"content", strings.Join(r.Content(), ",")})...)
 	retryOrFail[P](s, now, r, e)
 }
 
@@ -260,7 +261,7 @@
 	switch e.Outcome {
 	case OutcomeDone:
 		s.recordSuccess(b)
-		s.recordSoundParts(now, r)
+		s.recordSoundContent(now, r)
 	case OutcomeFailed:
 		s.recordSuccess(b)
 	case OutcomeNotSent, OutcomeBroken, OutcomeTimeout:
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -284,8 +284,8 @@
 	RetryAt     time.Time
 	WaitSince   time.Time
 	LastFailure Reason
-	// QuarantinedPart is the part of the prompt for which the request is refused with ReasonQuarantined.
-	QuarantinedPart string
+	// QuarantinedContent is the content for which the request is refused with ReasonQuarantined.
+	QuarantinedContent string
 	// PrefillTokens is the prompt tokens that count at the backend server until the response begins.
 	PrefillTokens int
 	// Delivered is set once a piece of a response has been sent to the caller: no other response can follow, only the rest of that one.
@@ -318,7 +318,7 @@
 		LeaseGrants: map[string]*LeaseGrant{},
 		Requests:    map[string]*Request{},
 		Watch:       Watch{ListNext: true},
-		Isolation:   Isolation{Parts: isolator.NewTracker[string]()},
+		Isolation:   Isolation{Content: isolator.NewTracker[string]()},
 		outbox:      map[string][]Message{},
 	}
 }
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -16,8 +16,8 @@
 	Hosts            []HostStatus    `json:"hosts"`
 	Backends         []BackendStatus `json:"backend_servers"`
 	Accounts         []AccountStatus `json:"accounts"`
-	// Quarantined lists the parts of prompts whose requests are refused.
-	Quarantined        []QuarantineStatus `json:"quarantined_parts"`
+	// Quarantined lists the content for which requests are refused.
+	Quarantined        []QuarantineStatus `json:"quarantined"`
 	RequestsInProgress int                `json:"requests_in_progress"`
 	Gauges             Gauges             `json:"gauges"`
 }
@@ -51,10 +51,10 @@
 	MaxQuotaUsed      float64 `json:"budget_used_most"`
 }
 
-// QuarantineStatus is a part of prompts in quarantine.
+// QuarantineStatus is content of requests in quarantine.
 type QuarantineStatus struct {
-	Part string `json:"part"`
-	// Crashes is the number of crashes of backend servers that the part explains, and EndsInMs the time to the end of the quarantine.
+	Content string `json:"content"`
+	// Crashes is the number of crashes of backend servers that the content explains, and EndsInMs the time to the end of the quarantine.
 	Crashes  int   `json:"crashes"`
 	EndsInMs int64 `json:"ends_in_ms"`
 }
@@ -111,10 +111,10 @@
 			v.WithdrawnDomains = append(v.WithdrawnDomains, domain)
 		}
 	}
-	for _, part := range sortedKeys(s.Isolation.Parts.Suspects) {
-		if suspect := s.Isolation.Parts.Suspects[part]; now.Before(suspect.QuarantinedUntil) {
+	for _, content := range sortedKeys(s.Isolation.Content.Suspects) {
+		if suspect := s.Isolation.Content.Suspects[content]; now.Before(suspect.QuarantinedUntil) {
 			v.Quarantined = append(v.Quarantined, QuarantineStatus{
-				Part: part, Crashes: len(suspect.Crashes), EndsInMs: suspect.QuarantinedUntil.Sub(now).Milliseconds(),
+				Content: content, Crashes: len(suspect.Crashes), EndsInMs: suspect.QuarantinedUntil.Sub(now).Milliseconds(),
 			})
 		}
 	}
--- a/internal/translator/suspects.go
+++ b/internal/translator/suspects.go
@@ -7,7 +7,7 @@
 	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
 )
 
-// Bounds of what a message may state of a suspect part; a larger number counts as the bound.
+// Bounds of what a message may state of suspect content; a larger number counts as the bound.
 const (
 	maxSuspectAge  = 24 * time.Hour
 	maxDepth       = 1 << 10
@@ -17,35 +17,35 @@
 
 func encodeSuspects(m reducer.Suspects) *peerv1.Suspects {
 	w := &peerv1.Suspects{}
-	for _, p := range m.Parts {
-		part := &peerv1.SuspectPart{
-			Part: p.Part, Depth: uint32(p.Depth), QuarantineLeftMs: uint64(p.QuarantineLeft.Milliseconds()), Strikes: uint32(p.Strikes),
+	for _, p := range m.Contents {
+		content := &peerv1.SuspectContent{
+			Content: p.Content, Depth: uint32(p.Depth), QuarantineLeftMs: uint64(p.QuarantineLeft.Milliseconds()), Strikes: uint32(p.Strikes),
 		}
 		if p.Answered {
-			part.AnsweredAgeMs = uint64(max(p.AnsweredAge.Milliseconds(), 0)) + 1
+			content.AnsweredAgeMs = uint64(max(p.AnsweredAge.Milliseconds(), 0)) + 1
 		}
 		for _, c := range p.Crashes {
-			part.Crashes = append(part.Crashes, &peerv1.SuspectCrash{Server: c.Server, Request: c.Request, AgeMs: uint64(max(c.Age.Milliseconds(), 0)), AnswerBegun: c.AnswerBegun})
+			content.Crashes = append(content.Crashes, &peerv1.SuspectCrash{Server: c.Server, Request: c.Request, AgeMs: uint64(max(c.Age.Milliseconds(), 0)), AnswerBegun: c.AnswerBegun})
 		}
-		w.Parts = append(w.Parts, part)
+		w.Contents = append(w.Contents, content)
 	}
 	return w
 }
 
 func decodeSuspects(w *peerv1.Suspects) reducer.Suspects {
 	m := reducer.Suspects{}
-	for _, p := range w.GetParts() {
-		part := reducer.SuspectPart{
-			Part: p.GetPart(), Depth: int(min(p.GetDepth(), maxDepth)), QuarantineLeft: boundedAge(p.GetQuarantineLeftMs()),
+	for _, p := range w.GetContents() {
+		content := reducer.SuspectContent{
+			Content: p.GetContent(), Depth: int(min(p.GetDepth(), maxDepth)), QuarantineLeft: boundedAge(p.GetQuarantineLeftMs()),
 			Strikes: int(min(p.GetStrikes(), maxStrikes)), Answered: p.GetAnsweredAgeMs() > 0,
 		}
-		if part.Answered {
-			part.AnsweredAge = boundedAge(p.GetAnsweredAgeMs() - 1)
+		if content.Answered {
+			content.AnsweredAge = boundedAge(p.GetAnsweredAgeMs() - 1)
 		}
 		for _, c := range p.GetCrashes()[:min(len(p.GetCrashes()), maxCrashesTold)] {
-			part.Crashes = append(part.Crashes, reducer.SuspectCrash{Server: c.GetServer(), Request: c.GetRequest(), Age: boundedAge(c.GetAgeMs()), AnswerBegun: c.GetAnswerBegun()})
+			content.Crashes = append(content.Crashes, reducer.SuspectCrash{Server: c.GetServer(), Request: c.GetRequest(), Age: boundedAge(c.GetAgeMs()), AnswerBegun: c.GetAnswerBegun()})
 		}
-		m.Parts = append(m.Parts, part)
+		m.Contents = append(m.Contents, content)
 	}
 	return m
 }
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -31,12 +31,12 @@
 		reducer.Usage{Backend: "b", Running: 1, Tokens: 2, PrefillTokens: 3, Adapters: []reducer.AdapterUsage{{Adapter: key, DispatchCount: 1, Running: 2, Verified: true, Version: 3}}},
 		reducer.BackendLoad{Backend: "b", Running: 1, Tokens: 2, PrefillTokens: 3, FreeSlots: 4},
 		reducer.TokenRequest{Account: "a", Sequence: 5, Needed: 1.5, Reserve: 2.5, Returned: 3.5, Spent: []float64{1, 2}, SpentPeriod: time.Second, Unspent: 4.5, Origin: reducer.Origin{Request: "r"}},
-		reducer.Suspects{Parts: []reducer.SuspectPart{
+		reducer.Suspects{Contents: []reducer.SuspectContent{
 			{
-				Part: "p", Depth: 2, Crashes: []reducer.SuspectCrash{{Server: 5, Request: 6, Age: time.Second, AnswerBegun: true}}, Answered: true, AnsweredAge: 0,
+				Content: "p", Depth: 2, Crashes: []reducer.SuspectCrash{{Server: 5, Request: 6, Age: time.Second, AnswerBegun: true}}, Answered: true, AnsweredAge: 0,
 				QuarantineLeft: time.Minute, Strikes: 1,
 			},
-			{Part: "q"},
+			{Content: "q"},
 		}},
 		reducer.TokenGrant{Account: "a", Sequence: 5, Tokens: 1.5, Wait: time.Second},
 	}
@@ -70,12 +70,12 @@
 	for i := range crashes {
 		crashes[i] = &peerv1.SuspectCrash{AgeMs: 1 << 63}
 	}
-	m := decodeSuspects(&peerv1.Suspects{Parts: []*peerv1.SuspectPart{{
-		Part: "p", Depth: 1 << 31, Strikes: 1 << 31, AnsweredAgeMs: 1<<64 - 1, QuarantineLeftMs: 1 << 63, Crashes: crashes,
+	m := decodeSuspects(&peerv1.Suspects{Contents: []*peerv1.SuspectContent{{
+		Content: "p", Depth: 1 << 31, Strikes: 1 << 31, AnsweredAgeMs: 1<<64 - 1, QuarantineLeftMs: 1 << 63, Crashes: crashes,
 	}}})
-	assert.Equal(t, len(m.Parts[0].Crashes), maxCrashesTold)
-	assert.Equal(t, m.Parts[0].Crashes[0].Age, maxSuspectAge)
-	assert.Equal(t, m.Parts[0].AnsweredAge, maxSuspectAge)
-	assert.Equal(t, m.Parts[0].QuarantineLeft, maxSuspectAge)
-	assert.Equal(t, m.Parts[0].Strikes, maxStrikes)
+	assert.Equal(t, len(m.Contents[0].Crashes), maxCrashesTold)
+	assert.Equal(t, m.Contents[0].Crashes[0].Age, maxSuspectAge)
+	assert.Equal(t, m.Contents[0].AnsweredAge, maxSuspectAge)
+	assert.Equal(t, m.Contents[0].QuarantineLeft, maxSuspectAge)
+	assert.Equal(t, m.Contents[0].Strikes, maxStrikes)
 }
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -43,8 +43,8 @@
 	// hosts more often. A share of 0 means that the capacity is not known. Default of Cores: 1.
 	CPUShare float64 `yaml:"cpu_share,omitempty"`
 	Cores    float64 `yaml:"cores,omitempty"`
-	// QuarantineSeconds is how long requests are refused whose prompts have a part that crashes backend servers, counted from when the fleet
-	// has found the part; the time doubles if the part crashes servers again after that. Default: DefaultQuarantineSeconds.
+	// QuarantineSeconds is how long requests are refused whose content crashes backend servers, such as a part of their prompts, counted from
+	// when the fleet has found the content; the time doubles if it crashes servers again after that. Default: DefaultQuarantineSeconds.
 	QuarantineSeconds float64 `yaml:"quarantine_seconds,omitempty"`
 	// LogLevel is debug, info, warn or error. Default: DefaultLogLevel.
 	LogLevel string `yaml:"log_level,omitempty"`
