--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -249,7 +249,7 @@
 			fmt.Sprintf("sent to %s after %d ms; the response took %s ms%s%s", last.Fields["backend_server"], sentAfter,
 				last.Fields["took_ms"], failedAttempt, askedHost)
 	case reducer.EventRequestRefused:
-		return "refused: " + last.Fields["reason"], causeByReason[last.Fields["reason"]] + failedAttempt + askedHost
+		return "refused: " + last.Fields["reason"], refusalCause(last) + failedAttempt + askedHost
 	case reducer.EventCallerDisconnected:
 		return "caller disconnected", fmt.Sprintf("the caller closed its connection after %d ms; the request was last at %q%s%s", last.AgeMs,
 			last.Fields["backend_server"], failedAttempt, askedHost)
@@ -257,6 +257,15 @@
 	return "not ended in these logs", "the last line is event " + strconv.Itoa(last.Event) + failedAttempt + askedHost
 }
 
+// refusalCause returns the cause of a refusal, with the content that is in quarantine.
+func refusalCause(refusal Line) string {
+	cause := causeByReason[refusal.Fields["reason"]]
+	if content := refusal.Fields["content"]; content != "" {
+		cause += ": " + content
+	}
+	return cause
+}
+
 var causeByReason = map[string]string{
 	"no_catalogue":      "the host had no configuration yet",
 	"no_route":          "no route of the applied configuration matches the host name and path of the request",
@@ -271,7 +280,8 @@
 	"mailbox_full":      "the mailbox of the host's control goroutine was full",
 	"bad_request":       "the request could not be read: it had no id or its body was incomplete",
 	"too_large":         "the body was larger than the configuration allows",
-	"draining":          "the host had drained and was about to stop",
+	"draining":          "the host was draining, and the request could have lasted until it stopped",
+	"quarantined":       "backend servers crash when they begin to answer requests with the same content, since the event 148 of the host that names it",
 }
 
 func (o *options) printExplanation(e Explanation) {
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -90,7 +90,7 @@
 	// EncodeReportCall encodes the call for a backend server's report.
 	EncodeReportCall(backend string) (path string, header http.Header)
 	// DecodeReport decodes a backend server's report.
-	DecodeReport(body []byte) ([]reducer.ReportedAdapter, error)
+	DecodeReport(body []byte) (reducer.BackendReport, error)
 }
 
 // Sink delivers a response to its caller.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -42,10 +43,13 @@
 func (codec) EncodeOrder(reducer.OrderAdapter) (string, http.Header, []byte) {
 	return "/order", http.Header{}, []byte("{}")
 }
-func (codec) DecodeNotice(*http.Response) reducer.BackendNotice      { return reducer.BackendNotice{} }
-func (codec) DecodeOrderStatus(int) reducer.OrderResult              { return reducer.OrderAccepted }
-func (codec) EncodeReportCall(string) (string, http.Header)          { return "/report", http.Header{} }
-func (codec) DecodeReport([]byte) ([]reducer.ReportedAdapter, error) { return nil, nil }
+func (codec) DecodeNotice(*http.Response) reducer.BackendNotice { return reducer.BackendNotice{} }
+func (codec) DecodeOrderStatus(int) reducer.OrderResult         { return reducer.OrderAccepted }
+func (codec) EncodeReportCall(string) (string, http.Header)     { return "/report", http.Header{} }
+func (codec) DecodeReport(body []byte) (reducer.BackendReport, error) {
+	started, err := strconv.ParseInt(string(body), 10, 64)
+	return reducer.BackendReport{StartedUnixMs: started}, err
+}
 
 // sink records the body that it receives.
 type sink struct {
--- a/internal/dispatcher/orders.go
+++ b/internal/dispatcher/orders.go
@@ -83,8 +83,11 @@
 		event.Failed = true
 		return event
 	}
-	event.Adapters, err = c.Codec.DecodeReport(body)
-	event.Failed = err != nil
+	report, err := c.Codec.DecodeReport(body)
+	event.Adapters = report.Adapters
+	// A report of another incarnation says nothing about the one that was asked.
+	bothKnown := report.StartedUnixMs != 0 && effect.StartedUnixMs != 0
+	event.Failed = err != nil || bothKnown && report.StartedUnixMs != effect.StartedUnixMs
 	return event
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -124,7 +124,7 @@
 	Notice        BackendNotice
 }
 
-// BackendReported carries the list of adapters that a backend server reports, or the failure to read it.
+// BackendReported carries the list of adapters that a backend server reports, or the failure to read it from that incarnation.
 type BackendReported struct {
 	Backend       string
 	StartedUnixMs int64
@@ -134,6 +134,13 @@
 	Notice        BackendNotice
 }
 
+// BackendReport is what a backend server reports about itself.
+type BackendReport struct {
+	// StartedUnixMs is the server's start time; 0 if the report does not say.
+	StartedUnixMs int64
+	Adapters      []ReportedAdapter
+}
+
 // ReportedAdapter is one adapter that a backend server holds or is loading.
 type ReportedAdapter struct {
 	Adapter AdapterKey
