Tell unchanged quarantines in turn, and let operators shorten them

Cause: each round of gossip carried all crashes of all content in quarantine: 34.6 kB/s a host among 40 with 20 quarantines, where control may cost 6. A host whose settings were read again took the longer quarantine back from one that had not read its own yet.

Change: up to four unchanged quarantines go into an envelope, with one crash each; what another host tells lasts at most as long as the own setting says. Requests that are canceled count as failed in one place.

Evidence: TestQuarantinesCostLittle failed at 34,585 bytes/s and passes at 3,375; TestUnchangedQuarantinesAreToldInTurn and TestOtherHostDoesNotProlongAShortenedQuarantine.

--- a/internal/exerciser/scale_test.go
+++ b/internal/exerciser/scale_test.go
@@ -1,11 +1,13 @@
 package exerciser
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingpick/redwingpick/internal/isolator"
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
@@ -69,3 +71,24 @@
 	}
 	return held
 }
+
+// TestQuarantinesCostLittle guards against hosts that tell each other all of a quarantine in each round of gossip.
+func TestQuarantinesCostLittle(t *testing.T) {
+	o := defaultOptions(1)
+	o.Hosts, o.Engines, o.Domains, o.MeasureCost = 40, 20, 6, true
+	sim := New[selector.LeastDelay](o)
+	sim.Run(12 * time.Second)
+	const quarantines = 20
+	tracker := &sim.Hosts[0].State.Isolation.Content
+	for i := range quarantines {
+		for crash := range uint64(10) {
+			at := sim.Now.Add(-time.Duration(1+crash) * time.Second)
+			tracker.RecordCrash(sim.Now, isolator.Crash{Server: uint64(i)<<8 + crash, Request: crash, At: at}, []string{fmt.Sprintf("part/%d", i)})
+		}
+	}
+	sim.Run(5 * time.Second)
+	for _, h := range sim.Hosts {
+		assert.Equal(t, h.State.Counters.Quarantines, uint64(quarantines), h.ID)
+	}
+	sim.measureIdle(t)
+}
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -48,6 +48,8 @@
 	JudgeAt time.Time
 	// PrunedAt is when old state was last removed.
 	PrunedAt time.Time
+	// Reminded counts the unchanged quarantines that were told to other hosts, which are told in turn.
+	Reminded int
 }
 
 // Bounds of the evidence.
@@ -76,8 +78,10 @@
 	maxSound    = 8192
 	// pruneInterval is the time between two removals of old state.
 	pruneInterval = 10 * time.Second
-	// shareTime is how long a change is told to other hosts.
-	shareTime = 1500 * time.Millisecond
+	// shareTime is how long a change is told to other hosts, and maxReminders the number of unchanged quarantines that are told at a time, so
+	// that hosts which have started learn of them.
+	shareTime    = 1500 * time.Millisecond
+	maxReminders = 4
 )
 
 // NewTracker returns a tracker without suspects.
@@ -115,8 +119,9 @@
 	return released
 }
 
-// Merge adds what another host knows of a suspect, and reports whether that ends or begins its quarantine.
-func (t *Tracker[K]) Merge(now time.Time, other Suspect[K]) (released, quarantined bool) {
+// Merge adds what another host knows of a suspect, and reports whether that ends or begins its quarantine. A quarantine that the other host
+// has begun lasts here for at most as long as one that this host would begin for the given time.
+func (t *Tracker[K]) Merge(now time.Time, other Suspect[K], quarantine time.Duration) (released, quarantined bool) {
 	s := t.suspect(other.Key)
 	s.Depth = max(s.Depth, other.Depth)
 	if other.SoundAt.After(s.SoundAt) {
@@ -128,11 +133,12 @@
 		}
 	}
 	released = t.excuse(now, s)
-	if !other.QuarantinedUntil.After(s.QuarantinedUntil.Add(soundMargin)) || len(s.Crashes) == 0 {
+	until := earlier(other.QuarantinedUntil, now.Add(quarantineTime(quarantine, other.Strikes)))
+	if !until.After(s.QuarantinedUntil.Add(soundMargin)) || len(s.Crashes) == 0 {
 		return released, false
 	}
 	quarantined = s.QuarantinedUntil.IsZero()
-	s.QuarantinedUntil, s.Strikes = other.QuarantinedUntil, max(s.Strikes, other.Strikes)
+	s.QuarantinedUntil, s.Strikes = until, max(s.Strikes, other.Strikes)
 	t.changed(now, s)
 	return released, quarantined
 }
@@ -168,7 +174,7 @@
 		}
 		s := t.Suspects[worst]
 		s.Strikes++
-		s.QuarantinedUntil = now.Add(quarantine << min(s.Strikes-1, maxDoublings))
+		s.QuarantinedUntil = now.Add(quarantineTime(quarantine, s.Strikes))
 		s.ChangedAt = now
 		quarantined = append(quarantined, worst)
 		for _, crash := range s.Crashes {
@@ -192,7 +198,8 @@
 }
 
 // worst returns the content that has to be quarantined first: the one with the most incidents, those in which an answer had just begun first,
-// of these the one that was answered least recently, and of these the one that the fewest requests share. Crashes that are not settled are judged later.
+// of these the one that was answered least recently, and of these the one that the fewest requests share. Crashes that are not settled are
+// judged later.
 func (t *Tracker[K]) worst(now time.Time, explained map[uint64]bool) (worst K, found bool) {
 	most := evidence[K]{}
 	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
@@ -237,30 +244,49 @@
 // Limit shortens the quarantines to at most the given time from now.
 func (t *Tracker[K]) Limit(now time.Time, quarantine time.Duration) {
 	for _, s := range t.Suspects {
-		if limit := now.Add(quarantine << min(max(s.Strikes-1, 0), maxDoublings)); s.QuarantinedUntil.After(limit) {
-			s.QuarantinedUntil = limit
-		}
+		s.QuarantinedUntil = earlier(s.QuarantinedUntil, now.Add(quarantineTime(quarantine, s.Strikes)))
 	}
 }
 
-// Shared returns up to count suspects to tell other hosts: those that changed recently or are in quarantine, the ones in quarantine and then
-// those with the most crashes first.
+// Shared returns the suspects to tell other hosts: up to count of those that changed recently, the ones in quarantine and then those with the
+// most crashes first, and reminders of other quarantines.
 func (t *Tracker[K]) Shared(now time.Time, count int) []Suspect[K] {
-	var shared []Suspect[K]
+	var changed []Suspect[K]
+	var steady []*Suspect[K]
 	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
-		if s := t.Suspects[key]; now.Before(s.QuarantinedUntil) || now.Sub(s.ChangedAt) < shareTime {
-			told := *s
-			told.Crashes = slices.Clone(s.Crashes)
-			shared = append(shared, told)
+		s := t.Suspects[key]
+		switch {
+		case now.Sub(s.ChangedAt) < shareTime:
+			changed = append(changed, s.withCrashes(s.Crashes))
+		case now.Before(s.QuarantinedUntil):
+			steady = append(steady, s)
 		}
 	}
-	slices.SortStableFunc(shared, func(a, b Suspect[K]) int {
+	slices.SortStableFunc(changed, func(a, b Suspect[K]) int {
 		if c := b.QuarantinedUntil.Compare(a.QuarantinedUntil); c != 0 {
 			return c
 		}
 		return cmp.Compare(len(b.Crashes), len(a.Crashes))
 	})
-	return shared[:min(len(shared), count)]
+	return append(changed[:min(len(changed), count)], t.reminders(steady)...)
+}
+
+// reminders returns some of the unchanged quarantines, each time the next ones, with one crash each: other hosts need no more.
+func (t *Tracker[K]) reminders(steady []*Suspect[K]) []Suspect[K] {
+	var reminders []Suspect[K]
+	for range min(len(steady), maxReminders) {
+		s := steady[t.Reminded%len(steady)]
+		t.Reminded++
+		reminders = append(reminders, s.withCrashes(s.Crashes[max(len(s.Crashes)-1, 0):]))
+	}
+	return reminders
+}
+
+// withCrashes returns a copy of a suspect with a copy of the given crashes.
+func (s *Suspect[K]) withCrashes(crashes []Crash) Suspect[K] {
+	out := *s
+	out.Crashes = slices.Clone(crashes)
+	return out
 }
 
 // ChangedSince reports whether a suspect changed after a time.
@@ -359,6 +385,18 @@
 	}
 }
 
+// quarantineTime returns the length of the quarantine that begins with the given number of strikes.
+func quarantineTime(first time.Duration, strikes int) time.Duration {
+	return first << min(max(strikes-1, 0), maxDoublings)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -116,10 +116,10 @@
 	f.judge()
 	shared := f.tracker.Shared(f.now, 10)
 	assert.Equal(t, len(shared), 1)
-	_, quarantined := g.tracker.Merge(f.now, shared[0])
+	_, quarantined := g.tracker.Merge(f.now, shared[0], quarantine)
 	assert.Assert(t, quarantined)
 	assert.Assert(t, g.tracker.InQuarantine(f.now, "deadly"))
-	_, again := g.tracker.Merge(f.now, shared[0])
+	_, again := g.tracker.Merge(f.now, shared[0], quarantine)
 	assert.Assert(t, !again)
 }
 
@@ -130,7 +130,7 @@
 	g.servers, g.now = 10, f.now
 	g.crash(3, "deadly")
 	for _, s := range f.tracker.Shared(g.now, 10) {
-		g.tracker.Merge(g.now, s)
+		g.tracker.Merge(g.now, s, quarantine)
 	}
 	assert.DeepEqual(t, g.judge(), []string{"deadly"})
 }
@@ -143,10 +143,10 @@
 	}
 	assert.DeepEqual(t, f.judge(), []string{"sound"})
 	g.tracker.RecordSound(f.now, []string{"sound"})
-	_, quarantined := g.tracker.Merge(f.now, f.tracker.Shared(f.now, 10)[0])
+	_, quarantined := g.tracker.Merge(f.now, f.tracker.Shared(f.now, 10)[0], quarantine)
 	assert.Assert(t, !quarantined)
 	refuted := *g.tracker.Suspects["sound"]
-	released, _ := f.tracker.Merge(f.now, refuted)
+	released, _ := f.tracker.Merge(f.now, refuted, quarantine)
 	assert.Assert(t, released)
 	assert.Assert(t, !f.tracker.InQuarantine(f.now, "sound"))
 }
@@ -161,7 +161,7 @@
 	f.advance(quarantine)
 	assert.DeepEqual(t, f.tracker.Tick(f.now), []string{"deadly"})
 	stale.QuarantinedUntil = f.now.Add(time.Second)
-	_, quarantined := f.tracker.Merge(f.now, stale)
+	_, quarantined := f.tracker.Merge(f.now, stale, quarantine)
 	assert.Assert(t, !quarantined, "a host whose clock is late restores no quarantine")
 	assert.Equal(t, len(f.judge()), 0)
 	f.crash(9, "deadly")
@@ -222,3 +222,37 @@
 	}
 	assert.DeepEqual(t, f.judge(), []string{"deadly"})
 }
+
+// Guards against messages that grow with the number of quarantines, and against hosts that start and do not learn of them.
+func TestUnchangedQuarantinesAreToldInTurn(t *testing.T) {
+	f, g := newFixture(), newFixture()
+	for i := range 3 * maxReminders {
+		name := string(rune('a' + i))
+		for request := range uint64(3) {
+			f.crash(request, name)
+		}
+		f.judge()
+	}
+	f.advance(shareTime)
+	for range 3 {
+		shared := f.tracker.Shared(f.now, 100)
+		assert.Equal(t, len(shared), maxReminders)
+		for _, s := range shared {
+			assert.Equal(t, len(s.Crashes), 1)
+			g.tracker.Merge(f.now, s, quarantine)
+		}
+	}
+	assert.Equal(t, len(g.tracker.Suspects), 3*maxReminders)
+}
+
+// Guards against a quarantine that an operator has shortened and another host prolongs.
+func TestOtherHostDoesNotProlongAShortenedQuarantine(t *testing.T) {
+	f, g := newFixture(), newFixture()
+	for i := range uint64(3) {
+		f.crash(i, "deadly")
+	}
+	f.judge()
+	g.tracker.Merge(f.now, f.tracker.Shared(f.now, 10)[0], time.Second)
+	g.now = f.now.Add(time.Second)
+	assert.DeepEqual(t, g.tracker.Tick(g.now), []string{"deadly"})
+}
--- a/internal/reducer/isolation.go
+++ b/internal/reducer/isolation.go
@@ -205,7 +205,7 @@
 				Server: crash.Server, Request: crash.Request, At: now.Add(-crash.Age), AnswerBegun: crash.AnswerBegun,
 			})
 		}
-		released, quarantined := s.Isolation.Content.Merge(now, suspect)
+		released, quarantined := s.Isolation.Content.Merge(now, suspect, s.Limits.Quarantine)
 		if released {
 			s.logReleased([]string{told.Content})
 		}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -401,12 +401,12 @@
 
 // expireRequest refuses a request at its deadline and cancels its attempt if one is running.
 func expireRequest(s *State, now time.Time, r *Request) {
-	s.Counters.RequestsFailed++
 	s.cancelRequest(now, r, ReasonTimeout, defaultRetryAfter)
 }
 
 // cancelRequest cancels the attempt of a request, if one is running, and refuses the request.
 func (s *State) cancelRequest(now time.Time, r *Request, reason Reason, retryAfter time.Duration) {
+	s.Counters.RequestsFailed++
 	if r.Phase == PhaseRunning || r.Phase == PhaseResponding {
 		r.PossibleRuns++
 		s.emit(Cancel{ID: r.ID, Reason: reason})
