--- a/internal/exerciser/mutation_test.go
+++ b/internal/exerciser/mutation_test.go
@@ -36,6 +36,14 @@
 func unitTests(pkg, name string) []string { return []string{"./internal/" + pkg, "-run", name} }
 
 var mutations = []mutation{
+	{"content that crashes engines is quarantined", "internal/isolator/evidence.go", "return e.all.incidents >= minIncidents && len(e.all.requests) >= minRequests ||", "return e.all.incidents < 0 && e.begun.incidents < 0 &&", simulationTests("TestRequestsWithADeadlyPart.*/hosts_6"), "deadly_part"},
+	{"hosts tell each other of suspects", "internal/reducer/isolation.go", "if len(m.Contents) > 0 {", "if len(m.Contents) < 0 {", simulationTests("TestRequestsWithADeadlyPart.*/hosts_40"), "deadly_part|sound requests"},
+	{"a server that reports has not crashed", "internal/reducer/isolation.go", "	if e.Failed {\n\t\ts.confirmCrash", "	if e.Failed || true {\n\t\ts.confirmCrash", unitTests("reducer", "TestBrokenAnswersOfALivingServer"), "FAIL"},
+	{"an answer excuses its content", "internal/isolator/isolator.go", "return s.SoundAt.After(c.At.Add(soundMargin))", "return s.SoundAt.Before(c.At) && c.At.IsZero()", unitTests("isolator", "TestAnswer"), "FAIL"},
+	{"simultaneous crashes are one incident", "internal/isolator/evidence.go", "c.At.Sub(t.incidentAt) >= incidentGap", "c.At.Sub(t.incidentAt) >= 0", unitTests("isolator", "TestSimultaneousCrashes"), "FAIL"},
+	{"a request that may outlast a drain is refused", "internal/reducer/request.go", "if s.mayOutlastDrain(now, r) {", "if false {", unitTests("reducer", "TestRequestThatMayOutlast"), "FAIL"},
+	{"requests are answered at the end of a drain", "internal/reducer/drain.go", "		s.cancelRequest(now, s.Requests[id], ReasonDraining, drainRetryAfter)", "		_ = id", unitTests("reducer", "TestRequestsLeftAtTheEnd"), "FAIL"},
+	{"only later events continue a stream", "internal/dispatcher/events.go", "s.repeated = !follows(id, s.resumeAfter)", "s.repeated = false", unitTests("dispatcher", "TestStreamIsNotContinued"), "FAIL"},
 	{"a voter grants a lease to one host at a time", "internal/reducer/vote.go", "&& now.Before(g.ValidUntil):\n\t\treturn RefusalGrantedToOther", "&& g.ValidUntil.IsZero():\n\t\treturn RefusalGrantedToOther", soakTests("24"), "one_holder"},
 	{"a restarted voter grants no lease at first", "internal/reducer/vote.go", "case !c.Renewal && !s.mayGrantToNewHolder(now):", "case !c.Renewal && !s.votersKnown():", unitTests("reducer", "TestHostWithoutMajority"), "FAIL"},
 	{"terms grow with time", "internal/reducer/lease.go", "l.Term = s.currentTerm(now)", "l.Term = 1", soakTests("12"), "fences_grow"},
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -72,7 +72,7 @@
 	strikeTTL = time.Hour
 	// maxDoublings bounds how often the length of the quarantine doubles.
 	maxDoublings = 4
-	// maxCrashes, maxSuspects and maxSound bound the memory.
+	// maxCrashes, maxSuspects and maxSound bound the memory; up to twice as many suspects and answers are kept until old state is removed.
 	maxCrashes  = 16
 	maxSuspects = 1024
 	maxSound    = 8192
@@ -98,6 +98,14 @@
 			t.changed(now, s)
 		}
 	}
+	t.bound(now)
+}
+
+// bound removes old state ahead of time once there is much of it, as when a caller invents content.
+func (t *Tracker[K]) bound(now time.Time) {
+	if len(t.Suspects) > 2*maxSuspects || len(t.SoundAt) > 2*maxSound {
+		t.prune(now)
+	}
 }
 
 // RecordSound records that a request with the given content was answered completely, and returns the content whose quarantine that ends.
@@ -116,12 +124,14 @@
 			s.Strikes = 0
 		}
 	}
+	t.bound(now)
 	return released
 }
 
 // Merge adds what another host knows of a suspect, and reports whether that ends or begins its quarantine. A quarantine that the other host
 // has begun lasts here for at most as long as one that this host would begin for the given time.
 func (t *Tracker[K]) Merge(now time.Time, other Suspect[K], quarantine time.Duration) (released, quarantined bool) {
+	t.bound(now)
 	s := t.suspect(other.Key)
 	s.Depth = max(s.Depth, other.Depth)
 	if other.SoundAt.After(s.SoundAt) {
@@ -228,7 +238,6 @@
 	}
 	slices.Sort(released)
 	if now.Sub(t.PrunedAt) >= pruneInterval {
-		t.PrunedAt = now
 		t.prune(now)
 	}
 	return released
@@ -236,6 +245,7 @@
 
 // prune removes old suspects, and the oldest ones and the oldest answers where there are too many.
 func (t *Tracker[K]) prune(now time.Time) {
+	t.PrunedAt = now
 	maps.DeleteFunc(t.Suspects, func(_ K, s *Suspect[K]) bool { return s.forgettable(now) })
 	evictOldest(t.Suspects, maxSuspects, func(s *Suspect[K]) time.Time { return later(s.ChangedAt, s.QuarantinedUntil) })
 	evictOldest(t.SoundAt, maxSound, func(at time.Time) time.Time { return at })
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -181,6 +181,7 @@
 	assert.DeepEqual(t, f.tracker.Tick(f.now), []string{"deadly"})
 }
 
+// Guards against a caller who invents content and fills the memory of a host.
 func TestMemoryIsBounded(t *testing.T) {
 	f := newFixture()
 	for i := range 3 * maxSound {
@@ -188,6 +189,7 @@
 		f.tracker.RecordSound(f.now, []string{name})
 		f.tracker.RecordCrash(f.now, Crash{Server: uint64(i), At: f.now.Add(time.Second)}, []string{name})
 	}
+	assert.Assert(t, len(f.tracker.Suspects) <= 2*maxSuspects && len(f.tracker.SoundAt) <= 2*maxSound)
 	f.advance(pruneInterval)
 	f.tracker.Tick(f.now)
 	assert.Equal(t, len(f.tracker.Suspects), maxSuspects)
--- a/internal/reducer/isolation.go
+++ b/internal/reducer/isolation.go
@@ -37,6 +37,8 @@
 	maxLost = 64
 	// maxSuspects bounds the suspects in one message.
 	maxSuspects = 48
+	// maxContent bounds the content of one request that is tracked; a prompt has a few shared parts.
+	maxContent = 32
 )
 
 // recordLoss records that a backend server closed the connection of a request, and requests the server's report to learn whether the server
@@ -222,7 +224,7 @@
 	if r.Adapter.Adapter != "" {
 		names = append(names, "adapter/"+r.Adapter.Model+"/"+r.Adapter.Adapter+"@"+strconv.FormatInt(r.Version, 10))
 	}
-	for i := range len(r.Parts) - 1 {
+	for i := range min(len(r.Parts)-1, maxContent) {
 		names = append(names, "part/"+r.Parts[i].ID)
 	}
 	return names
