--- a/e2e/explain_test.go
+++ b/e2e/explain_test.go
@@ -150,6 +150,12 @@
 	assert.Assert(t, len(coordinators) == 1 && len(served) == 3, "coordinators %v, served by %v", coordinators, served)
 }
 
+// adapterSlots is the number of adapter slots of the fleet's three engines, and slotsTakenAfter the time in which as many requests take them.
+const (
+	adapterSlots    = 12
+	slotsTakenAfter = 500 * time.Millisecond
+)
+
 func TestAdapterWaitsAreExplainedByTheLeaseHolder(t *testing.T) {
 	f := newFleet(t, 3)
 	late := f.send(f.hosts[1], generationCall("late", "stream", "first", 5))
@@ -159,6 +165,10 @@
 	var group sync.WaitGroup
 	results := make([]standin.Result, 30)
 	for i := range results {
+		if i == adapterSlots {
+			// The first requests, of all hosts alike, take the slots: otherwise those of one host could, and only the others would be refused.
+			time.Sleep(slotsTakenAfter)
+		}
 		group.Go(func() {
 			results[i] = f.send(f.hosts[i%3], generationCall(fmt.Sprintf("many%d", i), "stream", fmt.Sprintf("b%d", i), 500))
 		})
@@ -175,7 +185,7 @@
 			hosts[l.Host] = true
 		}
 	}
-	// 30 adapters compete for 12 adapter slots, and each is in use for two seconds.
+	// 30 adapters compete for the slots, and each is in use for two seconds.
 	assert.Assert(t, refused >= 10 && len(hosts) == 3, "%d refused, lines of %v", refused, hosts)
 }
 
