--- a/internal/exerciser/voters_test.go
+++ b/internal/exerciser/voters_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
@@ -189,3 +190,16 @@
 		}
 	}
 }
+
+// TestLateRecordOfAVoterDoesNotDelayLeases guards against a fleet without lease holders for long after all hosts were killed: a host that was
+// about to stop still sent one of the restarted hosts its record as a voter, and no host knows the voter set.
+func TestLateRecordOfAVoterDoesNotDelayLeases(t *testing.T) {
+	sim := New[selector.LeastDelay](scheduleOptions(6, 1))
+	sim.Run(warmUpDuration)
+	sim.KillGroup(sim.Hosts, 300*time.Millisecond, 301*time.Millisecond)
+	sim.Run(400 * time.Millisecond)
+	late := reducer.HostRecord{ID: sim.Hosts[0].ID, Incarnation: 1, Voter: true}
+	sim.post(sim.Hosts[0], sim.Hosts[0].Incarnation, reducer.PeerReceived{From: sim.Hosts[5].ID, Incarnation: 1, Messages: []reducer.Message{late}})
+	sim.Run(leaseRecoveryTime)
+	assert.Equal(t, sim.heldLeases(), sim.Options.Engines)
+}
