--- a/internal/exerciser/deadly_parts.go
+++ b/internal/exerciser/deadly_parts.go
@@ -42,11 +42,12 @@
 // deadlyAdapter is the position for an adapter that crashes engines.
 const deadlyAdapter = -1
 
-// Numbers of the parts that prompts share, with a DeadlyPart.
 const (
-	deadlyPartName  = "deadly"
-	commonParts     = 3
-	customerParts   = 31
+	deadlyPartName = "deadly"
+	// commonParts and customerParts are the numbers of first and of second parts that prompts share.
+	commonParts   = 3
+	customerParts = 31
+	// crashDelay is the time from the start of a deadly answer to the crash of its engine, which is back after crashedDuration.
 	crashDelay      = 20 * time.Millisecond
 	crashedDuration = 3200 * time.Millisecond
 	// deadlyCrashes is the crash from which hosts have the time HostTimeout to learn the part, and maxLateArrivals the number of requests
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -72,16 +72,6 @@
 	strikeTTL = time.Hour
 	// maxDoublings bounds how often the length of the quarantine doubles.
 	maxDoublings = 4
-	// maxCrashes, maxSuspects and maxSound bound the memory; up to twice as many suspects and answers are kept until old state is removed.
-	maxCrashes  = 16
-	maxSuspects = 1024
-	maxSound    = 8192
-	// pruneInterval is the time between two removals of old state.
-	pruneInterval = 10 * time.Second
-	// shareTime is how long a change is told to other hosts, and maxReminders the number of unchanged quarantines that are told at a time, so
-	// that hosts which have started learn of them.
-	shareTime    = 1500 * time.Millisecond
-	maxReminders = 4
 )
 
 // NewTracker returns a tracker without suspects.
@@ -101,13 +91,6 @@
 	t.bound(now)
 }
 
-// bound removes old state ahead of time once there is much of it, as when a caller invents content.
-func (t *Tracker[K]) bound(now time.Time) {
-	if len(t.Suspects) > 2*maxSuspects || len(t.SoundAt) > 2*maxSound {
-		t.prune(now)
-	}
-}
-
 // RecordSound records that a request with the given content was answered completely, and returns the content whose quarantine that ends.
 func (t *Tracker[K]) RecordSound(now time.Time, content []K) (released []K) {
 	for _, key := range content {
@@ -243,14 +226,6 @@
 	return released
 }
 
-// prune removes old suspects, and the oldest ones and the oldest answers where there are too many.
-func (t *Tracker[K]) prune(now time.Time) {
-	t.PrunedAt = now
-	maps.DeleteFunc(t.Suspects, func(_ K, s *Suspect[K]) bool { return s.forgettable(now) })
-	evictOldest(t.Suspects, maxSuspects, func(s *Suspect[K]) time.Time { return later(s.ChangedAt, s.QuarantinedUntil) })
-	evictOldest(t.SoundAt, maxSound, func(at time.Time) time.Time { return at })
-}
-
 // Limit shortens the quarantines to at most the given time from now.
 func (t *Tracker[K]) Limit(now time.Time, quarantine time.Duration) {
 	for _, s := range t.Suspects {
@@ -258,57 +233,6 @@
 	}
 }
 
-// Shared returns the suspects to tell other hosts: up to count of those that changed recently, the ones in quarantine and then those with the
-// most crashes first, and reminders of other quarantines.
-func (t *Tracker[K]) Shared(now time.Time, count int) []Suspect[K] {
-	var changed []Suspect[K]
-	var steady []*Suspect[K]
-	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
-		s := t.Suspects[key]
-		switch {
-		case now.Sub(s.ChangedAt) < shareTime:
-			changed = append(changed, s.withCrashes(s.Crashes))
-		case now.Before(s.QuarantinedUntil):
-			steady = append(steady, s)
-		}
-	}
-	slices.SortStableFunc(changed, func(a, b Suspect[K]) int {
-		if c := b.QuarantinedUntil.Compare(a.QuarantinedUntil); c != 0 {
-			return c
-		}
-		return cmp.Compare(len(b.Crashes), len(a.Crashes))
-	})
-	return append(changed[:min(len(changed), count)], t.reminders(steady)...)
-}
-
-// reminders returns some of the unchanged quarantines, each time the next ones, with one crash each: other hosts need no more.
-func (t *Tracker[K]) reminders(steady []*Suspect[K]) []Suspect[K] {
-	var reminders []Suspect[K]
-	for range min(len(steady), maxReminders) {
-		s := steady[t.Reminded%len(steady)]
-		t.Reminded++
-		reminders = append(reminders, s.withCrashes(s.Crashes[max(len(s.Crashes)-1, 0):]))
-	}
-	return reminders
-}
-
-// withCrashes returns a copy of a suspect with a copy of the given crashes.
-func (s *Suspect[K]) withCrashes(crashes []Crash) Suspect[K] {
-	out := *s
-	out.Crashes = slices.Clone(crashes)
-	return out
-}
-
-// ChangedSince reports whether a suspect changed after a time.
-func (t *Tracker[K]) ChangedSince(at time.Time) bool {
-	for _, s := range t.Suspects {
-		if s.ChangedAt.After(at) {
-			return true
-		}
-	}
-	return false
-}
-
 // suspect returns the suspect with a key and creates it if needed.
 func (t *Tracker[K]) suspect(key K) *Suspect[K] {
 	s, ok := t.Suspects[key]
@@ -370,31 +294,6 @@
 	return true
 }
 
-// forgettable reports whether a suspect is of no further use.
-func (s *Suspect[K]) forgettable(now time.Time) bool {
-	if !s.QuarantinedUntil.IsZero() || now.Sub(s.ChangedAt) < shareTime {
-		return false
-	}
-	s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return now.Sub(c.At) > crashTTL })
-	return len(s.Crashes) == 0 && (s.Strikes == 0 || now.Sub(s.ChangedAt) > strikeTTL)
-}
-
-// evictOldest removes the oldest entries of a map that has more than limit of them.
-func evictOldest[K cmp.Ordered, V any](entries map[K]V, limit int, at func(V) time.Time) {
-	if len(entries) <= limit {
-		return
-	}
-	keys := slices.SortedFunc(maps.Keys(entries), func(a, b K) int {
-		if c := at(entries[a]).Compare(at(entries[b])); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
-	for _, key := range keys[:len(entries)-limit] {
-		delete(entries, key)
-	}
-}
-
 // quarantineTime returns the length of the quarantine that begins with the given number of strikes.
 func quarantineTime(first time.Duration, strikes int) time.Duration {
 	return first << min(max(strikes-1, 0), maxDoublings)
@@ -406,10 +305,3 @@
 	}
 	return b
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/internal/isolator/sharing.go
@@ -0,0 +1,66 @@
+package isolator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// shareTime is how long a change is told to other hosts, and maxReminders the number of unchanged quarantines that are told at a time, so
+	// that hosts which have started learn of them.
+	shareTime    = 1500 * time.Millisecond
+	maxReminders = 4
+)
+
+// Shared returns the suspects to tell other hosts: up to count of those that changed recently, the ones in quarantine and then those with the
+// most crashes first, and reminders of other quarantines.
+func (t *Tracker[K]) Shared(now time.Time, count int) []Suspect[K] {
+	var changed []Suspect[K]
+	var steady []*Suspect[K]
+	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
+		s := t.Suspects[key]
+		switch {
+		case now.Sub(s.ChangedAt) < shareTime:
+			changed = append(changed, s.withCrashes(s.Crashes))
+		case now.Before(s.QuarantinedUntil):
+			steady = append(steady, s)
+		}
+	}
+	slices.SortStableFunc(changed, func(a, b Suspect[K]) int {
+		if c := b.QuarantinedUntil.Compare(a.QuarantinedUntil); c != 0 {
+			return c
+		}
+		return cmp.Compare(len(b.Crashes), len(a.Crashes))
+	})
+	return append(changed[:min(len(changed), count)], t.reminders(steady)...)
+}
+
+// reminders returns some of the unchanged quarantines, each time the next ones, with one crash each: other hosts need no more.
+func (t *Tracker[K]) reminders(steady []*Suspect[K]) []Suspect[K] {
+	var reminders []Suspect[K]
+	for range min(len(steady), maxReminders) {
+		s := steady[t.Reminded%len(steady)]
+		t.Reminded++
+		reminders = append(reminders, s.withCrashes(s.Crashes[max(len(s.Crashes)-1, 0):]))
+	}
+	return reminders
+}
+
+// withCrashes returns a copy of a suspect with a copy of the given crashes.
+func (s *Suspect[K]) withCrashes(crashes []Crash) Suspect[K] {
+	out := *s
+	out.Crashes = slices.Clone(crashes)
+	return out
+}
+
+// ChangedSince reports whether a suspect changed after a time.
+func (t *Tracker[K]) ChangedSince(at time.Time) bool {
+	for _, s := range t.Suspects {
+		if s.ChangedAt.After(at) {
+			return true
+		}
+	}
+	return false
+}
