--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -13,8 +13,8 @@
 	Server  uint64
 	Request uint64
 	At      time.Time
-	// AnswerBegun is set if the answer to the request had just begun: that is when deadly content strikes, and few other requests are lost
-	// in that moment.
+	// AnswerBegun is set if the answer to the request had just begun: that is when content crashes servers, and few other requests are lost in
+	// that moment.
 	AnswerBegun bool
 }
 
@@ -24,8 +24,8 @@
 	// Crashes holds the crashes at which a request with the content was lost, and after which no request with it was answered; the oldest
 	// first.
 	Crashes []Crash
-	// SoundAt is when a request with the content was last answered completely, which the content does not survive if it crashes servers;
-	// zero if that is not known.
+	// SoundAt is when a request with the content was last answered completely, which content that crashes servers never is; zero if no answer
+	// is known.
 	SoundAt time.Time
 	// Depth is the position of the content in its requests; deeper content is shared by fewer of them.
 	Depth int
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -199,7 +199,7 @@
 	assert.Equal(t, len(f.tracker.Suspects), 0)
 }
 
-// Guards against a third server lost to a request that was lost twice in the moment in which deadly content strikes.
+// Guards against a third server lost to a request that was lost twice in the moment in which content crashes servers.
 func TestTwoCrashesAsAnAnswerBeginsSuffice(t *testing.T) {
 	f := newFixture()
 	begun := func(request uint64, content ...string) {
