--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,7 +17,8 @@
 
 // cases holds the cases by name; each returns whether its rule held.
 var cases = map[string]func(dir, daemon string, rec *recorder, trouble bool) (held bool){
-	"reset": resetCase,
+	"reset":   resetCase,
+	"holders": holdersCase,
 }
 
 func main() {
