--- a/review/standins/holders.go
+++ b/review/standins/holders.go
@@ -22,7 +22,8 @@
 	burstFrom   = 4300 * time.Millisecond
 )
 
-// holdersCase: the three machines that the seeds name are cut off from the other four and restarted; adapters are asked for on both sides.
+// holdersCase: the three machines that the seeds name are cut off from the other four and restarted; adapters are asked for on both sides. With
+// SEEDS=1 the seeds name a single machine, and it alone is cut off.
 func holdersCase(dir, daemon string, rec *recorder, trouble bool) bool {
 	f := newFleet(dir, daemon, rec, []any{map[string]any{"name": "hule930", "api_keys": []string{clientKey}, "priority": 1}})
 	defer f.stop()
@@ -32,7 +33,11 @@
 		f.store.remove("servers/" + e.id)
 		engines = append(engines, f.startAdapterEngine(fmt.Sprintf("i-a%d", i), tttZones[i%3]))
 	}
-	cuts := f.partitioned(3)
+	seeds := 3
+	if os.Getenv("SEEDS") == "1" {
+		seeds = 1
+	}
+	cuts := f.partitioned(seeds)
 	f.startHosts()
 	time.Sleep(settleTime)
 	if !f.awaitReady() {
@@ -46,14 +51,14 @@
 	if trouble {
 		rec.line("cut")
 		cuts.setCut(true)
-		for _, h := range f.hosts[:3] {
+		for _, h := range f.hosts[:seeds] {
 			f.signal(h, syscall.SIGKILL)
 			go f.restartWhenEnded(h)
 		}
 	}
 	time.Sleep(burstFrom)
 	var wait sync.WaitGroup
-	for _, side := range [][]*host{f.hosts[:3], f.hosts[3:]} {
+	for _, side := range [][]*host{f.hosts[:seeds], f.hosts[seeds:]} {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(dir, daemon string, rec *recorder, trouble bool) (held bool){
 	"reset":   resetCase,
 	"holders": holdersCase,
+	"late":    lateCase,
 }
 
 func main() {
