--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,6 +20,7 @@
 	"reset":   resetCase,
 	"holders": holdersCase,
 	"late":    lateCase,
+	"quota":   quotaCase,
 }
 
 func main() {
