--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if rule QUOTA was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the kill.
+# Exits with 1 if rule LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 makes the runners read bodies first.
 cd "$(dirname "$0")" || exit 2
 [[ -x ../../target/review-standins && -x ../../target/redwingpickd ]] || exit 2
-exec ../../target/review-standins quota ../../target/redwingpickd record.txt
+exec ../../target/review-standins late ../../target/redwingpickd record.txt
