--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 	"holders": holdersCase,
 	"late":    lateCase,
 	"quota":   quotaCase,
+	"stall":   stallCase,
 }
 
 func main() {
