Bootstrap a voter set only while backend servers count no orders

Cause: hosts that restart on one side took the others for gone because nothing had been ordered for 1.5 s, though nobody had asked for an adapter. A fleet that may order was not obliged to show it, so no length of silence proves anything. The same holds for evictions without a majority. Hosts bootstrap, evict without a majority, and claim leases where no holder is known only while these counts stand still. The stand-in engine's report shows the stage of an adapter at its time, not at the last order, and a server whose entry was removed without a drain publishes none again.

--- a/internal/dispatcher/orders.go
+++ b/internal/dispatcher/orders.go
@@ -84,7 +84,7 @@
 		return event
 	}
 	report, err := c.Codec.DecodeReport(body)
-	event.Adapters = report.Adapters
+	event.Adapters, event.AcceptedOrders = report.Adapters, report.AcceptedOrders
 	// A report of another incarnation says nothing about the one that was asked.
 	bothKnown := report.StartedUnixMs != 0 && effect.StartedUnixMs != 0
 	event.Failed = err != nil || bothKnown && report.StartedUnixMs != effect.StartedUnixMs
--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -44,7 +44,7 @@
 		Services: []cataloguer.Service{
 			{Name: engineService, MaxConnections: 360, ColdDuration: coldDuration, ColdRate: coldRate, Engine: &cataloguer.Engine{
 				Slots: s.Options.EngineSpec.Slots, KVCacheTokens: 220_000, AdapterSlots: s.Options.EngineSpec.AdapterSlots, WeightMemoryMB: 66_000,
-				LoadsPerSecond: 2, Models: []cataloguer.Model{{Name: modelName, WeightsMB: 65_000, LoadDuration: 2 * time.Second}},
+				LoadsPerSecond: 2, Models: []cataloguer.Model{{Name: modelName, WeightsMB: 65_000, LoadDuration: 2 * time.Second, SampleAdapter: "a1"}},
 			}},
 			{Name: unaryService, MaxConnections: 96},
 		},
@@ -105,7 +105,7 @@
 		s.Backends[id] = b
 	}
 	b.Up = true
-	b.DrainingAt, b.leaving = time.Time{}, false
+	b.DrainingAt, b.leaving, b.unlisted = time.Time{}, false, false
 	b.told = map[string]*toldHost{}
 	b.answers, b.refuses = nil, false
 	b.Info = cataloguer.Backend{ID: id, Service: service, Address: id, FailureDomain: domain, StartedUnixMs: s.Now.UnixMilli(), Slots: 6}
@@ -146,7 +146,7 @@
 
 // heartbeat republishes the entry of an engine whenever its resident adapters have changed.
 func (s *Simulation[P]) heartbeat(b *Backend) {
-	if b.Up && !reflect.DeepEqual(b.PublishedModels, []cataloguer.ResidentModel{{Model: modelName, Adapters: b.Engine.Resident(s.Now)}}) {
+	if b.Up && !b.unlisted && !reflect.DeepEqual(b.PublishedModels, []cataloguer.ResidentModel{{Model: modelName, Adapters: b.Engine.Resident(s.Now)}}) {
 		s.publishBackend(b)
 	}
 	s.after(heartbeatInterval, func() { s.heartbeat(b) })
@@ -192,7 +192,7 @@
 // drain deadline.
 func (s *Simulation[P]) RemoveWithoutDrain(b *Backend) {
 	s.logFault("entry of %s is removed without a drain", b.Info.ID)
-	b.DrainingAt = s.Now
+	b.DrainingAt, b.unlisted = s.Now, true
 	s.ConfigService.Remove("backends/" + b.Info.ID)
 	s.after(s.Options.Limits.DrainDeadline+5*time.Second, func() { b.Up = false })
 }
--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -186,7 +186,7 @@
 		return
 	}
 	s.after(s.messageDelay(), func() {
-		event.Adapters = b.Engine.Report(s.Now)
+		event.Adapters, event.AcceptedOrders = b.Engine.Report(s.Now)
 		s.after(s.messageDelay(), func() { s.post(h, incarnation, event) })
 	})
 }
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -138,6 +138,8 @@
 
 	// leaving is set while the server says in its responses that it drains.
 	leaving bool
+	// unlisted is set once the entry was removed without a drain; the server then publishes none.
+	unlisted bool
 	// answers holds the answers in progress.
 	answers []*answer
 	// refuses is set after a crash until the restart: connections are refused at once.
--- a/internal/exerciser/traffic.go
+++ b/internal/exerciser/traffic.go
@@ -206,11 +206,16 @@
 func (s *Simulation[P]) cancel(*Host, reducer.Cancel) {}
 
 // StartTraffic sends requests at random times until the simulation ends.
-func (s *Simulation[P]) StartTraffic(requestsPerSecond float64) {
+func (s *Simulation[P]) StartTraffic(requestsPerSecond float64) (stop func()) {
+	stopped := false
 	var next func()
 	next = func() {
+		if stopped {
+			return
+		}
 		s.sendRequest(s.Hosts[s.rng.IntN(len(s.Hosts))])
 		s.after(time.Duration(s.rng.ExpFloat64()/requestsPerSecond*float64(time.Second)), next)
 	}
 	next()
+	return func() { stopped = true }
 }
--- a/internal/modeler/engine.go
+++ b/internal/modeler/engine.go
@@ -56,7 +56,14 @@
 
 type snapshot struct {
 	at       time.Time
-	adapters []reducer.ReportedAdapter
+	orders   int64
+	adapters []listedAdapter
+}
+
+// listedAdapter is an adapter in a snapshot, with the time at which its load is complete.
+type listedAdapter struct {
+	reducer.ReportedAdapter
+	readyAt time.Time
 }
 
 // NewEngine returns an engine without adapters.
@@ -100,6 +107,7 @@
 		return reducer.OrderDone
 	}
 	e.OrderCount++
+	e.recordSnapshot(now)
 	a.ReplacePending = true
 	e.startReplacement(now, key, a)
 	return reducer.OrderAccepted
@@ -125,6 +133,7 @@
 	e.OrderCount++
 	if a.Running > 0 {
 		a.Unloading = true
+		e.recordSnapshot(now)
 		return reducer.OrderAccepted
 	}
 	delete(e.Adapters, key)
@@ -176,15 +185,22 @@
 	}
 }
 
-// Report returns the adapters that the engine reports, whose state is Spec.ReportLag old.
-func (e *Engine) Report(now time.Time) []reducer.ReportedAdapter {
+// Report returns the adapters and the number of orders that the engine reports, whose state is Spec.ReportLag old.
+func (e *Engine) Report(now time.Time) (adapters []reducer.ReportedAdapter, orders int64) {
 	asOf := now.Add(-e.Spec.ReportLag)
 	for _, h := range slices.Backward(e.history) {
-		if !h.at.After(asOf) {
-			return h.adapters
+		if h.at.After(asOf) {
+			continue
 		}
+		for _, a := range h.adapters {
+			if !asOf.Before(a.readyAt) {
+				a.Stage = reducer.StageReady
+			}
+			adapters = append(adapters, a.ReportedAdapter)
+		}
+		return adapters, h.orders
 	}
-	return nil
+	return nil, 0
 }
 
 // Resident returns the adapters that requests can use, sorted by name.
@@ -200,13 +216,11 @@
 }
 
 func (e *Engine) recordSnapshot(now time.Time) {
-	s := snapshot{at: now}
+	s := snapshot{at: now, orders: e.OrderCount}
 	for key, a := range e.Adapters {
-		stage := reducer.StageReady
-		if now.Before(a.ReadyAt) {
-			stage = reducer.StageLoading
-		}
-		s.adapters = append(s.adapters, reducer.ReportedAdapter{Adapter: key, Version: a.Version, Stage: stage})
+		s.adapters = append(s.adapters, listedAdapter{
+			reducer.ReportedAdapter{Adapter: key, Version: a.Version, Stage: reducer.StageLoading}, a.ReadyAt,
+		})
 	}
 	e.history = append(e.history, s)
 }
--- a/internal/reducer/bootstrap.go
+++ b/internal/reducer/bootstrap.go
@@ -16,6 +16,8 @@
 	bootstrapQuietRounds = 2
 	// bootstrapWithoutSeedsAfter is the uptime from which a host that does not reach all seeds may bootstrap.
 	bootstrapWithoutSeedsAfter = 7 * time.Second
+	// bootstrapToOrders is the time from a bootstrap to the first order that others can see, beside the time in which records reach all hosts.
+	bootstrapToOrders = 2 * time.Second
 	// noOrdersPeriod is how long a host must have observed no orders to backend servers before it acts without the hosts that it does not
 	// reach: before it evicts them without a majority, or bootstraps a voter set without them. noOrdersBootstrapPeriod is how long before
 	// any bootstrap. A backend server shows the effect of an order in its published entry within one of its heartbeats.
@@ -38,8 +40,24 @@
 		return false
 	case len(s.voterHosts(now)) > 0:
 		return s.uptime(now) >= voterTimeout && s.observedNoOrders(now, noOrdersPeriod)
+	case s.reachesSeeds(now):
+		return true
 	}
-	return s.reachesSeeds(now) || s.uptime(now) >= bootstrapWithoutSeedsAfter && s.observedNoOrders(now, noOrdersPeriod)
+	return s.uptime(now) >= s.bootstrapWithoutSeedsAfter(now) && s.observedNoOrders(now, noOrdersPeriod)
+}
+
+// bootstrapWithoutSeedsAfter returns the uptime from which this host may bootstrap without reaching all seeds. Sides of a partition on which all
+// hosts restart would otherwise do so at the same time: only one of them reaches most seeds, and the others wait until they would see its orders.
+func (s *State) bootstrapWithoutSeedsAfter(now time.Time) time.Duration {
+	if 2*s.reachedSeeds(now) > len(s.Self.Seeds) {
+		return bootstrapWithoutSeedsAfter
+	}
+	return bootstrapWithoutSeedsAfter + s.propagationDelay() + bootstrapToOrders
+}
+
+// isSeed reports whether the settings of this host name it as a seed.
+func (s *State) isSeed() bool {
+	return len(s.Self.Seeds) == 0 || slices.Contains(s.Self.Seeds, s.Self.PeerAddress)
 }
 
 // isolated reports whether this host knows no other host although its seeds name some; it may then be cut off.
@@ -49,16 +67,23 @@
 }
 
 // reachesSeeds reports whether this host reaches all of its seeds.
-func (s *State) reachesSeeds(now time.Time) bool {
-	return !slices.ContainsFunc(s.Self.Seeds, func(address string) bool {
-		return address != s.Self.PeerAddress && !s.reachesAddress(now, address)
-	})
+func (s *State) reachesSeeds(now time.Time) bool { return s.reachedSeeds(now) == len(s.Self.Seeds) }
+
+// reachedSeeds returns the number of seeds that this host reaches, itself included.
+func (s *State) reachedSeeds(now time.Time) int {
+	reached := 0
+	for _, address := range s.Self.Seeds {
+		if address == s.Self.PeerAddress || s.reachesAddress(now, address) {
+			reached++
+		}
+	}
+	return reached
 }
 
 // observedNoOrders reports whether this host's reads of the configuration service show no order carried out for at least the given time.
 func (s *State) observedNoOrders(now time.Time, period time.Duration) bool {
 	m := s.Membership
-	return !m.ConfigReadsSince.IsZero() && now.Sub(m.ConfigReadAt) < maxReadGap &&
+	return s.serversSilent(now, period) && !m.ConfigReadsSince.IsZero() && now.Sub(m.ConfigReadAt) < maxReadGap &&
 		m.ConfigReadUpTo.Sub(later(m.ConfigReadsSince, m.OrderSeenAt)) >= period
 }
 
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -15,12 +15,14 @@
 	Loads             uint64 `json:"loads_total"`
 	ModelLoads        uint64 `json:"model_loads_total"`
 	Unloads           uint64 `json:"unloads_total"`
-	LeasesAcquired    uint64 `json:"leases_taken_total"`
-	LeasesLost        uint64 `json:"leases_lost_total"`
-	ClaimsRefused     uint64 `json:"claims_refused_total"`
-	EffectsExpired    uint64 `json:"effects_expired_total"`
-	DocumentsRefused  uint64 `json:"documents_refused_total"`
-	ConfigReads       uint64 `json:"platform_reads_total"`
+	// KeepAlives counts the reloads of idle adapters that only show that this host lives.
+	KeepAlives       uint64 `json:"keep_alive_orders_total"`
+	LeasesAcquired   uint64 `json:"leases_taken_total"`
+	LeasesLost       uint64 `json:"leases_lost_total"`
+	ClaimsRefused    uint64 `json:"claims_refused_total"`
+	EffectsExpired   uint64 `json:"effects_expired_total"`
+	DocumentsRefused uint64 `json:"documents_refused_total"`
+	ConfigReads      uint64 `json:"platform_reads_total"`
 	// PeerReads counts the requests to peers for documents, and PeerReadsEmpty the responses that raised no revision.
 	PeerReads      uint64 `json:"peer_reads_total"`
 	PeerReadsEmpty uint64 `json:"peer_reads_empty_total"`
--- a/internal/reducer/doc.go
+++ b/internal/reducer/doc.go
@@ -8,6 +8,8 @@
 //     heartbeats by gossip. A host is reachable while its heartbeat increases, and active while it is reachable and does not drain.
 //   - The voter set is the set of hosts that vote on leases. It is bootstrapped by the first hosts; a new host is promoted to voter after a
 //     delay, and a voter that is unreachable for long is evicted.
+//   - Holders keep the counts of accepted orders of the watched backend servers moving (keepalive.go). A host that finds no voter set bootstraps
+//     one only once those counts stand still (observation.go), since other hosts may live behind a partition.
 //   - A lease belongs to one backend server. Its holder is the only host that sends the server orders. The host that ranks first claims the
 //     lease, a quorum of its voters grants it for a short time, and the holder renews it. A lease has a term, and a fence that is higher
 //     than the fences of earlier holders.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -130,15 +130,19 @@
 	StartedUnixMs int64
 	RequestedAt   time.Time
 	Failed        bool
-	Adapters      []ReportedAdapter
-	Notice        BackendNotice
+	// AcceptedOrders is the number of orders that the server has accepted since its start.
+	AcceptedOrders int64
+	Adapters       []ReportedAdapter
+	Notice         BackendNotice
 }
 
 // BackendReport is what a backend server reports about itself.
 type BackendReport struct {
 	// StartedUnixMs is the server's start time; 0 if the report does not say.
 	StartedUnixMs int64
-	Adapters      []ReportedAdapter
+	// AcceptedOrders is the number of orders that the server has accepted since its start.
+	AcceptedOrders int64
+	Adapters       []ReportedAdapter
 }
 
 // ReportedAdapter is one adapter that a backend server holds or is loading.
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -10,7 +10,9 @@
 	// BackendsIndexed is set while Engines and ByService are up to date.
 	BackendsIndexed bool
 	Engines         []string
-	ByService       map[string][]*Backend
+	// Watched is the engines whose reports show whether a fleet lives.
+	Watched   []string
+	ByService map[string][]*Backend
 	// Holders names, for each backend server, the host whose record last listed its lease.
 	Holders map[string]string
 	// Incarnations holds the host of each known incarnation.
@@ -58,6 +60,7 @@
 			s.Index.Engines = append(s.Index.Engines, id)
 		}
 	}
+	s.Index.Watched = rankWatched(s.Index.Engines)
 }
 
 // engineIDs returns the IDs of the engines that have adapter slots, sorted.
--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -288,6 +288,7 @@
 	b, known := s.Backends[e.Backend]
 	if known && b.Info.StartedUnixMs == e.StartedUnixMs {
 		s.checkLosses(now, b, e)
+		s.observeReport(now, e)
 	}
 	if !ok || !known || b.Info.StartedUnixMs != e.StartedUnixMs {
 		return
--- a/internal/reducer/leasestate.go
+++ b/internal/reducer/leasestate.go
@@ -41,6 +41,8 @@
 	// Pending are the requested loads in the order of their requests.
 	Pending []PendingLoad
 	Usage   map[string]*HostUsage
+	// KeptAliveAt is when an adapter was last reloaded only to show that this host lives.
+	KeptAliveAt time.Time
 	// Uncertain is set when an order was not accepted or has no known result, until a report shows what the backend server holds.
 	Uncertain bool
 }
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -27,6 +27,7 @@
 	EventBecameVoter              = 116
 	EventMajorityChanged          = 117
 	EventVoterEvicted             = 118
+	EventForeignOrderSeen         = 119
 	EventDrainStarted             = 121
 	EventDrainDone                = 122
 	EventLeaseAcquired            = 131
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -28,6 +28,8 @@
 	// Term is the lowest term of a new lease at the time TermAt; it grows with time.
 	Term   int64
 	TermAt time.Time
+	// HolderKnownUntil is until when some host of the voter set is known to have held a lease just before.
+	HolderKnownUntil time.Time
 	// ConfigReadUpTo is the time up to which this host's reads of the configuration service cover all that had been published.
 	ConfigReadUpTo time.Time
 	// ConfigReadsSince is the time since which this host has read the configuration service itself without a failure; zero if its last
@@ -243,6 +245,7 @@
 	}
 	s.Membership.VotersKnownAt = now
 	s.Membership.Term, s.Membership.TermAt = term, now
+	s.recordHolder(now.Add(s.propagationDelay()))
 	s.invalidateHostIndex()
 	s.indexHosts(now)
 	updateMajority(s, now)
--- a/internal/reducer/membership_test.go
+++ b/internal/reducer/membership_test.go
@@ -25,7 +25,7 @@
 // runWithPeers advances the time; the five other hosts send heartbeats and the configuration service has no changes.
 func (f *fixture) runWithPeers(d time.Duration) {
 	for range d / gossipInterval {
-		f.advance(gossipInterval)
+		f.answerObservation(f.advance(gossipInterval))
 		f.receiveHeartbeats(5)
 		f.reduce(ConfigRead{RequestedAt: f.now, Revision: f.revision})
 	}
@@ -120,6 +120,12 @@
 	f.runWithPeers(2 * time.Second)
 	assert.Equal(t, len(f.state.voterHosts(f.now)), 6, "no orders for long")
 
+	f = start("host-0", "far-away", "further-away")
+	f.runWithPeers(bootstrapWithoutSeedsAfter + f.state.propagationDelay())
+	assert.Equal(t, len(f.state.voterHosts(f.now)), 0, "the side with most seeds comes first")
+	f.runWithPeers(bootstrapToOrders + time.Second)
+	assert.Equal(t, len(f.state.voterHosts(f.now)), 6)
+
 	f = start("host-0", "host-1", "host-2")
 	for i := range 5 {
 		f.publishBackend(engine("e1", "a"+strconv.Itoa(i)))
@@ -129,6 +135,17 @@
 	f.runWithPeers(2 * time.Second)
 	assert.Equal(t, len(f.state.voterHosts(f.now)), 6)
 
+	f = start("host-0", "host-1", "host-2")
+	f.state.Self.Seeds = append(f.state.Self.Seeds, f.state.Self.PeerAddress)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	for range 6 {
+		f.acceptedOrders++
+		f.runWithPeers(900 * time.Millisecond)
+	}
+	assert.Equal(t, len(f.state.voterHosts(f.now)), 0, "e1 counts orders of a host that is not reached")
+	f.runWithPeers(4 * time.Second)
+	assert.Equal(t, len(f.state.voterHosts(f.now)), 6)
+
 	f = start("host-0", "host-1", "host-2")
 	for range 5 {
 		f.runWithPeers(time.Second)
@@ -195,7 +212,7 @@
 			if ordering {
 				f.publishBackend(engine("e1", "a"+strconv.Itoa(i)))
 			}
-			f.advance(time.Second)
+			f.answerObservation(f.advance(time.Second))
 			f.receiveHeartbeats(2)
 			f.reduce(ConfigRead{RequestedAt: f.now, Revision: f.revision})
 		}
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -70,6 +70,7 @@
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
+	s.recordAcceptedOrder(now, e)
 	inv := &l.Inventory
 	inv.OrderPending = false
 	if e.Adapter.Adapter == "" {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -52,10 +52,13 @@
 func tick[P selector.Policy](s *State, now time.Time) {
 	s.Counters.Ticks++
 	tickRequests[P](s, now)
+	tickHolders(s, now)
+	tickObservation(s, now)
 	tickMembership(s, now)
 	tickGossip(s, now)
 	tickBackends(s, now)
 	tickLeases(s, now)
+	tickKeepAlive(s, now)
 	tickAccounts[P](s, now)
 	tickIsolation(s, now)
 	tickWatch(s, now)
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -19,6 +19,8 @@
 	state    *State
 	now      time.Time
 	revision int64
+	// acceptedOrders is the number of orders that backend servers report.
+	acceptedOrders int64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -45,6 +47,15 @@
 	}
 }
 
+// answerObservation delivers the reports that the effects request while the host observes the orders of others; no server has had any.
+func (f *fixture) answerObservation(effects []Effect) {
+	for _, e := range effects {
+		if r, ok := e.(ReadReport); ok && f.state.observesOrders(f.now) {
+			f.reduce(BackendReported{Backend: r.Backend, StartedUnixMs: r.StartedUnixMs, RequestedAt: f.now, AcceptedOrders: f.acceptedOrders})
+		}
+	}
+}
+
 // testCatalogue returns a catalogue with one unary service, three routes and one account.
 func testCatalogue(version int64) *cataloguer.Catalogue {
 	desk := []cataloguer.WeightedService{{Service: "desk", Weight: 1}}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -34,6 +34,8 @@
 	Watch       Watch
 	Gossip      Gossip
 	Membership  Membership
+	Observation Observation
+	KeepAlive   KeepAlive
 	Isolation   Isolation
 	Ready       bool
 	Draining    Draining
--- a/pkg/cataloguer/catalogue.go
+++ b/pkg/cataloguer/catalogue.go
@@ -100,6 +100,8 @@
 	WeightsMB float64
 	// AdapterMB is the size of one adapter of the model, in megabytes.
 	AdapterMB float64
+	// SampleAdapter is the name of some adapter of the model; empty if the model has none.
+	SampleAdapter string
 	// LoadDuration is the usual time of a load from the weight store.
 	LoadDuration time.Duration
 }
