Tell a reset from the end of a response while its request is sent

Cause: the kernel reports a reset once a socket; the goroutine that still sent a long request took the report, and the reader saw an end, which is all that marks the end of a response without a length. Change: at such an end the writer's error decides if there is one, else the kernel's state of the connection: only after the server's FIN is the response complete. A sound server that answers early, half-closes and reads on later is not waited for.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -323,6 +323,9 @@
 // handleBody reads a complete response. It delivers a success; a failure goes into the result, since the reducer may retry the request.
 func (x *exchange[C, S]) handleBody(ctx context.Context, resp *http.Response) {
 	body, err := x.readBody(ctx, resp)
+	if err == nil {
+		err = x.checkEnding(resp)
+	}
 	if err != nil {
 		x.fail(err)
 		return
@@ -379,6 +382,10 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
+			if err := x.checkEnding(resp); err != nil {
+				x.fail(err)
+				return
+			}
 			x.result.Outcome = reducer.OutcomeDone
 			x.releaseConn(resp, nil)
 			return
