Let fences grow with the orders that a server has accepted

Cause: a voter set that is bootstrapped anew takes its terms from the time of day alone, which may be behind that of the set before. Change: a fence adds the server's own count of accepted orders, read before the first order, 1,024 steps of a term each; a server that starts anew counts its start for 20 orders a second. Event 151 has the fence, 131 no longer.

--- a/internal/exerciser/voters_test.go
+++ b/internal/exerciser/voters_test.go
@@ -44,7 +44,7 @@
 	// Guards against a new host that reaches no seed and bootstraps a voter set of itself alone after a minute.
 	{schedule{name: "host_added_without_seeds", inject: hostAddedWithoutSeeds}, []int{12}, nil},
 	// Guards against fences lower than those from before all hosts were killed, when their clocks had been ahead.
-	{schedule{name: "all_killed_clocks_were_ahead", fromStart: true, inject: allKilledClocksWereAhead}, []int{6}, []uint64{4, 8}},
+	{schedule{name: "all_killed_clocks_were_ahead", fromStart: true, inject: allKilledClocksWereAhead}, []int{6}, []uint64{4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20}},
 }
 
 // TestSingleVoterSetUnderFaults guards against two voter sets that each grant leases.
--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -298,6 +298,9 @@
 		return
 	}
 	inv := &l.Inventory
+	if inv.ReportReadAt.IsZero() {
+		l.Fence = s.fence(l.Term, b.Info.StartedUnixMs, e.AcceptedOrders)
+	}
 	listed := map[AdapterKey]ReportedAdapter{}
 	for _, a := range e.Adapters {
 		listed[a.Adapter] = a
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -213,18 +213,27 @@
 // acquireLease makes this host the holder. A host that has held the lease before sends no order for OrderLeaseDuration.
 func acquireLease(s *State, now time.Time, backend string, l *Lease) {
 	l.HeldSince = now
-	l.Fence = l.Term<<fenceBits | int64(hasher.Key(s.Self.HostID)&(1<<fenceBits-1))
 	l.Inventory = newInventory()
 	if l.HeldBefore {
 		l.Inventory.NextOrderAt = now.Add(s.Limits.OrderLeaseDuration)
 	}
 	s.Counters.LeasesAcquired++
 	ids, quorum := s.votersOf(now, backend)
-	s.logEvent(EventLeaseAcquired, Field{"backend_server", backend}, intField("term", int(l.Term)), intField("fence", int(l.Fence)),
+	s.logEvent(EventLeaseAcquired, Field{"backend_server", backend}, intField("term", int(l.Term)),
 		intField("known_hosts", len(s.Hosts)), Field{"voters", strings.Join(ids, ",")}, intField("quorum", quorum),
 		Field{"backed_by", strings.Join(sortedKeys(l.Votes), ",")}, boolField("held_before", l.HeldBefore), msField("up_ms", s.uptime(now)))
 }
 
+// fence returns the fence of a new holder's orders, which exceeds those of all earlier holders.
+//
+// Within a voter set the term alone would do. Where all hosts have lost their terms and their clocks were ahead at the time, the server still knows
+// more: it has accepted orders since the earlier holder took its fence. A server that starts anew counts from 0, so its start counts for as many orders as
+// it can have accepted before.
+func (s *State) fence(term, startedUnixMs, acceptedOrders int64) int64 {
+	started := max(startedUnixMs-termEpochMs, 0) / time.Second.Milliseconds() * maxOrderRate
+	return (term+(started+acceptedOrders)*termStepsPerOrder)<<fenceBits | int64(hasher.Key(s.Self.HostID)&(1<<fenceBits-1))
+}
+
 func loseLease(s *State, backend string, l *Lease) {
 	s.Counters.LeasesLost++
 	s.logEvent(EventLeaseLost, Field{"backend_server", backend}, intField("term", int(l.Term)))
--- a/internal/reducer/leasestate.go
+++ b/internal/reducer/leasestate.go
@@ -8,7 +8,8 @@
 
 // Lease is this host's lease, or claim to the lease, of one backend server, and what the host knows as the holder.
 type Lease struct {
-	Term  int64
+	Term int64
+	// Fence is set with the first report of the server, which the first order waits for.
 	Fence int64
 	// ClaimedAtUptime is the uptime of this host at which the claim began; replies to earlier requests do not count.
 	ClaimedAtUptime time.Duration
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -74,7 +74,12 @@
 	termEpochMs = 1_577_836_800_000
 	termStepMs  = 100
 	// fenceBits is the number of low bits of a fence that hold a hash of the host ID.
-	fenceBits = 20
+	fenceBits = 10
+	// termStepsPerOrder is the part of a fence that grows with each order that the server accepts. Terms of a voter set that is bootstrapped anew
+	// may be lower than earlier ones by twice the error of the clocks; this covers an error of 50 s.
+	termStepsPerOrder = 1024
+	// maxOrderRate is above the mean number of orders per second that a server accepts.
+	maxOrderRate = 20
 )
 
 // Durations and bounds for reading the configuration service.
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -58,7 +58,7 @@
 		Holder: s.Self.HostID, Fence: l.Fence, NotAfter: l.ValidUntil,
 	})
 	s.logEvent(EventOrderSent, Field{"backend_server", b.Info.ID}, Field{"adapter", key.Adapter}, boolField("unload", unload),
-		intField("places", len(l.Inventory.Entries)), intField("wants", len(l.Inventory.Pending)), intField("term", int(l.Term)),
+		intField("places", len(l.Inventory.Entries)), intField("wants", len(l.Inventory.Pending)), intField("term", int(l.Term)), intField("fence", int(l.Fence)),
 		msField("held_ms", now.Sub(l.HeldSince)))
 }
 
