Move the kernel's timeout on while a server with a closed window answers

Cause: TCP_USER_TIMEOUT counts from the first window probe, though each probe is acknowledged. What the option is for stays: a server behind a cut link is noticed. Change: while a request is sent, the connection is checked every 0.25 s from 0.5 s on; where bytes wait for a closed window and acknowledgements still come, the timeout is moved on by a little.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -148,6 +148,7 @@
 	result   Result
 	// writeResult receives the result of writing the request.
 	writeResult chan error
+	window      *windowWatch
 	// onStart is called once a success response has started.
 	onStart   func(start Start)
 	startedAt time.Time
@@ -184,7 +185,9 @@
 	_ = conn.SetDeadline(now.Add(timeLeft + readGrace))
 	x := &exchange[C, S]{
 		client: c, call: call, dispatch: dispatch, sink: sink, conn: conn, onStart: onStart, startedAt: now, writeResult: make(chan error, 1),
+		window: watchWindow(conn.Conn, now),
 	}
+	defer x.window.stop()
 	if n, err := x.writeRequest(timeLeft); err != nil && n == 0 {
 		c.pool.closeConn(conn)
 		return Result{Outcome: reducer.OutcomeNotSent}, conn.reused && ctx.Err() == nil
@@ -403,6 +406,7 @@
 	select {
 	case writeErr := <-x.writeResult:
 		if err == nil && writeErr == nil {
+			x.window.stop()
 			x.client.pool.put(x.conn, resp)
 			return
 		}
