Let hosts that know of voters bootstrap once the servers are silent

Seen by callers: no adapter is loaded for 25 s after all hosts were killed, if one late record names a voter. Cause: such hosts waited until any partition would be over, since no silence was evidence. Change: with keep-alive orders it is; they wait as hosts without all seeds do.

--- a/internal/reducer/bootstrap.go
+++ b/internal/reducer/bootstrap.go
@@ -28,9 +28,8 @@
 )
 
 // mayBootstrap reports whether this host may bootstrap the voter set: it has received none, it has discovered no host recently, it reaches
-// all seeds, and the configuration service shows that no host orders backend servers. No two sides of a partition can both reach all seeds,
-// but hosts that restart on one side may have no record of the other side. Without all seeds the host observes the configuration service
-// for longer, and if it knows of voters it waits until a partition would be over.
+// all seeds, and it observes that no host orders backend servers. No two sides of a partition can both reach all seeds, but hosts that restart on one
+// side may have no record of the other side. Without all seeds, or if it knows of voters, the host observes for longer.
 func (s *State) mayBootstrap(now time.Time) bool {
 	quiet := now.Sub(later(s.Self.StartedAt, s.Membership.HostDiscoveredAt))
 	switch {
@@ -38,9 +37,7 @@
 		return false
 	case s.uptime(now) < bootstrapAfter || quiet < bootstrapQuietRounds*s.roundInterval() || !s.observedNoOrders(now, noOrdersBootstrapPeriod):
 		return false
-	case len(s.voterHosts(now)) > 0:
-		return s.uptime(now) >= voterTimeout && s.observedNoOrders(now, noOrdersPeriod)
-	case s.reachesSeeds(now):
+	case len(s.voterHosts(now)) == 0 && s.reachesSeeds(now):
 		return true
 	}
 	return s.uptime(now) >= s.bootstrapWithoutSeedsAfter(now) && s.observedNoOrders(now, noOrdersPeriod)
@@ -80,7 +77,8 @@
 	return reached
 }
 
-// observedNoOrders reports whether this host's reads of the configuration service show no order carried out for at least the given time.
+// observedNoOrders reports whether the watched servers and this host's reads of the configuration service show no order for at least the given
+// time.
 func (s *State) observedNoOrders(now time.Time, period time.Duration) bool {
 	m := s.Membership
 	return s.serversSilent(now, period) && !m.ConfigReadsSince.IsZero() && now.Sub(m.ConfigReadAt) < maxReadGap &&
