Keep long bodies only until their slots are taken, and pass others on

Seen by callers: requests that end with a host whose memory is exhausted. Cause: a complete body of up to 4 MiB gave up its slot when it had been read and stayed in memory until its caller had taken it, however slowly, without a bound on their number. Change: it keeps its slot till then; without a free slot a body is passed on as it is read, and one that breaks off aborts the response. Failures are kept up to 256 KiB. A test that kept what its callers were sent keeps nothing now, with the same bound.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -55,11 +55,15 @@
 	Continues bool
 }
 
-// Response is a complete response of a backend server.
+// Response is a complete response of a backend server, or one whose body is still being read.
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Body is the body, or its first part if Rest is set.
+	Body []byte
+	// Rest reads the rest of the body; nil for none. Length is then the length of the whole body; negative if it is not known.
+	Rest   io.Reader
+	Length int64
 }
 
 // Classification is what the header of a response says about the request.
@@ -99,7 +103,7 @@
 	BeginStream(status int, header http.Header)
 	// Write sends the next bytes of a streamed response.
 	Write(p []byte) error
-	// WriteResponse sends a complete response.
+	// WriteResponse sends a response that is not a stream. If it returns an error, the response is not complete.
 	WriteResponse(resp Response) error
 }
 
@@ -192,7 +196,7 @@
 		c.pool.closeConn(conn)
 		return Result{Outcome: reducer.OutcomeNotSent}, conn.reused && ctx.Err() == nil
 	}
-	x.readResponse(ctx)
+	x.readResponse()
 	return x.result, false
 }
 
@@ -230,7 +234,7 @@
 }
 
 // readResponse reads the response to the request and skips mismatched ones.
-func (x *exchange[C, S]) readResponse(ctx context.Context) {
+func (x *exchange[C, S]) readResponse() {
 	x.setReadTimeout(x.dispatch.ResponseHeaderTimeout)
 	for {
 		resp, err := x.readHeader()
@@ -255,7 +259,7 @@
 		}
 		x.result.Notice = class.Notice
 		x.setReadTimeout(0)
-		x.handleResponse(ctx, resp, class)
+		x.handleResponse(resp, class)
 		return
 	}
 }
@@ -290,7 +294,7 @@
 }
 
 // handleResponse reads the body of the response to this request, delivers a success and sets the outcome.
-func (x *exchange[C, S]) handleResponse(ctx context.Context, resp *http.Response, class Classification) {
+func (x *exchange[C, S]) handleResponse(resp *http.Response, class Classification) {
 	x.result.Status = resp.StatusCode
 	if class.Outcome != 0 {
 		x.result.Outcome = class.Outcome
@@ -309,7 +313,7 @@
 		return
 	}
 	if !success || !x.dispatch.Stream || !isEventStream(resp) {
-		x.handleBody(ctx, resp)
+		x.handleBody(resp)
 		return
 	}
 	x.onStart(x.start())
@@ -323,20 +327,31 @@
 	return text == "" || err == nil && mediaType == "text/event-stream"
 }
 
-// handleBody reads a complete response. It delivers a success; a failure goes into the result, since the reducer may retry the request.
-func (x *exchange[C, S]) handleBody(ctx context.Context, resp *http.Response) {
-	body, err := x.readBody(ctx, resp)
-	if err == nil {
+// handleBody reads a response that is not a stream. It delivers a success; a failure goes into the result, since the reducer may retry the
+// request.
+func (x *exchange[C, S]) handleBody(resp *http.Response) {
+	body, rest, release, err := x.readBody(resp)
+	defer release()
+	failed := resp.StatusCode >= http.StatusMultipleChoices
+	if err == nil && failed && (rest != nil || len(body) > maxFailureBodySize) {
+		err = ErrTooLong
+	}
+	if err == nil && rest == nil {
 		err = x.checkEnding(resp)
 	}
 	if err != nil {
 		x.fail(err)
 		return
 	}
-	x.releaseConn(resp, nil)
 	complete := Response{Status: resp.StatusCode, Header: resp.Header, Body: body}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if rest != nil {
+		x.passOn(resp, complete, rest)
+		return
+	}
+	x.releaseConn(resp, nil)
+	if failed {
 		x.result.Outcome = reducer.OutcomeFailed
+		complete.Body = bytes.Clone(body)
 		x.result.FailureResponse = &complete
 		return
 	}
@@ -346,6 +361,26 @@
 	_ = x.sink.WriteResponse(complete)
 }
 
+// passOn delivers a success whose body has been read in part, and reads the rest as the caller takes it.
+func (x *exchange[C, S]) passOn(resp *http.Response, start Response, rest *restReader) {
+	start.Rest, start.Length = rest, resp.ContentLength
+	x.onStart(x.start())
+	x.result.Delivered = true
+	err := x.sink.WriteResponse(start)
+	if rest.err != nil {
+		err = rest.err
+	}
+	if err == nil {
+		err = x.checkEnding(resp)
+	}
+	if err != nil {
+		x.fail(err)
+		return
+	}
+	x.result.Outcome = reducer.OutcomeDone
+	x.releaseConn(resp, nil)
+}
+
 func (x *exchange[C, S]) start() Start {
 	return Start{After: time.Since(x.startedAt), Notice: x.result.Notice}
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -57,9 +57,16 @@
 	started bool
 }
 
-func (s *sink) BeginStream(int, http.Header)      { s.started = true }
-func (s *sink) Write(p []byte) error              { _, err := s.body.Write(p); return err }
-func (s *sink) WriteResponse(resp Response) error { _, err := s.body.Write(resp.Body); return err }
+func (s *sink) BeginStream(int, http.Header) { s.started = true }
+func (s *sink) Write(p []byte) error         { _, err := s.body.Write(p); return err }
+func (s *sink) WriteResponse(resp Response) error {
+	_, _ = s.body.Write(resp.Body)
+	if resp.Rest == nil {
+		return nil
+	}
+	_, err := io.Copy(&s.body, resp.Rest)
+	return err
+}
 
 // startServer listens on a local address and serves the first connection with the first function, the second with the next and so on.
 func startServer(t *testing.T, handlers ...func(c net.Conn, r *bufio.Reader)) string {
--- a/internal/dispatcher/unbounded_test.go
+++ b/internal/dispatcher/unbounded_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -233,6 +235,19 @@
 	}
 }
 
+// discardingSink is a caller that keeps nothing of what it is sent.
+type discardingSink struct{}
+
+func (discardingSink) BeginStream(int, http.Header) {}
+func (discardingSink) Write([]byte) error           { return nil }
+func (discardingSink) WriteResponse(r Response) error {
+	if r.Rest == nil {
+		return nil
+	}
+	_, err := io.Copy(io.Discard, r.Rest)
+	return err
+}
+
 // Guards against many unbounded bodies together exhausting the memory of the host.
 func TestUnboundedBodiesStayWithinMemoryLimit(t *testing.T) {
 	const (
@@ -243,7 +258,7 @@
 	defer debug.SetGCPercent(debug.SetGCPercent(10))
 	server := startUnboundedServer(t, unboundedResponse{prefix: unboundedBodies[0].prefix, unit: strings.Repeat("x", sendBlockSize)},
 		slowSendInterval)
-	client := &Client[codec, *sink]{}
+	client := &Client[codec, discardingSink]{}
 	var callers sync.WaitGroup
 	done := make(chan struct{})
 	runtime.GC()
@@ -251,7 +266,9 @@
 	runtime.ReadMemStats(&before)
 	for range calls {
 		callers.Go(func() {
-			result, _ := send(client, server.address, "one", withDeadline(1500*time.Millisecond))
+			call := Call{CallerID: "one", Method: http.MethodGet, Target: "/x", HostName: "h", Header: http.Header{}}
+			dispatch := reducer.Dispatch{ID: "one", Backend: "b", Address: server.address, Deadline: clocker.Now().Add(1500 * time.Millisecond)}
+			result := client.Send(context.Background(), call, dispatch, discardingSink{}, func(Start) {})
 			assert.Check(t, result.Outcome == reducer.OutcomeTimeout, "outcome %v", result.Outcome)
 		})
 	}
--- a/internal/listener/sink.go
+++ b/internal/listener/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -46,19 +47,32 @@
 	return nil
 }
 
-// WriteResponse sends a complete response, or aborts a streamed response that has already started.
+// WriteResponse sends a response that is not a stream, and the rest of its body as that is read. It aborts a streamed response that has already
+// started.
 func (s *Sink) WriteResponse(resp dispatcher.Response) error {
 	if s.started {
 		s.Abort()
 		return nil
 	}
 	s.copyHeader(resp.Header)
-	s.writer.Header().Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	if resp.Rest == nil {
+		resp.Length = int64(len(resp.Body))
+	}
+	if resp.Length >= 0 {
+		s.writer.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	}
 	s.writer.WriteHeader(resp.Status)
-	_, err := s.writer.Write(resp.Body)
+	if _, err := s.writer.Write(resp.Body); err != nil || resp.Rest == nil {
+		return err
+	}
+	// The writer's own ReadFrom would read ahead of the caller.
+	_, err := io.CopyBuffer(struct{ io.Writer }{s.writer}, resp.Rest, make([]byte, copyBufferSize))
 	return err
 }
 
+// copyBufferSize is the size in bytes of the buffer through which the rest of a long body passes.
+const copyBufferSize = 16 << 10
+
 // Refuse sends a refusal, or aborts the response if it has started.
 func (s *Sink) Refuse(refusal reducer.Refuse) {
 	if s.started {
