End a stalled attempt only once a retry is sure

Cause: a read timeout ended the attempt before the reducer was asked for a retry, whose budget, server or run might be missing. Change: the time without progress is reported, and the attempt goes on; the reducer ends it once another server can take the request at once and a retry is reserved, and sends the request there.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -142,6 +142,15 @@
 	Notice reducer.BackendNotice
 }
 
+// Hooks are called while an attempt runs.
+type Hooks struct {
+	// OnStart is called at the header of a streamed success response, or at the end of another one.
+	OnStart func(start Start)
+	// OnStall is called after each time without progress that the dispatch states. The attempt goes on until its context is canceled, with the cause
+	// ErrStalled if it is to end as a timeout.
+	OnStall func()
+}
+
 // exchange is one request and its response on one connection.
 type exchange[C Codec, S Sink] struct {
 	client   *Client[C, S]
@@ -153,24 +162,23 @@
 	// writeResult receives the result of writing the request.
 	writeResult chan error
 	window      *windowWatch
-	// onStart is called once a success response has started.
-	onStart   func(start Start)
-	startedAt time.Time
+	hooks       Hooks
+	stall       *stallWatch
+	startedAt   time.Time
 }
 
-// Send sends a request and delivers its response to the sink. It calls onStart at the header of a streamed success response or at the end of
-// another one.
-func (c *Client[C, S]) Send(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, onStart func(Start)) Result {
-	result, retry := c.attempt(ctx, call, dispatch, sink, onStart, false)
+// Send sends a request and delivers its response to the sink.
+func (c *Client[C, S]) Send(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, hooks Hooks) Result {
+	result, retry := c.attempt(ctx, call, dispatch, sink, hooks, false)
 	if retry {
-		result, _ = c.attempt(ctx, call, dispatch, sink, onStart, true)
+		result, _ = c.attempt(ctx, call, dispatch, sink, hooks, true)
 	}
 	return result
 }
 
 // attempt sends the request once, on a new connection if fresh is set. It reports retry when a reused connection turned out to be closed
 // before any byte of the request was written.
-func (c *Client[C, S]) attempt(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, onStart func(Start), fresh bool) (result Result, retry bool) {
+func (c *Client[C, S]) attempt(ctx context.Context, call Call, dispatch reducer.Dispatch, sink S, hooks Hooks, fresh bool) (result Result, retry bool) {
 	conn, err := c.pool.get(ctx, dispatch, call.CallerID, fresh)
 	if err != nil {
 		return Result{Outcome: reducer.OutcomeNotSent}, false
@@ -188,15 +196,19 @@
 	now := time.Now()
 	_ = conn.SetDeadline(now.Add(timeLeft + readGrace))
 	x := &exchange[C, S]{
-		client: c, call: call, dispatch: dispatch, sink: sink, conn: conn, onStart: onStart, startedAt: now, writeResult: make(chan error, 1),
-		window: watchWindow(conn.Conn, now),
+		client: c, call: call, dispatch: dispatch, sink: sink, conn: conn, hooks: hooks, startedAt: now, writeResult: make(chan error, 1),
+		window: watchWindow(conn.Conn, now), stall: &stallWatch{report: hooks.OnStall},
 	}
 	defer x.window.stop()
+	defer x.stall.expect(0)
 	if n, err := x.writeRequest(timeLeft); err != nil && n == 0 {
 		c.pool.closeConn(conn)
 		return Result{Outcome: reducer.OutcomeNotSent}, conn.reused && ctx.Err() == nil
 	}
 	x.readResponse()
+	if x.result.Outcome == reducer.OutcomeBroken && errors.Is(context.Cause(ctx), ErrStalled) {
+		x.result.Outcome = reducer.OutcomeTimeout
+	}
 	return x.result, false
 }
 
@@ -235,7 +247,7 @@
 
 // readResponse reads the response to the request and skips mismatched ones.
 func (x *exchange[C, S]) readResponse() {
-	x.setReadTimeout(x.dispatch.ResponseHeaderTimeout)
+	x.stall.expect(x.dispatch.ResponseHeaderTimeout)
 	for {
 		resp, err := x.readHeader()
 		if err != nil {
@@ -258,7 +270,7 @@
 			continue
 		}
 		x.result.Notice = class.Notice
-		x.setReadTimeout(0)
+		x.stall.expect(0)
 		x.handleResponse(resp, class)
 		return
 	}
@@ -284,15 +296,6 @@
 	}
 }
 
-// setReadTimeout sets the deadline of the following reads to the given timeout, 0 for none, and at most to the request's deadline.
-func (x *exchange[C, S]) setReadTimeout(timeout time.Duration) {
-	timeLeft := clocker.Until(x.dispatch.Deadline) + readGrace
-	if timeout > 0 {
-		timeLeft = min(timeLeft, timeout)
-	}
-	_ = x.conn.SetReadDeadline(time.Now().Add(timeLeft))
-}
-
 // handleResponse reads the body of the response to this request, delivers a success and sets the outcome.
 func (x *exchange[C, S]) handleResponse(resp *http.Response, class Classification) {
 	x.result.Status = resp.StatusCode
@@ -316,7 +319,7 @@
 		x.handleBody(resp)
 		return
 	}
-	x.onStart(x.start())
+	x.hooks.OnStart(x.start())
 	x.relayStream(resp)
 }
 
@@ -355,7 +358,7 @@
 		x.result.FailureResponse = &complete
 		return
 	}
-	x.onStart(x.start())
+	x.hooks.OnStart(x.start())
 	x.result.Outcome = reducer.OutcomeDone
 	x.result.Delivered = true
 	_ = x.sink.WriteResponse(complete)
@@ -364,7 +367,7 @@
 // passOn delivers a success whose body has been read in part, and reads the rest as the caller takes it.
 func (x *exchange[C, S]) passOn(resp *http.Response, start Response, rest *restReader) {
 	start.Rest, start.Length = rest, resp.ContentLength
-	x.onStart(x.start())
+	x.hooks.OnStart(x.start())
 	x.result.Delivered = true
 	err := x.sink.WriteResponse(start)
 	if rest.err != nil {
@@ -394,7 +397,7 @@
 		events.resumeAfter = x.call.ResumeAfter
 	}
 	chunk := make([]byte, readBufferSize)
-	x.setReadTimeout(x.dispatch.StreamIdleTimeout)
+	x.stall.expect(x.dispatch.StreamIdleTimeout)
 	for {
 		n, err := resp.Body.Read(chunk)
 		complete := events.push(chunk[:n])
@@ -409,7 +412,7 @@
 			}
 			x.result.LastEventID = events.lastID
 			x.result.Events = events.count
-			x.setReadTimeout(x.dispatch.StreamIdleTimeout)
+			x.stall.expect(x.dispatch.StreamIdleTimeout)
 		}
 		if events.tooLong() {
 			x.fail(ErrTooLong)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -100,7 +100,7 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-// send sends a request with the id to a server; change, if set, first modifies the call and the dispatch.
+// send sends a request with the id to a server; change, if set, first modifies the call and the dispatch. It ends an attempt that has stalled.
 func send(client *Client[codec, *sink], address, id string, change func(*Call, *reducer.Dispatch)) (Result, *sink) {
 	call := Call{CallerID: id, Method: http.MethodPost, Target: "/x?q=%2F", HostName: "h", Header: http.Header{}, Body: []byte("body")}
 	dispatch := reducer.Dispatch{ID: id, Backend: "b", Address: address, Deadline: clocker.Now().Add(2 * time.Second)}
@@ -108,7 +108,9 @@
 		change(&call, &dispatch)
 	}
 	s := &sink{}
-	return client.Send(context.Background(), call, dispatch, s, func(Start) {}), s
+	ctx, end := context.WithCancelCause(context.Background())
+	defer end(nil)
+	return client.Send(ctx, call, dispatch, s, Hooks{OnStart: func(Start) {}, OnStall: func() { end(ErrStalled) }}), s
 }
 
 // Guards against a late response to an earlier request being delivered as the response to the next one on the same connection.
--- a/internal/dispatcher/unbounded_stream_test.go
+++ b/internal/dispatcher/unbounded_stream_test.go
@@ -90,7 +90,7 @@
 	dispatch := reducer.Dispatch{ID: "one", Backend: "b", Address: address, Deadline: clocker.Now().Add(20 * time.Second), Stream: true}
 	results := make(chan Result, 1)
 	go func() {
-		results <- (&Client[codec, *slowSink]{}).Send(context.Background(), call, dispatch, s, func(Start) {})
+		results <- (&Client[codec, *slowSink]{}).Send(context.Background(), call, dispatch, s, Hooks{OnStart: func(Start) {}})
 	}()
 	time.Sleep(500 * time.Millisecond)
 	assert.Check(t, written.Load() < bufferedBytes, "%d MiB were sent while the caller read nothing", written.Load()>>20)
--- a/internal/dispatcher/unbounded_test.go
+++ b/internal/dispatcher/unbounded_test.go
@@ -268,7 +268,7 @@
 		callers.Go(func() {
 			call := Call{CallerID: "one", Method: http.MethodGet, Target: "/x", HostName: "h", Header: http.Header{}}
 			dispatch := reducer.Dispatch{ID: "one", Backend: "b", Address: server.address, Deadline: clocker.Now().Add(1500 * time.Millisecond)}
-			result := client.Send(context.Background(), call, dispatch, discardingSink{}, func(Start) {})
+			result := client.Send(context.Background(), call, dispatch, discardingSink{}, Hooks{OnStart: func(Start) {}})
 			assert.Check(t, result.Outcome == reducer.OutcomeTimeout, "outcome %v", result.Outcome)
 		})
 	}
--- a/internal/executor/control.go
+++ b/internal/executor/control.go
@@ -210,6 +210,8 @@
 		c.Waiters.Deliver(e.ID, e)
 	case reducer.Cancel:
 		c.Waiters.Cancel(e.ID)
+	case reducer.EndAttempt:
+		c.Waiters.EndAttempt(e.ID, e.Attempt)
 	case reducer.LocateResponse:
 		c.Waiters.Deliver(e.ReplyID, e)
 	case reducer.UpdatesResponse:
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -93,8 +93,14 @@
 	start := clocker.Now()
 	spanCtx, span := tracer.StartSpan(waiter.Context, "backend_server", attribute.String("backend_server", dispatch.Backend),
 		attribute.Int("attempt", dispatch.Attempt))
-	result := s.Control.Worker.Backends.Send(spanCtx, s.Call, dispatch, s.Sink, func(start dispatcher.Start) {
-		s.Control.Report(ctx, reducer.ResponseStarted{ID: dispatch.ID, Attempt: dispatch.Attempt, Latency: start.After, Notice: start.Notice})
+	attemptCtx, end := context.WithCancelCause(spanCtx)
+	defer end(nil)
+	s.Control.Waiters.BeginAttempt(waiter, dispatch.Attempt, end)
+	result := s.Control.Worker.Backends.Send(attemptCtx, s.Call, dispatch, s.Sink, dispatcher.Hooks{
+		OnStart: func(start dispatcher.Start) {
+			s.Control.Report(ctx, reducer.ResponseStarted{ID: dispatch.ID, Attempt: dispatch.Attempt, Latency: start.After, Notice: start.Notice})
+		},
+		OnStall: func() { s.Control.Report(ctx, reducer.AttemptStalled{ID: dispatch.ID, Attempt: dispatch.Attempt}) },
 	})
 	span.SetAttributes(attribute.String("outcome", result.Outcome.String()))
 	span.End()
--- a/internal/executor/waiters.go
+++ b/internal/executor/waiters.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
@@ -22,6 +23,9 @@
 	// Context ends when the reducer cancels the work under the id, or with the context passed to Register.
 	Context context.Context
 	cancel  context.CancelFunc
+	// attempt is the number of the present attempt, and endAttempt ends it.
+	attempt    int
+	endAttempt context.CancelCauseFunc
 }
 
 // Register creates a Waiter for an id whose Context derives from ctx. It replaces an earlier one of the same id.
@@ -72,6 +76,22 @@
 	}
 }
 
+// BeginAttempt records the attempt that a waiting goroutine begins, and the function that ends it.
+func (w *Waiters) BeginAttempt(waiter *Waiter, attempt int, end context.CancelCauseFunc) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	waiter.attempt, waiter.endAttempt = attempt, end
+}
+
+// EndAttempt ends the attempt of the id, if it still is the present one, because it has stalled.
+func (w *Waiters) EndAttempt(id string, attempt int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if waiter, ok := w.byID[id]; ok && waiter.attempt == attempt {
+		waiter.endAttempt(dispatcher.ErrStalled)
+	}
+}
+
 // Count returns the number of ids for which a goroutine waits.
 func (w *Waiters) Count() int {
 	w.mutex.Lock()
--- a/internal/reducer/doc.go
+++ b/internal/reducer/doc.go
@@ -19,6 +19,8 @@
 //     residency updates. An adapter is verified resident once a response or a report of the backend server has shown it.
 //   - A quota is a limit for all hosts together on the usage of a client account or on the loads of models. The quota coordinator, the
 //     active host that ranks first for the quota, grants tokens to the hosts, which spend them on requests.
+//   - An attempt that makes no progress is stalled. It ends only if another backend server can take the request at once, since its own may be slow
+//     but sound.
 //   - Content is what requests share: an adapter in its version, and parts of prompts. Content whose requests crash one backend server after the
 //     other is quarantined: all hosts refuse requests with it for a time.
 //   - The configuration service is the part of the users' platform that publishes documents: the catalogue, the entries of backend servers,
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -55,15 +55,20 @@
 	Resumable bool
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
-	// ResponseHeaderTimeout limits the time to wait for the response header; 0 for no limit besides Deadline.
+	// ResponseHeaderTimeout is the time without a response header after which the attempt is reported as stalled; 0 for never.
 	ResponseHeaderTimeout time.Duration
-	// StreamIdleTimeout limits the time between two events of a stream that another backend server may resume; 0 for no limit besides
-	// Deadline.
+	// StreamIdleTimeout is the same between two events of a stream that another backend server may resume.
 	StreamIdleTimeout time.Duration
 	// MaxConnections limits this host's connections to the backend server; 0 for no limit.
 	MaxConnections int
 }
 
+// EndAttempt ends an attempt that has stalled; its outcome is a timeout.
+type EndAttempt struct {
+	ID      string
+	Attempt int
+}
+
 // Cancel stops a dispatched request.
 type Cancel struct {
 	ID     string
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -84,6 +84,12 @@
 	Notice  BackendNotice
 }
 
+// AttemptStalled reports that an attempt has made no progress for its ResponseHeaderTimeout or StreamIdleTimeout. It goes on.
+type AttemptStalled struct {
+	ID      string
+	Attempt int
+}
+
 // DispatchEnded reports how an attempt at a backend server ended.
 type DispatchEnded struct {
 	ID      string
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -55,6 +55,7 @@
 	EventCallerDisconnected       = 207
 	EventRateExceeded             = 208
 	EventTokensInsufficient       = 209
+	EventAttemptStalled           = 210
 )
 
 func boolField(name string, value bool) Field { return Field{name, strconv.FormatBool(value)} }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -21,6 +21,8 @@
 		requestAbandoned(s, now, e)
 	case ResponseStarted:
 		responseStarted(s, now, e)
+	case AttemptStalled:
+		attemptStalled(s, now, e)
 	case DispatchEnded:
 		dispatchEnded[P](s, now, e)
 	case OrderEnded:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -219,6 +219,7 @@
 	}
 	r.Delivered = r.Delivered || e.Delivered
 	if e.Outcome == OutcomeDone {
+		s.returnReserved(r)
 		s.Counters.RequestsDone++
 		s.logEvent(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
 		s.endRequest(now, r, "answered_"+strconv.Itoa(e.Status))
@@ -312,7 +313,8 @@
 		s.failRequest(now, r, e)
 		return
 	}
-	if e.Outcome != OutcomeNotSent && !s.withdrawRetry(r.Service) {
+	reserved := r.RetryReserved
+	if e.Outcome != OutcomeNotSent && !s.withdrawReserved(r) {
 		r.LastFailure = ReasonRetryBudget
 		s.failRequest(now, r, e)
 		return
@@ -329,7 +331,9 @@
 		s.wakeAt(r.RetryAt)
 		return
 	}
-	placeRequest[P](s, now, r)
+	if !reserved || !s.dispatchReserved(now, r) {
+		placeRequest[P](s, now, r)
+	}
 }
 
 // mayRetry reports whether the route allows a request that may have run to run again.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -284,8 +284,10 @@
 	// RespondedAt is when the response of the present attempt began; zero before.
 	RespondedAt time.Time
 	RetryAt     time.Time
-	WaitSince   time.Time
-	LastFailure Reason
+	// RetryReserved is set once a retry has been taken from the budget for a stalled attempt that is being ended.
+	RetryReserved bool
+	WaitSince     time.Time
+	LastFailure   Reason
 	// QuarantinedContent is the content for which the request is refused with ReasonQuarantined.
 	QuarantinedContent string
 	// PrefillTokens is the prompt tokens that count at the backend server until the response begins.
