Number the slots of a window from before the machine's boot

Seen by callers: a daemon that ends on a machine younger than the quota window, as soon as it asks for tokens or grants them. Cause: slots were numbered from the boot, and amounts of before it had indexes below zero. Change: two windows are added to the time.

--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -110,3 +110,16 @@
 	assert.Equal(t, parts[0], 3.0)
 	assert.Equal(t, parts[4], 10.0)
 }
+
+// Guards against a daemon that ends on a machine whose clock, which counts from its boot, is younger than the window.
+func TestWindowOnAMachineThatHasJustBooted(t *testing.T) {
+	for _, now := range []time.Time{time.Unix(0, 1), time.Unix(3, 0), time.Unix(9, 0)} {
+		w := Window{Length: 8 * time.Second}
+		w.Add(now, 5*time.Second, 1)
+		w.Add(now, 0, 2)
+		w.Add(now, time.Minute, 4)
+		assert.Equal(t, w.Total(now), 3.0)
+		assert.Equal(t, w.Parts(now, 8)[0], 2.0)
+		assert.Assert(t, w.Wait(now, 0) > 0)
+	}
+}
--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -13,13 +13,14 @@
 type Window struct {
 	Length time.Duration
 	Slots  [slotsPerWindow + 1]float64
-	// NewestSlot is the number of the newest slot, counted from time.Unix(0, 0).
+	// NewestSlot is the number of the newest slot, counted from two windows before time.Unix(0, 0), which may be the machine's boot. Slots of the
+	// window before it have numbers too.
 	NewestSlot int64
 	Sum        float64
 }
 
 func (w *Window) slotNumber(at time.Time) int64 {
-	return at.UnixNano() / int64(w.Length/slotsPerWindow)
+	return (at.UnixNano() + 2*int64(w.Length)) / int64(w.Length/slotsPerWindow)
 }
 
 // advance clears the slots that have left the window.
