Separate a connection from its request before it is reused

Seen by callers: 502, or a retry, for a request whose connection another caller cuts. Cause: the connection was returned to the pool before the response was delivered, and stayed tied to the first request's context; a caller that read slowly and left reset it under the next request. TestCallerThatLeavesKeepsTheConnectionOfTheNextRequest failed before.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -162,9 +162,11 @@
 	// writeResult receives the result of writing the request.
 	writeResult chan error
 	window      *windowWatch
-	hooks       Hooks
-	stall       *stallWatch
-	startedAt   time.Time
+	// detach separates the connection from the request's context, and reports false if that has ended.
+	detach    func() bool
+	hooks     Hooks
+	stall     *stallWatch
+	startedAt time.Time
 }
 
 // Send sends a request and delivers its response to the sink.
@@ -197,7 +199,7 @@
 	_ = conn.SetDeadline(now.Add(timeLeft + readGrace))
 	x := &exchange[C, S]{
 		client: c, call: call, dispatch: dispatch, sink: sink, conn: conn, hooks: hooks, startedAt: now, writeResult: make(chan error, 1),
-		window: watchWindow(conn.Conn, now), stall: &stallWatch{report: hooks.OnStall},
+		window: watchWindow(conn.Conn, now), stall: &stallWatch{report: hooks.OnStall}, detach: stop,
 	}
 	defer x.window.stop()
 	defer x.stall.expect(0)
@@ -443,7 +445,7 @@
 func (x *exchange[C, S]) releaseConn(resp *http.Response, err error) {
 	select {
 	case writeErr := <-x.writeResult:
-		if err == nil && writeErr == nil {
+		if err == nil && writeErr == nil && x.detach() {
 			x.window.stop()
 			x.client.pool.put(x.conn, resp)
 			return
