Suspect the last part of a prompt once its request crashes servers again and again

Cause: only content that requests share was tracked, and evidence wanted two different requests; what the request shares was excused by sound answers. Change: the last part of a prompt is suspect where its request was lost just as its answer had begun, and three such incidents of a single request are enough.

--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -53,7 +53,7 @@
 	if now.Before(b.BackoffUntil) {
 		violations = append(violations, Violation{"backoff_is_kept", dispatch.ID + " to " + dispatch.Backend})
 	}
-	if _, quarantined := s.Isolation.Content.Quarantined(now, r.Content()); quarantined {
+	if _, quarantined := s.Isolation.Content.Quarantined(now, r.AllContent()); quarantined {
 		violations = append(violations, Violation{"quarantine_is_kept", dispatch.ID + " to " + dispatch.Backend})
 	}
 	if r.PossibleRuns > 0 && r.Route.RetryPolicy != cataloguer.RetrySafe && !r.Route.Resumable {
--- a/internal/exerciser/deadly_part_test.go
+++ b/internal/exerciser/deadly_part_test.go
@@ -17,14 +17,15 @@
 const generationShare = 3.0 / 5
 
 // TestRequestsWithADeadlyPartStopReachingEngines guards against requests that crash one engine after the other through the same part of
-// their prompts, or through their adapter, sent by hosts that each learn of it anew.
+// their prompts, through their adapter, or as the same request sent again and again, by hosts that each learn of it anew.
 func TestRequestsWithADeadlyPartStopReachingEngines(t *testing.T) {
 	for _, c := range []struct{ hosts, engines, rate, position int }{
 		{6, 9, 24, 0}, {6, 9, 24, 1}, {6, 9, 24, 2}, {6, 9, 24, deadlyAdapter}, {40, 30, 80, 1}, {195, 40, 80, 2},
+		{6, 9, 24, deadlyRequest}, {7, 12, 24, deadlyRequest}, {84, 40, 80, deadlyRequest}, {195, 40, 80, deadlyRequest},
 	} {
 		t.Run(fmt.Sprintf("hosts_%d/position_%d", c.hosts, c.position), func(t *testing.T) {
 			t.Parallel()
-			o := defaultOptions(uint64(c.position + 2))
+			o := defaultOptions(uint64(c.position + 3))
 			o.Hosts, o.Engines = c.hosts, c.engines
 			sim := New[selector.LeastDelay](o)
 			sim.Run(warmUpDuration)
--- a/internal/exerciser/deadly_parts.go
+++ b/internal/exerciser/deadly_parts.go
@@ -14,7 +14,7 @@
 	// Share is the probability that a generation has the part; the others are sound.
 	Share float64
 	// Position is the index of the part in the prompt, from 0; the last part of a prompt belongs to the request itself. With deadlyAdapter, the
-	// adapter of the request crashes engines instead.
+	// adapter of the request crashes engines instead, and with deadlyRequest a request that its caller sends again and again.
 	Position int
 	// CrashTimes holds when the part crashed an engine.
 	CrashTimes []time.Time
@@ -39,8 +39,11 @@
 	abort func()
 }
 
-// deadlyAdapter is the position for an adapter that crashes engines.
-const deadlyAdapter = -1
+// deadlyAdapter is the position for an adapter that crashes engines, and deadlyRequest that for a request which alone has its last part.
+const (
+	deadlyAdapter = -1
+	deadlyRequest = -2
+)
 
 const (
 	deadlyPartName = "deadly"
@@ -50,12 +53,27 @@
 	// crashDelay is the time from the start of a deadly answer to the crash of its engine, which is back after crashedDuration.
 	crashDelay      = 20 * time.Millisecond
 	crashedDuration = 3200 * time.Millisecond
-	// deadlyCrashes is the crash from which hosts have the time HostTimeout to learn the part, and maxLateArrivals the number of requests
-	// with the part that may reach engines later.
+	// deadlyCrashes is the crash from which hosts have the time HostTimeout to learn the part, repeatedCrashes the same for a request that is sent
+	// again, and maxLateArrivals the number of requests with the part that may reach engines later.
 	deadlyCrashes   = 5
+	repeatedCrashes = 3
 	maxLateArrivals = 3
 )
 
+// crashLimit returns the number of crashes after which hosts have to know the cause.
+func (d *DeadlyPart) crashLimit() int {
+	if d.Position == deadlyRequest {
+		return repeatedCrashes
+	}
+	return deadlyCrashes
+}
+
+// learned returns whether hosts have to know the cause at a time: some time after the last crash that they may need.
+func (d *DeadlyPart) learned(now time.Time, hostTimeout time.Duration) bool {
+	limit := d.crashLimit()
+	return len(d.CrashTimes) >= limit && now.Sub(d.CrashTimes[limit-1]) > hostTimeout
+}
+
 // StartDeadlyPart adds a deadly part to a share of the generations from now on.
 func (s *Simulation[P]) StartDeadlyPart(share float64, position int) {
 	s.DeadlyPart = &DeadlyPart{Share: share, Position: position, rng: rand.New(rand.NewPCG(s.Options.Seed, 4))}
@@ -80,6 +98,10 @@
 		e.Adapter = deadlyPartName
 		return
 	}
+	if r.deadly && d.Position == deadlyRequest {
+		e.Parts[len(e.Parts)-1].ID = deadlyPartName
+		return
+	}
 	if r.deadly {
 		e.Parts = slices.Insert(e.Parts, d.Position, reducer.Part{ID: deadlyPartName, Tokens: 100})
 		return
@@ -98,7 +120,7 @@
 	if len(d.CrashTimes) == 0 {
 		return &d.Before
 	}
-	known := d.CrashTimes[min(len(d.CrashTimes), deadlyCrashes)-1]
+	known := d.CrashTimes[min(len(d.CrashTimes), d.crashLimit())-1]
 	if s.Now.Sub(known) > 2*s.Options.Limits.HostTimeout {
 		return &d.After
 	}
@@ -108,7 +130,7 @@
 // checkDeadlyArrival counts the requests with the deadly part that reach engines after hosts had to know it.
 func (s *Simulation[P]) checkDeadlyArrival(h *Host, r *Request) {
 	d := s.DeadlyPart
-	if !r.deadly || !s.faultFree(h) || len(d.CrashTimes) < deadlyCrashes || s.Now.Sub(d.CrashTimes[deadlyCrashes-1]) <= s.Options.Limits.HostTimeout {
+	if !r.deadly || !s.faultFree(h) || !d.learned(s.Now, s.Options.Limits.HostTimeout) {
 		return
 	}
 	if d.LateArrivals++; d.LateArrivals == maxLateArrivals+1 {
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -58,7 +58,7 @@
 		return e.all.incidents > 0
 	}
 	return e.all.incidents >= minIncidents && len(e.all.requests) >= minRequests ||
-		e.begun.incidents >= minBegunIncidents && len(e.begun.requests) >= minRequests
+		e.begun.incidents >= minBegunIncidents && len(e.begun.requests) >= minRequests || e.begun.incidents >= minRepeatedIncidents
 }
 
 // worseThan reports whether the suspect explains the crashes better than another one.
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -58,8 +58,10 @@
 	// that must have been lost in them: a single request, sent again by its caller, may be lost several times by accident.
 	minIncidents = 3
 	minRequests  = 2
-	// minBegunIncidents is the number of incidents that suffices if the answers to all the requests had just begun.
-	minBegunIncidents = 2
+	// minBegunIncidents is the number of incidents that suffices if the answers to all the requests had just begun, and minRepeatedIncidents the
+	// same for one request that its caller sends again and again.
+	minBegunIncidents    = 2
+	minRepeatedIncidents = 3
 	// incidentGap is the time within which crashes count as one incident, since a failure of a whole failure domain takes many servers at
 	// once, and any content with them.
 	incidentGap = 500 * time.Millisecond
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -258,3 +258,22 @@
 	g.now = f.now.Add(time.Second)
 	assert.DeepEqual(t, g.tracker.Tick(g.now), []string{"deadly"})
 }
+
+// Guards against a request that crashes server after server because its caller sends it again: nothing else has its last part, so that there never is a
+// second request. A failure domain that is lost takes it down once, however many servers it runs on.
+func TestOneRequestThatCrashesServersAsItsAnswersBeginIsQuarantined(t *testing.T) {
+	f := newFixture()
+	begun := func(gap time.Duration) {
+		f.advance(gap)
+		f.servers++
+		f.tracker.RecordCrash(f.now, Crash{Server: f.servers, Request: 1, At: f.now, AnswerBegun: true}, []string{"common", "own"})
+	}
+	begun(time.Second)
+	begun(time.Second)
+	for range 3 {
+		begun(incidentGap / 10)
+	}
+	assert.Equal(t, len(f.judge()), 0, "two incidents")
+	begun(time.Second)
+	assert.DeepEqual(t, f.judge(), []string{"own"})
+}
--- a/internal/reducer/isolation.go
+++ b/internal/reducer/isolation.go
@@ -52,6 +52,9 @@
 	lost := LostRequest{
 		Request: r.contentKey(), Content: content, At: now, ID: r.ID, AnswerBegun: begun && age <= maxBeginning && e.Events == 0,
 	}
+	if lost.AnswerBegun {
+		lost.Content = r.AllContent()
+	}
 	if !b.CrashedAt.IsZero() {
 		s.recordCrash(now, b, lost)
 		return
@@ -114,7 +117,11 @@
 
 // recordSoundContent records that a request was answered completely, so that none of its content crashes backend servers.
 func (s *State) recordSoundContent(now time.Time, r *Request) {
-	s.logReleased(s.Isolation.Content.RecordSound(now, r.Content()))
+	content := r.Content()
+	if own, ok := r.ownContent(); ok && s.Isolation.Content.Suspects[own] != nil {
+		content = append(content, own)
+	}
+	s.logReleased(s.Isolation.Content.RecordSound(now, content))
 }
 
 // tickIsolation judges the suspects, ends quarantines and tells other hosts of changes.
@@ -142,7 +149,7 @@
 		ageField("answered_age_ms", now, suspect.SoundAt), msField("quarantine_ms", suspect.QuarantinedUntil.Sub(now)))
 	for _, id := range sortedKeys(s.Requests) {
 		r := s.Requests[id]
-		if r.Phase != PhaseResponding && slices.Contains(r.Content(), content) {
+		if r.Phase != PhaseResponding && slices.Contains(r.AllContent(), content) {
 			s.refuseForContent(now, r, content)
 		}
 	}
@@ -156,7 +163,7 @@
 
 // refuseQuarantined refuses a request that has content in quarantine, and reports whether it did.
 func refuseQuarantined(s *State, now time.Time, r *Request) bool {
-	content, ok := s.Isolation.Content.Quarantined(now, r.Content())
+	content, ok := s.Isolation.Content.Quarantined(now, r.AllContent())
 	if ok {
 		s.refuseForContent(now, r, content)
 	}
@@ -230,6 +237,23 @@
 	return names
 }
 
+// ownContent returns the name of the last part of the prompt, which belongs to the request itself: its caller sends it again with each try.
+func (r *Request) ownContent() (name string, ok bool) {
+	if len(r.Parts) == 0 {
+		return "", false
+	}
+	return "own/" + r.Parts[len(r.Parts)-1].ID, true
+}
+
+// AllContent returns the names of the content of a request, with that which no other request shares.
+func (r *Request) AllContent() []string {
+	names := r.Content()
+	if own, ok := r.ownContent(); ok {
+		names = append(names, own)
+	}
+	return names
+}
+
 // contentKey identifies the content of a request that no other request shares: the last part of its prompt, or else the request itself.
 func (r *Request) contentKey() uint64 {
 	if len(r.Parts) == 0 {
