--- a/internal/exerciser/deadly_part_test.go
+++ b/internal/exerciser/deadly_part_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +40,9 @@
 			t.Logf("crashes %d, late arrivals %d, sound before %+v, after %+v", len(d.CrashTimes), d.LateArrivals, d.Before, d.After)
 			assert.Assert(t, len(d.CrashTimes) > 0)
 			assert.Equal(t, len(sim.Checker.Violations), 0, "%v", sim.Checker.Violations)
+			if c.position == deadlyRequest {
+				assert.DeepEqual(t, quarantined(sim), []string{"own/" + deadlyPartName})
+			}
 			sim.startHost(sim.Hosts[0])
 			sim.Run(o.Limits.HostTimeout)
 			assert.Assert(t, len(sim.Hosts[0].State.Isolation.Content.Shared(sim.Now, 1)) == 1, "a host that has restarted does not know the quarantine")
@@ -47,6 +52,19 @@
 	}
 }
 
+// quarantined returns the content that hosts have in quarantine.
+func quarantined(sim *Simulation[selector.LeastDelay]) []string {
+	found := map[string]bool{}
+	for _, h := range sim.Hosts {
+		for content := range h.State.Isolation.Content.Suspects {
+			if h.State.Isolation.Content.InQuarantine(sim.Now, content) {
+				found[content] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // TestCrashesByOtherCausesQuarantineNothing guards against refusing sound requests because engines crash for reasons of their own: one after
 // the other, and several at once.
 func TestCrashesByOtherCausesQuarantineNothing(t *testing.T) {
