Keep fences above those of the build before

A server's start counts for 40 orders a second now. TestFenceExceedsThoseOfTheBuildBefore fails with 20.

--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -78,8 +78,9 @@
 	// termStepsPerOrder is the part of a fence that grows with each order that the server accepts. Terms of a voter set that is bootstrapped anew
 	// may be lower than earlier ones by twice the error of the clocks; this covers an error of 50 s.
 	termStepsPerOrder = 1024
-	// maxOrderRate is above the mean number of orders per second that a server accepts.
-	maxOrderRate = 20
+	// maxOrderRate is above the mean number of orders per second that a server accepts. It also lets fences exceed those of the build before, which
+	// were terms alone.
+	maxOrderRate = 40
 )
 
 // Durations and bounds for reading the configuration service.
--- a/internal/reducer/membership_test.go
+++ b/internal/reducer/membership_test.go
@@ -394,6 +394,16 @@
 	assert.Assert(t, f.state.observedNoOrders(f.now, noOrdersBootstrapPeriod))
 }
 
+// Guards against lower fences than before in a rolling upgrade: the build before sent terms alone, and servers may have run for long.
+func TestFenceExceedsThoseOfTheBuildBefore(t *testing.T) {
+	f := newFixture(t)
+	f.state.Self.StartedUnixMs = startTime.UnixMilli()
+	const formerFenceBits = 20
+	term := f.state.bootstrapTerm(f.now)
+	startedAYearAgo := f.now.Add(-365 * 24 * time.Hour).UnixMilli()
+	assert.Assert(t, f.state.fence(term, startedAYearAgo, 0) > (term+1)<<formerFenceBits)
+}
+
 // Guards against a lower fence than that of an earlier lease, which breaks rule ONE (one lease holder): two hosts that bootstrap the voter
 // set at the same time start from different terms, and voters that lost their grants could accept a claim by the host with the lower term.
 func TestTermFollowsHighestReceivedTerm(t *testing.T) {
