--- a/internal/listener/sink_test.go
+++ b/internal/listener/sink_test.go
@@ -1,9 +1,12 @@
 package listener
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -44,3 +47,20 @@
 		}
 	}
 }
+
+// Guards against a long body that breaks off while it is passed on and reaches the caller as a whole one: the sink reports the error, and the length that
+// was promised is that of the whole body.
+func TestRestOfBodyIsPassedOn(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	s := &Sink{writer: recorder}
+	assert.NilError(t, s.WriteResponse(dispatcher.Response{Status: 200, Body: []byte("ab"), Rest: strings.NewReader("cd"), Length: 4}))
+	assert.Equal(t, recorder.Body.String(), "abcd")
+	assert.Equal(t, recorder.Header().Get("Content-Length"), "4")
+
+	recorder = httptest.NewRecorder()
+	s = &Sink{writer: recorder}
+	broken := io.MultiReader(strings.NewReader("c"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	err := s.WriteResponse(dispatcher.Response{Status: 200, Body: []byte("ab"), Rest: broken, Length: -1})
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Equal(t, recorder.Header().Get("Content-Length"), "")
+}
