--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -103,6 +103,10 @@
 		QuotaWindow: configurer.Seconds(b.QuotaWindowSeconds), QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack,
 		LoadWindow:   configurer.Seconds(b.LoadWindowSeconds),
 		DirectoryTTL: configurer.Seconds(b.DirectorySeconds), Quarantine: configurer.Seconds(s.QuarantineSeconds),
+		Adaptive: reducer.Adaptive{
+			Pace: s.Adapts(configurer.AdaptivePace), Places: s.Adapts(configurer.AdaptivePlaces),
+			Admission: s.Adapts(configurer.AdaptiveAdmission), Start: s.Adapts(configurer.AdaptiveStart),
+		},
 	}
 }
 
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -29,6 +29,20 @@
 	// Quarantine is how long requests with content that crashes backend servers are refused, counted from when the content was found; the time
 	// doubles when that happens again.
 	Quarantine time.Duration
+	// Adaptive selects the parts of the load handling that adapt to what the host observes.
+	Adaptive Adaptive
+}
+
+// Adaptive selects the parts of the load handling that adapt to what the host observes; what is not selected follows fixed rules.
+type Adaptive struct {
+	// Pace learns the pace of each backend server.
+	Pace bool
+	// Places gives each adapter as many places as its demand asks for.
+	Places bool
+	// Admission orders and refuses requests by what can be served in time, and schedules the return of refused callers.
+	Admission bool
+	// Start finds the pace at which a backend server that has just started or recovered can take requests.
+	Start bool
 }
 
 // Durations and bounds of the gossip protocol.
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -138,6 +138,14 @@
 	// PrefillTokens is the prompt tokens of requests without a response yet.
 	PrefillTokens int
 	Adapters      []AdapterUsage
+	// PaceWork is the work that the server did for the sender since the last report, in prompt tokens, and PaceBusy the time that it took.
+	PaceWork float64
+	PaceBusy time.Duration
+	// Answers counts the server's responses to the sender since the last report, SlowAnswers those of them that began late for the server's
+	// pace, and Refusals the requests that the server refused as not run.
+	Answers     int
+	SlowAnswers int
+	Refusals    int
 }
 
 // AdapterUsage is one adapter of a Usage.
@@ -150,6 +158,8 @@
 	Verified bool
 	// Version is the adapter version that was requested when a response last verified the adapter.
 	Version int64
+	// Work is the prompt tokens of the requests for the adapter that the sender dispatched since the last report, to whichever server.
+	Work int
 }
 
 // BackendLoad reports what all other hosts have running on a backend server.
@@ -160,6 +170,21 @@
 	PrefillTokens int
 	// FreeSlots is the number of adapter slots that are empty or can be freed at once, less those of pending loads.
 	FreeSlots int
+	// PaceWork and PaceBusy are the decayed sums of the reports of all other hosts.
+	PaceWork float64
+	PaceBusy time.Duration
+	// StartLimit is the number of requests that all hosts together may have at a server whose pace is being found; 0 for no limit.
+	StartLimit float64
+	// Senders is the number of hosts, the receiver included, that have reported use of the server recently.
+	Senders int
+	// Demands is the demand for the adapters of which the server is the first by rank.
+	Demands []AdapterDemand
+}
+
+// AdapterDemand is the demand for an adapter at all hosts, in prompt tokens per second.
+type AdapterDemand struct {
+	Adapter AdapterKey
+	Work    float64
 }
 
 // TokenRequest asks the quota coordinator of a client account for tokens, in the account's unit.
--- a/internal/translator/messages.go
+++ b/internal/translator/messages.go
@@ -109,26 +109,58 @@
 }
 
 func encodeUsage(m reducer.Usage) *peerv1.Usage {
-	w := &peerv1.Usage{Backend: m.Backend, Running: int64(m.Running), Tokens: int64(m.Tokens), Prefill: int64(m.PrefillTokens)}
+	w := &peerv1.Usage{
+		Backend: m.Backend, Running: int64(m.Running), Tokens: int64(m.Tokens), Prefill: int64(m.PrefillTokens),
+		PaceWork: m.PaceWork, PaceBusyUs: uint64(max(m.PaceBusy.Microseconds(), 0)),
+		Answers: uint32(m.Answers), SlowAnswers: uint32(m.SlowAnswers), Refusals: uint32(m.Refusals),
+	}
 	for _, a := range m.Adapters {
 		w.Adapters = append(w.Adapters, &peerv1.AdapterUse{
 			Adapter: encodeAdapter(a.Adapter), Count: int64(a.DispatchCount), Running: int64(a.Running), Served: a.Verified, Version: a.Version,
+			Work: int64(a.Work),
 		})
 	}
 	return w
 }
 
 func decodeUsage(w *peerv1.Usage) reducer.Usage {
-	m := reducer.Usage{Backend: w.GetBackend(), Running: int(w.GetRunning()), Tokens: int(w.GetTokens()), PrefillTokens: int(w.GetPrefill())}
+	m := reducer.Usage{
+		Backend: w.GetBackend(), Running: int(w.GetRunning()), Tokens: int(w.GetTokens()), PrefillTokens: int(w.GetPrefill()),
+		PaceWork: w.GetPaceWork(), PaceBusy: microseconds(int64(w.GetPaceBusyUs())),
+		Answers: int(w.GetAnswers()), SlowAnswers: int(w.GetSlowAnswers()), Refusals: int(w.GetRefusals()),
+	}
 	for _, a := range w.GetAdapters() {
 		m.Adapters = append(m.Adapters, reducer.AdapterUsage{
 			Adapter: decodeAdapter(a.GetAdapter()), DispatchCount: int(a.GetCount()), Running: int(a.GetRunning()),
-			Verified: a.GetServed(), Version: a.GetVersion(),
+			Verified: a.GetServed(), Version: a.GetVersion(), Work: int(a.GetWork()),
 		})
 	}
 	return m
 }
 
+func encodeBackendLoad(m reducer.BackendLoad) *peerv1.BackendLoad {
+	w := &peerv1.BackendLoad{
+		Backend: m.Backend, Running: int64(m.Running), Tokens: int64(m.Tokens), Prefill: int64(m.PrefillTokens), Free: int64(m.FreeSlots),
+		PaceWork: m.PaceWork, PaceBusyUs: uint64(max(m.PaceBusy.Microseconds(), 0)), StartLimit: m.StartLimit, Senders: uint32(m.Senders),
+	}
+	for _, d := range m.Demands {
+		w.Demands = append(w.Demands, &peerv1.AdapterDemand{Adapter: encodeAdapter(d.Adapter), WorkPerS: d.Work})
+	}
+	return w
+}
+
+func decodeBackendLoad(w *peerv1.BackendLoad) reducer.BackendLoad {
+	m := reducer.BackendLoad{
+		Backend: w.GetBackend(), Running: int(w.GetRunning()), Tokens: int(w.GetTokens()), PrefillTokens: int(w.GetPrefill()),
+		FreeSlots: int(w.GetFree()), PaceWork: w.GetPaceWork(), PaceBusy: microseconds(int64(w.GetPaceBusyUs())),
+		StartLimit: w.GetStartLimit(), Senders: int(w.GetSenders()),
+	}
+	for _, d := range w.GetDemands() {
+		m.Demands = append(m.Demands, reducer.AdapterDemand{Adapter: decodeAdapter(d.GetAdapter()), Work: d.GetWorkPerS()})
+	}
+	return m
+}
+
 // EncodeUpdates encodes changed documents.
 func EncodeUpdates(resp reducer.UpdatesResponse) *peerv1.UpdatesResponse {
 	w := &peerv1.UpdatesResponse{Revision: resp.Revision, Whole: resp.Snapshot, Relayed: resp.SignificantRevision}
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -68,10 +68,7 @@
 	case reducer.Usage:
 		return &peerv1.Message{Kind: &peerv1.Message_Usage{Usage: encodeUsage(v)}}
 	case reducer.BackendLoad:
-		return &peerv1.Message{Kind: &peerv1.Message_BackendLoad{BackendLoad: &peerv1.BackendLoad{
-			Backend: v.Backend, Running: int64(v.Running), Tokens: int64(v.Tokens), Prefill: int64(v.PrefillTokens),
-			Free: int64(v.FreeSlots),
-		}}}
+		return &peerv1.Message{Kind: &peerv1.Message_BackendLoad{BackendLoad: encodeBackendLoad(v)}}
 	case reducer.TokenRequest:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenRequest{TokenRequest: &peerv1.TokenRequest{
 			Account: v.Account, Sequence: v.Sequence, Needed: v.Needed, Wanted: v.Reserve, Returned: v.Returned,
@@ -123,10 +120,7 @@
 	case *peerv1.Message_Usage:
 		return decodeUsage(v.Usage)
 	case *peerv1.Message_BackendLoad:
-		return reducer.BackendLoad{
-			Backend: v.BackendLoad.GetBackend(), Running: int(v.BackendLoad.GetRunning()), Tokens: int(v.BackendLoad.GetTokens()),
-			PrefillTokens: int(v.BackendLoad.GetPrefill()), FreeSlots: int(v.BackendLoad.GetFree()),
-		}
+		return decodeBackendLoad(v.BackendLoad)
 	case *peerv1.Message_TokenRequest:
 		return reducer.TokenRequest{
 			Account: v.TokenRequest.GetAccount(), Sequence: v.TokenRequest.GetSequence(), Needed: v.TokenRequest.GetNeeded(),
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,6 +47,9 @@
 	// QuarantineSeconds is how long requests are refused whose content crashes backend servers, such as a part of their prompts, counted from
 	// when the fleet has found the content; the time doubles if it crashes servers again after that. Default: DefaultQuarantineSeconds.
 	QuarantineSeconds float64 `yaml:"quarantine_seconds,omitempty"`
+	// Adaptive lists the parts of the load handling that adapt to what the host observes: AdaptivePace, AdaptivePlaces, AdaptiveAdmission and
+	// AdaptiveStart. A part that is not listed follows fixed rules. Default: none.
+	Adaptive []string `yaml:"adaptive,omitempty"`
 	// LogLevel is debug, info, warn or error. Default: DefaultLogLevel.
 	LogLevel string `yaml:"log_level,omitempty"`
 	// LogBytesPerSecond is the largest rate of log output. Default: DefaultLogBytesPerSecond.
@@ -94,6 +98,20 @@
 	DefaultLogBytesPerSecond = 64 << 10
 )
 
+// Values of Settings.Adaptive.
+const (
+	AdaptivePace      = "pace"
+	AdaptivePlaces    = "places"
+	AdaptiveAdmission = "admission"
+	AdaptiveStart     = "start"
+)
+
+// adaptiveParts are the values that Settings.Adaptive may have.
+var adaptiveParts = []string{AdaptivePace, AdaptivePlaces, AdaptiveAdmission, AdaptiveStart}
+
+// Adapts reports whether the settings list a part of the load handling as adaptive.
+func (s Settings) Adapts(part string) bool { return slices.Contains(s.Adaptive, part) }
+
 // maxCores is the largest number of cores of a host.
 const maxCores = 1024
 
@@ -204,6 +222,11 @@
 	case s.TraceCollector != "" && !cataloguer.ValidAddress(s.TraceCollector):
 		return document.ErrorAt("must be an IP address and a port", "trace_collector")
 	}
+	for i, part := range s.Adaptive {
+		if !slices.Contains(adaptiveParts, part) {
+			return document.ErrorAt("must be pace, places, admission or start", "adaptive", strconv.Itoa(i))
+		}
+	}
 	switch s.LogLevel {
 	case "", "debug", "info", "warn", "error":
 		return nil
--- a/pkg/configurer/configurer_test.go
+++ b/pkg/configurer/configurer_test.go
@@ -40,6 +40,7 @@
 		{"region: r", "region: r\ncpu_share: 1.5", "f:4: cpu_share: must be between 0 and 1"},
 		{"region: r", "region: r\ncpu_share: .nan", "f:4: cpu_share: must be between 0 and 1"},
 		{"region: r", "region: r\ncores: -1", "f:4: cores: must be between 0 and 1024"},
+		{"region: r", "region: r\nadaptive: [pace, sped]", "f:4: adaptive.1: must be pace, places, admission or start"},
 		{"region: r", "region: r\nregoin: x", "f:4: regoin: unknown field"},
 	} {
 		_, err := Parse("f", []byte(strings.Replace(validSettings, c.from, c.to, 1)))
