Give adapters as many replicas as their demand over all hosts needs

With the setting `places`, hosts report the work of each adapter to the lease holder of its first engine, which returns the sum. From that, and from the batch slots and KV cache tokens that requests occupy, follows the number of replicas. It rises at once and falls after 4 s. Among replicas there is no penalty by rank; a request compares a few random ones that hold the adapter. Replicas that lack it are loaded while others serve.

Without the setting nothing changes; the exerciser passes.

--- /dev/null
+++ b/internal/placer/order.go
@@ -0,0 +1,124 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/hasher"
+)
+
+// Server is a backend server as the ranking of an adapter sees it.
+type Server struct {
+	ID            string
+	FailureDomain string
+}
+
+// plainRanks is the number of first ranks that go by the hash alone; later ranks take the failure domains in turn.
+const plainRanks = 3
+
+// Rank returns the indices of the servers in the order in which they get replicas of an adapter: by rendezvous hashing, and from the fourth on
+// with the failure domains in turn, so that the replicas of a popular adapter are spread over all domains.
+func Rank(key uint64, servers []Server) []int {
+	scores := make([]uint64, len(servers))
+	order := make([]int, len(servers))
+	for i, server := range servers {
+		scores[i] = hasher.Score(key, hasher.NewName(server.ID))
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	return spreadDomains(servers, order)
+}
+
+// spreadDomains reorders the ranks from plainRanks on: each takes the next server of the failure domain that has had the fewest.
+func spreadDomains(servers []Server, order []int) []int {
+	taken := map[string]int{}
+	turn := make([]int, len(order))
+	for rank, i := range order {
+		domain := servers[i].FailureDomain
+		turn[i] = taken[domain]
+		taken[domain]++
+		if rank < plainRanks {
+			turn[i] = -1
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(turn[a], turn[b]) })
+	return order
+}
+
+// Replica is a backend server that is assigned to an adapter, as a request for the adapter sees it.
+type Replica struct {
+	// Ready is set if the backend server holds the adapter, as far as is known.
+	Ready      bool
+	SameDomain bool
+	// PrefixHome is set if requests with the same shared prompt parts go to this replica, and Saved is the prefill time that this saves beyond
+	// what the host knows to be cached.
+	PrefixHome bool
+	Saved      time.Duration
+	// Draw is a random number.
+	Draw uint64
+}
+
+// Preferences says what replicas that are not equal are worth.
+type Preferences struct {
+	// OtherDomain is the value of not moving the prompt to another failure domain.
+	OtherDomain time.Duration
+	// Reserve is how much longer a replica that was drawn may take before one that was not drawn is used.
+	Reserve time.Duration
+}
+
+// draws is the number of random replicas that a request compares.
+const draws = 2
+
+// Order returns, for each replica, the handicap in expected delay at which a request uses it.
+//
+// Hosts have figures of the load that are up to a second old. If each chose the least loaded replica, all would choose the same one, so each
+// request compares only a few that are drawn at random.
+func Order(replicas []Replica, p Preferences) []time.Duration {
+	drawn := draw(replicas)
+	handicaps := make([]time.Duration, len(replicas))
+	for i, r := range replicas {
+		if !r.SameDomain {
+			handicaps[i] += p.OtherDomain
+		}
+		if r.PrefixHome {
+			handicaps[i] -= r.Saved
+		}
+		if len(drawn) > 0 && !slices.Contains(drawn, i) {
+			handicaps[i] += p.Reserve
+		}
+	}
+	return handicaps
+}
+
+// draw returns the replicas that a request compares, of those that are ready: random ones, a random one in the host's own failure domain,
+// and, for requests with a shared prefix, the same among the homes of the prefix.
+func draw(replicas []Replica) []int {
+	var ready, near, homes, nearHomes []int
+	for i, r := range replicas {
+		if !r.Ready {
+			continue
+		}
+		ready = append(ready, i)
+		if r.SameDomain {
+			near = append(near, i)
+		}
+		if r.PrefixHome {
+			homes = append(homes, i)
+		}
+		if r.PrefixHome && r.SameDomain {
+			nearHomes = append(nearHomes, i)
+		}
+	}
+	if len(homes) == 0 {
+		return append(lowest(replicas, ready, draws), lowest(replicas, near, 1)...)
+	}
+	drawn := append(lowest(replicas, homes, draws), lowest(replicas, nearHomes, 1)...)
+	return append(drawn, lowest(replicas, ready, 1)...)
+}
+
+// lowest returns up to count of the indices, those with the lowest draws.
+func lowest(replicas []Replica, indices []int, count int) []int {
+	slices.SortFunc(indices, func(a, b int) int { return cmp.Compare(replicas[a].Draw, replicas[b].Draw) })
+	return indices[:min(count, len(indices))]
+}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -41,7 +41,7 @@
 	if info.Draining && !b.Info.Draining {
 		s.logEvent(EventBackendDraining, Field{"backend_server", info.ID})
 	}
-	if b.Info.Service != info.Service {
+	if b.Info.Service != info.Service || b.Info.FailureDomain != info.FailureDomain {
 		s.invalidateBackendIndex()
 	}
 	b.Info = info
@@ -167,6 +167,7 @@
 		adapter.DispatchCount = 0
 		adapter.UsageUnreported = false
 	}
+	s.addWorkReport(b, &usage)
 	if holder == s.Self.HostID {
 		receiveUsage(s, now, holder, usage)
 		return
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -15,6 +15,10 @@
 	Loads             uint64 `json:"loads_total"`
 	ModelLoads        uint64 `json:"model_loads_total"`
 	Unloads           uint64 `json:"unloads_total"`
+	// ReplicaChanges counts the changes of the number of an adapter's replicas, and ReplicaPreloads the requests for loads at replicas ahead of
+	// their use.
+	ReplicaChanges  uint64 `json:"replica_changes_total"`
+	ReplicaPreloads uint64 `json:"replica_preloads_total"`
 	// KeepAlives counts the reloads of idle adapters that only show that this host lives.
 	KeepAlives       uint64 `json:"keep_alive_orders_total"`
 	LeasesAcquired   uint64 `json:"leases_taken_total"`
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -32,6 +32,8 @@
 	Voters []string
 	// Ranks caches the results of ranked: the first hosts by rendezvous rank for each key.
 	Ranks map[rankKey][]string
+	// AdapterRanks caches the results of adapterRanking for the backend servers as indexed.
+	AdapterRanks map[rankedAdapter][]*Backend
 	// ActiveChangedAt is when the set of active hosts last changed.
 	ActiveChangedAt time.Time
 }
@@ -53,6 +55,7 @@
 	s.Index.BackendsIndexed = true
 	s.Index.Engines = nil
 	s.Index.ByService = map[string][]*Backend{}
+	clear(s.Index.AdapterRanks)
 	for _, id := range sortedKeys(s.Backends) {
 		b := s.Backends[id]
 		s.Index.ByService[b.Info.Service] = append(s.Index.ByService[b.Info.Service], b)
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -47,6 +47,7 @@
 	EventOrderFailed              = 152
 	EventAdapterLoaded            = 153
 	EventAdapterRequested         = 154
+	EventReplicasChanged          = 164
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -30,6 +30,9 @@
 		return
 	}
 	candidates := s.candidates(now, r, service)
+	if s.placesAdapters(service, r.Adapter) {
+		s.recordDemand(now, r, candidates)
+	}
 	for len(candidates) > 0 {
 		var policy P
 		i := policy.Choose(candidates)
@@ -47,6 +50,7 @@
 		}
 		if s.allowsColdRequest(now, b) {
 			s.dispatch(now, r, b, service)
+			preloadReplicas[P](s, now, r, candidates)
 			return
 		}
 		candidates = slices.Delete(candidates, i, i+1)
@@ -126,6 +130,9 @@
 
 // candidates returns the backend servers that may take a request, with the expected delay of each.
 func (s *State) candidates(now time.Time, r *Request, service cataloguer.Service) []selector.Candidate {
+	if s.placesAdapters(service, r.Adapter) {
+		return s.replicaCandidates(now, r, service)
+	}
 	usable := s.usableBackends(now, r)
 	if service.Engine != nil && r.Adapter.Adapter != "" {
 		usable = s.rankBackends(now, r, usable)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -59,6 +59,7 @@
 	tickMembership(s, now)
 	tickGossip(s, now)
 	tickBackends(s, now)
+	tickPlaces(s, now)
 	tickLeases(s, now)
 	tickKeepAlive(s, now)
 	tickAccounts[P](s, now)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -242,6 +242,7 @@
 	if !ok || b.FirstSeenAt.After(r.SentAt) {
 		return
 	}
+	s.recordOccupancy(now, r, b)
 	b.Running--
 	b.Tokens -= r.Tokens
 	b.PrefillTokens -= r.PrefillTokens
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -6,6 +6,7 @@
 	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/isolator"
 	"github.com/redwingpick/redwingpick/internal/limiter"
+	"github.com/redwingpick/redwingpick/internal/placer"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
@@ -37,6 +38,7 @@
 	Observation Observation
 	KeepAlive   KeepAlive
 	Isolation   Isolation
+	Places      Places
 	Ready       bool
 	Draining    Draining
 	Counters    Counters
@@ -292,6 +294,9 @@
 	QuarantinedContent string
 	// PrefillTokens is the prompt tokens that count at the backend server until the response begins.
 	PrefillTokens int
+	// Work is the prompt tokens that the request counts in the demand for its adapter, and DemandRecorded is set once it counts.
+	Work           int
+	DemandRecorded bool
 	// Delivered is set once a piece of a response has been sent to the caller: no other response can follow, only the rest of that one.
 	Delivered bool
 }
@@ -317,12 +322,13 @@
 		Backends:    map[string]*Backend{},
 		Removed:     map[string]bool{},
 		InUse:       map[string]bool{},
-		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}},
+		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}, AdapterRanks: map[rankedAdapter][]*Backend{}},
 		Leases:      map[string]*Lease{},
 		LeaseGrants: map[string]*LeaseGrant{},
 		Requests:    map[string]*Request{},
 		Watch:       Watch{ListNext: true},
 		Isolation:   Isolation{Content: isolator.NewTracker[string]()},
+		Places:      Places{Replicas: map[AdapterKey]*placer.Replicas{}, Unreported: map[string]*UnreportedWork{}},
 		outbox:      map[string][]Message{},
 	}
 }
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -28,7 +28,7 @@
 			e.Requesters[from] = now
 		}
 	}
-	load := BackendLoad{Backend: m.Backend, FreeSlots: inv.freeSlots(s, now, m.Backend)}
+	load := BackendLoad{Backend: m.Backend, FreeSlots: inv.freeSlots(s, now, m.Backend), Demands: s.receiveWork(now, m)}
 	for host, u := range inv.Usage {
 		if host != from && now.Sub(u.ReceivedAt) < 3*s.usageInterval() {
 			load.Running += u.Running
@@ -98,6 +98,7 @@
 
 // receiveBackendLoad records the load of the other hosts on a backend server.
 func receiveBackendLoad(s *State, now time.Time, m BackendLoad) {
+	s.receiveDemands(now, m)
 	if b, ok := s.Backends[m.Backend]; ok {
 		b.OtherHosts = m
 		b.OtherHostsAt = now
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -10,6 +10,10 @@
 	Backend string
 	// Rank is the position in the rendezvous order of the request's adapter, starting at 0.
 	Rank int
+	// Replica is set if the backend server is assigned to the adapter, which then has no penalty for its rank.
+	Replica bool
+	// Handicap is added to the delay for the choice.
+	Handicap time.Duration
 	// Delay is the expected time to the first piece of the response.
 	Delay time.Duration
 	// SameDomain reports whether the backend server is in the failure domain of the choosing host.
@@ -56,9 +60,9 @@
 }
 
 func penalizedDelay(c Candidate) time.Duration {
-	delay := c.Delay + time.Duration(c.Rank)*rankPenalty
-	if c.Rank > 0 {
-		delay += notFirstPenalty
+	delay := c.Delay + c.Handicap
+	if c.Rank > 0 && !c.Replica {
+		delay += notFirstPenalty + time.Duration(c.Rank)*rankPenalty
 	}
 	if !c.SameDomain {
 		delay += otherDomainPenalty
