--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -137,7 +137,9 @@
 // Start describes the start of a success response.
 type Start struct {
 	// After is the time since the start of the attempt.
-	After  time.Duration
+	After time.Duration
+	// Load is the load that the backend server reported in the header.
+	Load   reducer.Load
 	Notice reducer.BackendNotice
 }
 
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -100,7 +100,7 @@
 }
 
 func (x *exchange[C, S]) start() Start {
-	return Start{After: time.Since(x.startedAt), Notice: x.result.Notice}
+	return Start{After: time.Since(x.startedAt), Load: x.result.Load, Notice: x.result.Notice}
 }
 
 // relayStream sends the events of a stream to the sink as each becomes complete.
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -98,7 +98,9 @@
 	s.Control.Waiters.BeginAttempt(waiter, dispatch.Attempt, end)
 	result := s.Control.Worker.Backends.Send(attemptCtx, s.Call, dispatch, s.Sink, dispatcher.Hooks{
 		OnStart: func(start dispatcher.Start) {
-			s.Control.Report(ctx, reducer.ResponseStarted{ID: dispatch.ID, Attempt: dispatch.Attempt, Latency: start.After, Notice: start.Notice})
+			s.Control.Report(ctx, reducer.ResponseStarted{
+				ID: dispatch.ID, Attempt: dispatch.Attempt, Latency: start.After, Load: start.Load, Notice: start.Notice,
+			})
 		},
 		OnStall: func() { s.Control.Report(ctx, reducer.AttemptStalled{ID: dispatch.ID, Attempt: dispatch.Attempt}) },
 	})
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -153,7 +153,11 @@
 	if full {
 		b.UsageSentAt = now
 	}
-	usage := Usage{Backend: b.Info.ID, Running: b.Running, Tokens: b.Tokens, PrefillTokens: b.PrefillTokens}
+	samples := s.takeUnreported(now, b)
+	usage := Usage{
+		Backend: b.Info.ID, Running: b.Running, Tokens: b.Tokens, PrefillTokens: b.PrefillTokens,
+		PaceWork: samples.Work, PaceBusy: samples.Busy,
+	}
 	for _, key := range sortedAdapters(b.Adapters) {
 		adapter := b.Adapters[key]
 		if !adapter.UsageUnreported && (!full || adapter.Running == 0) {
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -33,6 +33,11 @@
 	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
 	LeavingNotices uint64 `json:"leaving_notices_total"`
 	Backoffs       uint64 `json:"backoffs_total"`
+	// RateSamples counts the responses that gave a sample of a service rate, RateSamplesSkipped the others while rates are estimated, and
+	// LoadFiguresIgnored the reported figures of how long work takes that were out of range.
+	RateSamples        uint64 `json:"service_rate_samples_total"`
+	RateSamplesSkipped uint64 `json:"service_rate_samples_skipped_total"`
+	LoadFiguresIgnored uint64 `json:"load_figures_ignored_total"`
 	// BackendCrashes counts the crashes of backend servers at which this host lost requests, and Quarantines the quarantines of
 	// content that began on this host.
 	BackendCrashes      uint64              `json:"backend_crashes_total"`
--- a/internal/reducer/delay.go
+++ b/internal/reducer/delay.go
@@ -7,23 +7,40 @@
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
-// engineDelay returns the expected time to the first piece of a response from an engine.
-func (s *State) engineDelay(now time.Time, r *Request, b *Backend, engine *cataloguer.Engine) time.Duration {
-	running, tokens, prefill := b.Running, b.Tokens, b.PrefillTokens+s.uncachedTokens(now, r, b)
+// engineLoad is what all hosts have running on an engine, as far as this host knows.
+type engineLoad struct {
+	// running includes the waiting requests.
+	running int
+	// waiting is the number of requests that the engine last reported as not admitted.
+	waiting int
+	tokens  int
+	prefill int
+}
+
+// loadOf returns the load of an engine.
+func (b *Backend) loadOf(now time.Time) engineLoad {
+	load := engineLoad{running: b.Running, tokens: b.Tokens, prefill: b.PrefillTokens}
 	if now.Sub(b.OtherHostsAt) < loadReportTTL {
-		running += b.OtherHosts.Running
-		tokens += b.OtherHosts.Tokens
-		prefill += b.OtherHosts.PrefillTokens
+		load.running += b.OtherHosts.Running
+		load.tokens += b.OtherHosts.Tokens
+		load.prefill += b.OtherHosts.PrefillTokens
 	}
 	if b.ReportedLoad.Known && now.Sub(b.ReportedAt) < loadReportTTL {
-		running = max(running, b.ReportedLoad.Running+b.ReportedLoad.Waiting)
-	}
-	delay := time.Duration(float64(prefill) / s.service(b.Info.Service).PrefillRate * float64(time.Second))
-	if excess := running - engine.Slots + 1; excess > 0 {
-		delay += time.Duration(excess) * batchSlotDelay
+		load.running = max(load.running, b.ReportedLoad.Running+b.ReportedLoad.Waiting)
+		load.waiting = b.ReportedLoad.Waiting
 	}
-	if engine.KVCacheTokens > 0 && tokens+r.Tokens > engine.KVCacheTokens {
-		delay += cacheFullDelay
+	return load
+}
+
+// engineDelay returns the expected time to the first piece of a response from an engine.
+func (s *State) engineDelay(now time.Time, r *Request, b *Backend, engine *cataloguer.Engine) time.Duration {
+	load := b.loadOf(now)
+	load.prefill += s.uncachedTokens(now, r, b)
+	delay := time.Duration(float64(load.prefill) / s.prefillRate(now, b) * float64(time.Second))
+	if s.Limits.Adaptive.Pace {
+		delay += s.admissionDelay(b, r, engine, load) + s.decodeDelay(now, b, engine, load)
+	} else {
+		delay += fixedAdmissionDelay(r, engine, load)
 	}
 	delay += time.Duration(b.FailureRate * float64(failureDelay))
 	if r.Adapter.Adapter != "" && engine.AdapterSlots > 0 {
@@ -32,6 +49,18 @@
 	return delay
 }
 
+// fixedAdmissionDelay returns the penalties for a full batch and a full cache of an engine.
+func fixedAdmissionDelay(r *Request, engine *cataloguer.Engine, load engineLoad) time.Duration {
+	delay := time.Duration(0)
+	if excess := load.running - engine.Slots + 1; excess > 0 {
+		delay += time.Duration(excess) * batchSlotDelay
+	}
+	if engine.KVCacheTokens > 0 && load.tokens+r.Tokens > engine.KVCacheTokens {
+		delay += cacheFullDelay
+	}
+	return delay
+}
+
 // adapterDelay returns the expected time until the request's adapter is ready on a backend server.
 func (s *State) adapterDelay(now time.Time, r *Request, b *Backend) time.Duration {
 	adapter, ok := b.Adapters[r.Adapter]
@@ -90,12 +119,9 @@
 }
 
 // unaryDelay returns the expected time to the response of a backend server that runs no models.
-func (b *Backend) unaryDelay(now time.Time) time.Duration {
-	busy := b.Running
-	if b.ReportedLoad.Known && now.Sub(b.ReportedAt) < loadReportTTL {
-		busy = max(busy, b.ReportedLoad.Running+b.ReportedLoad.Waiting)
-	}
-	latency := max(b.MeanLatency, time.Millisecond)
+func (s *State) unaryDelay(now time.Time, b *Backend) time.Duration {
+	busy := b.busy(now)
+	latency := s.callTime(now, b)
 	delay := latency
 	if slots := max(b.Info.Slots, 1); busy >= slots {
 		delay += latency * time.Duration(busy-slots+1) / time.Duration(slots)
@@ -104,5 +130,13 @@
 	return delay + time.Duration(b.FailureRate*float64(failureDelay))
 }
 
+// busy returns the number of requests at a backend server that runs no models, as far as this host knows.
+func (b *Backend) busy(now time.Time) int {
+	if b.ReportedLoad.Known && now.Sub(b.ReportedAt) < loadReportTTL {
+		return max(b.Running, b.ReportedLoad.Running+b.ReportedLoad.Waiting)
+	}
+	return b.Running
+}
+
 // runningDelay is added for each running request, so that requests spread evenly over backend servers that all have free slots.
 const runningDelay = 2 * time.Millisecond
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -81,7 +81,9 @@
 	ID      string
 	Attempt int
 	Latency time.Duration
-	Notice  BackendNotice
+	// Load is the load that the backend server reported in the header.
+	Load   Load
+	Notice BackendNotice
 }
 
 // AttemptStalled reports that an attempt has made no progress for its ResponseHeaderTimeout or StreamIdleTimeout. It goes on.
@@ -118,6 +120,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Percent is how long work takes on the server's machine at the moment, where 100 is usual; 0 if the server does not say.
+	Percent float64
 }
 
 // OrderEnded reports how an order to a backend server ended.
--- a/internal/reducer/leasestate.go
+++ b/internal/reducer/leasestate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/estimator"
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
@@ -42,6 +43,8 @@
 	// Pending are the requested loads in the order of their requests.
 	Pending []PendingLoad
 	Usage   map[string]*HostUsage
+	// Samples holds the samples of the server's service rate from all hosts.
+	Samples estimator.Sums
 	// KeptAliveAt is when an adapter was last reloaded only to show that this host lives.
 	KeptAliveAt time.Time
 	// Uncertain is set when an order was not accepted or has no known result, until a report shows what the backend server holds.
@@ -83,6 +86,8 @@
 	// RunningByAdapter counts the running requests for each adapter in use.
 	RunningByAdapter map[AdapterKey]int
 	ReceivedAt       time.Time
+	// Samples holds the host's samples of the server's service rate.
+	Samples estimator.Sums
 }
 
 // LeaseGrant is the grant of a backend server's lease that this host, as a voter, has made.
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -47,6 +47,9 @@
 	EventOrderFailed              = 152
 	EventAdapterLoaded            = 153
 	EventAdapterRequested         = 154
+	EventServiceRateChanged       = 161
+	EventBackendSlowed            = 162
+	EventLoadFigureIgnored        = 163
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -66,7 +66,7 @@
 // A large prompt may take most of the target by itself. Such a request is judged by the time that its own prompt needs, or the largest
 // requests of a route would hardly ever be served.
 func (s *State) wouldMissTarget(now time.Time, r *Request, b *Backend, delay time.Duration) bool {
-	prefill := float64(s.uncachedTokens(now, r, b)) / s.service(b.Info.Service).PrefillRate
+	prefill := float64(s.uncachedTokens(now, r, b)) / s.prefillRate(now, b)
 	limit := max(r.Route.LatencyTarget, time.Duration(largePromptAllowance*prefill*float64(time.Second)))
 	return now.Sub(r.ArrivedAt)+delay > limit
 }
@@ -139,10 +139,13 @@
 				c.Rank = rank
 			}
 		} else {
-			c.Delay = b.unaryDelay(now)
+			c.Delay = s.unaryDelay(now, b)
 		}
 		candidates = append(candidates, c)
 	}
+	if service.Engine == nil {
+		s.deferMost(candidates)
+	}
 	return candidates
 }
 
@@ -238,6 +241,7 @@
 	r.Attempt++
 	r.SentAt, r.RespondedAt = now, time.Time{}
 	r.PrefillTokens = s.uncachedTokens(now, r, b)
+	r.Uncontended = s.uncontended(now, b)
 	b.LastDispatchAt = now
 	s.InUse[b.Info.ID] = true
 	b.Running++
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -175,6 +175,7 @@
 	}
 	b.updateLatency(e.Latency)
 	s.updatePrefillRate(b, r, e.Latency)
+	s.recordPace(now, b, r, e)
 	b.PrefillTokens -= r.PrefillTokens
 	r.PrefillTokens = 0
 }
@@ -255,14 +256,14 @@
 // recordOutcome updates the state of the backend server from the outcome of an attempt.
 func (s *State) recordOutcome(now time.Time, b *Backend, r *Request, e DispatchEnded) {
 	s.recordNotice(now, b, e.Notice)
-	if e.Load.Known {
-		b.ReportedLoad = e.Load
-		b.ReportedAt = now
+	if !s.Limits.Adaptive.Pace || r.RespondedAt.IsZero() {
+		s.recordLoad(now, b, e.Load)
 	}
 	switch e.Outcome {
 	case OutcomeDone:
 		s.recordSuccess(b)
 		s.recordSoundContent(now, r)
+		s.recordStay(b, e.Took)
 	case OutcomeFailed:
 		s.recordSuccess(b)
 	case OutcomeNotSent, OutcomeBroken, OutcomeTimeout:
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -162,6 +162,7 @@
 	MinLoadTime time.Duration
 	// PrefillRate is the prompt tokens that a backend server processes per second.
 	PrefillRate float64
+	Pacing      ServicePacing
 }
 
 // Backend is the state of one backend server, as this host knows it.
@@ -205,6 +206,7 @@
 	// PartsPrunedAt is when old prompt parts were last removed.
 	PartsPrunedAt time.Time
 	MeanLatency   time.Duration
+	Pacing        Pacing
 	// Lost holds the requests that this host lost there when the server closed their connections, until it is known whether the server has
 	// crashed; CrashedAt is when that was confirmed.
 	Lost      []LostRequest
@@ -292,6 +294,8 @@
 	QuarantinedContent string
 	// PrefillTokens is the prompt tokens that count at the backend server until the response begins.
 	PrefillTokens int
+	// Uncontended is set if, as far as was known, the present attempt found the backend server without anything to wait for.
+	Uncontended bool
 	// Delivered is set once a piece of a response has been sent to the caller: no other response can follow, only the rest of that one.
 	Delivered bool
 }
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -81,6 +81,10 @@
 	Running       int     `json:"running"`
 	FailureRate   float64 `json:"loss"`
 	Adapters      int     `json:"adapters"`
+	// ServiceRate is the prompt tokens or calls per second that the server usually does, and Slowdown the factor by which they take longer at
+	// present; both are left out if rates are not estimated.
+	ServiceRate float64 `json:"service_rate,omitempty"`
+	Slowdown    float64 `json:"slowdown,omitempty"`
 }
 
 // AccountStatus is the state of a client account, or another account with a fleet-wide quota, on this host.
@@ -132,10 +136,14 @@
 		if !until.IsZero() {
 			endsIn = until.Sub(now).Milliseconds()
 		}
-		v.Backends = append(v.Backends, BackendStatus{
+		status := BackendStatus{
 			ID: id, Service: b.Info.Service, Usable: state.Usable(), State: state.String(), StateEndsInMs: endsIn, Holder: s.holderOf(now, id), Running: b.Running,
 			FailureRate: b.FailureRate, Adapters: len(b.Adapters),
-		})
+		}
+		if s.Limits.Adaptive.Pace {
+			status.ServiceRate, status.Slowdown = s.usualRate(now, b), b.Pacing.Estimate.Slowdown(now)
+		}
+		v.Backends = append(v.Backends, status)
 	}
 	for _, name := range sortedKeys(s.Accounts) {
 		a := s.Accounts[name]
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -28,7 +28,10 @@
 			e.Requesters[from] = now
 		}
 	}
-	load := BackendLoad{Backend: m.Backend, FreeSlots: inv.freeSlots(s, now, m.Backend)}
+	samples := s.receivePace(now, inv, u, m)
+	load := BackendLoad{
+		Backend: m.Backend, FreeSlots: inv.freeSlots(s, now, m.Backend), PaceWork: samples.Work, PaceBusy: samples.Busy,
+	}
 	for host, u := range inv.Usage {
 		if host != from && now.Sub(u.ReceivedAt) < 3*s.usageInterval() {
 			load.Running += u.Running
@@ -101,5 +104,6 @@
 	if b, ok := s.Backends[m.Backend]; ok {
 		b.OtherHosts = m
 		b.OtherHostsAt = now
+		s.mergePace(now, b, m)
 	}
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -16,6 +16,8 @@
 	SameDomain bool
 	// TieBreaker is a random number; the lowest breaks a tie.
 	TieBreaker uint64
+	// Deferred is set for a candidate that is chosen only if no other is left.
+	Deferred bool
 }
 
 // Policy chooses one of the candidates, of which there is at least one.
@@ -48,6 +50,9 @@
 }
 
 func less(a, b Candidate) bool {
+	if a.Deferred != b.Deferred {
+		return b.Deferred
+	}
 	x, y := penalizedDelay(a), penalizedDelay(b)
 	if x != y {
 		return x < y
@@ -66,6 +71,24 @@
 	return delay
 }
 
+// NearLeast returns the indices of the candidates whose delay after penalties exceeds the lowest by no more than a fraction of it.
+func NearLeast(candidates []Candidate, divisor int) []int {
+	if len(candidates) == 0 {
+		return nil
+	}
+	least := penalizedDelay(candidates[0])
+	for _, c := range candidates[1:] {
+		least = min(least, penalizedDelay(c))
+	}
+	var near []int
+	for i, c := range candidates {
+		if penalizedDelay(c) <= least+least/time.Duration(divisor) {
+			near = append(near, i)
+		}
+	}
+	return near
+}
+
 // FirstRanked always chooses the candidate that ranks first; it is the baseline for measurements of other policies.
 type FirstRanked struct{}
 
