--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -48,6 +48,9 @@
 	EventAdapterLoaded            = 153
 	EventAdapterRequested         = 154
 	EventReplicasChanged          = 164
+	EventServiceRateChanged       = 161
+	EventBackendSlowed            = 162
+	EventLoadFigureIgnored        = 163
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/places.go
+++ b/internal/reducer/places.go
@@ -53,11 +53,6 @@
 	rankingsKept = 1024
 )
 
-// prefillRate returns the prompt tokens that an engine is expected to prefill per second.
-func (s *State) prefillRate(_ time.Time, b *Backend) float64 {
-	return s.service(b.Info.Service).PrefillRate
-}
-
 // placesAdapters reports whether the replicas of adapters follow their demand at a service.
 func (s *State) placesAdapters(service cataloguer.Service, key AdapterKey) bool {
 	return s.Limits.Adaptive.Places && service.Engine != nil && key.Adapter != ""
