Add admission control: priorities at engines, retry times, order of waiting requests

Engines did not know which requests are urgent, refusals suggested 300 ms whatever was missing, and refused callers returned together and were treated as new.

With the setting admission, dispatches carry the priority, a refusal tells the caller when the missing capacity is expected (spread, and within a third of its time), and callers that return go first and are not refused while they can be answered. Requests that would miss their target because others wait are refused at once; those that would be late anyway are sent.

With the setting off the code paths are as before.

--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -33,6 +33,17 @@
 	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
 	LeavingNotices uint64 `json:"leaving_notices_total"`
 	Backoffs       uint64 `json:"backoffs_total"`
+	// ReturnsPromised counts the refusals with a time for the caller's return, and PromisedWaitMillis the sum of these waits. ReturnsKept counts
+	// the callers that returned at that time, ReturnsRefused those of them that were refused again, and EarlyReturns those that were early.
+	ReturnsPromised    uint64 `json:"returns_promised_total"`
+	PromisedWaitMillis uint64 `json:"promised_wait_ms_total"`
+	ReturnsKept        uint64 `json:"returns_kept_total"`
+	ReturnsRefused     uint64 `json:"returns_refused_total"`
+	EarlyReturns       uint64 `json:"early_returns_total"`
+	// LateAdmissions counts the requests that were sent although they were expected to miss their target, and PriorityRaises those whose priority
+	// was raised by one.
+	LateAdmissions uint64 `json:"late_admissions_total"`
+	PriorityRaises uint64 `json:"priority_raises_total"`
 	// BackendCrashes counts the crashes of backend servers at which this host lost requests, and Quarantines the quarantines of
 	// content that began on this host.
 	BackendCrashes      uint64              `json:"backend_crashes_total"`
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -56,6 +56,10 @@
 	EventRateExceeded             = 208
 	EventTokensInsufficient       = 209
 	EventAttemptStalled           = 210
+	EventLateAdmission            = 211
+	EventReturnPromised           = 212
+	EventCallerReturned           = 213
+	EventEarlyReturn              = 214
 )
 
 func boolField(name string, value bool) Field { return Field{name, strconv.FormatBool(value)} }
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -29,14 +29,17 @@
 	if refuseQuarantined(s, now, r) {
 		return
 	}
-	candidates := s.candidates(now, r, service)
+	candidates, refused := s.admissible(now, r, s.candidates(now, r, service))
+	if refused {
+		return
+	}
 	for len(candidates) > 0 {
 		var policy P
 		i := policy.Choose(candidates)
 		b := s.Backends[candidates[i].Backend]
 		if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
 			if s.needsAdapterLoad(now, r, b) {
-				if r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.loadIsUseless(now, r, b, candidates[i].Delay) {
+				if !s.admits() && r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.loadIsUseless(now, r, b, candidates[i].Delay) {
 					r.Backend = b.Info.ID
 					s.refuseUnplaced(now, r, ReasonNotLoaded)
 					return
@@ -83,7 +86,7 @@
 	}
 	r.Phase = PhaseQueued
 	r.Backend = ""
-	limit := r.Route.LatencyTarget / queueWaitDivisor
+	limit := s.waitLimit(r, r.Route.LatencyTarget/queueWaitDivisor)
 	waited := now.Sub(r.WaitSince)
 	if wait, ends := s.usableIn(now, r.Service); waited < limit && !(ends && waited+wait > limit) {
 		return
@@ -98,6 +101,10 @@
 		refuse(s, now, r, ReasonBroken, 0)
 		return
 	}
+	if s.admits() {
+		s.refuseWithPromise(now, r, reason)
+		return
+	}
 	wait := time.Duration(0)
 	if reason == ReasonNotLoaded {
 		wait = s.ordersIn(now, r.Backend)
@@ -110,9 +117,9 @@
 // maxAdapterWait returns how long a request may wait for its adapter: longer once the adapter is known to be loading.
 func (s *State) maxAdapterWait(r *Request, adapter *Residency, now time.Time) time.Duration {
 	if adapter.Stage != StageAbsent && adapter.fresh(now, r.Version) {
-		return r.Route.LatencyTarget
+		return s.waitLimit(r, r.Route.LatencyTarget)
 	}
-	return r.Route.LatencyTarget / slotWaitDivisor
+	return s.waitLimit(r, r.Route.LatencyTarget/slotWaitDivisor)
 }
 
 // slotWaitDivisor is the divisor of a route's target that gives the time for which a request may wait for a slot for its adapter.
@@ -206,7 +213,7 @@
 	noSlotTTL   = adapterRequestInterval
 )
 
-// placeQueued tries to place the requests that wait for capacity, by priority and then by arrival.
+// placeQueued tries to place the requests that wait for capacity, by priority and then by arrival, or in the order of the admission control.
 func placeQueued[P selector.Policy](s *State, now time.Time) {
 	var queued []*Request
 	for _, id := range sortedKeys(s.Requests) {
@@ -220,6 +227,9 @@
 		}
 		return a.ArrivedAt.Compare(b.ArrivedAt)
 	})
+	if s.admits() {
+		queued = s.orderQueued(now, queued)
+	}
 	for _, r := range queued {
 		if _, ok := s.Requests[r.ID]; ok && r.Phase == PhaseQueued {
 			placeRequest[P](s, now, r)
@@ -257,7 +267,7 @@
 		intField("prefill_tokens", r.PrefillTokens), Field{"content", strings.Join(r.Content(), ",")},
 		ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))...)
 	s.emit(Dispatch{
-		ID: r.ID, Attempt: r.Attempt, Backend: b.Info.ID, Address: b.Info.Address, Account: r.Account, Priority: -1,
+		ID: r.ID, Attempt: r.Attempt, Backend: b.Info.ID, Address: b.Info.Address, Account: r.Account, Priority: s.dispatchPriority(now, r, service),
 		Version: r.Version, Stream: r.Route.RetryPolicy == cataloguer.RetryStream, Resumable: r.Route.Resumable,
 		Deadline: r.Deadline, ResponseHeaderTimeout: s.responseHeaderTimeout(r, b), StreamIdleTimeout: s.streamIdleTimeout(r),
 		MaxConnections: s.connectionLimit(now, service),
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -16,14 +16,14 @@
 	r := &Request{
 		ID: e.ID, CallerID: e.CallerID, Connection: e.Connection, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
 		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts,
-		Phase: PhaseQueued, WaitSince: now,
+		Phase: PhaseQueued, WaitSince: now, Admission: RequestAdmission{FirstAt: e.At},
 	}
 	if s.refusesArrivals(now) {
 		refuse(s, now, r, ReasonDraining, drainRetryAfter)
 		return
 	}
 	if s.Documents.Catalogue == nil {
-		refuse(s, now, r, ReasonNoCatalogue, defaultRetryAfter)
+		refuse(s, now, r, ReasonNoCatalogue, s.spreadArrival(e.TimeLeft))
 		return
 	}
 	route, ok := s.Documents.Catalogue.MatchRoute(e.HostName, e.Path)
@@ -57,11 +57,14 @@
 		refuse(s, now, r, ReasonDraining, drainRetryAfter)
 		return
 	}
+	if refuseEarlyReturn(s, now, r) {
+		return
+	}
 	if known && !chargeRequest(s, now, r, s.Documents.Accounts[name]) {
 		r.Phase = PhaseAwaitingTokens
 		return
 	}
-	placeRequest[P](s, now, r)
+	placeArrived[P](s, now, r)
 }
 
 // timeLeft returns the time limit of a request: the shorter of the caller's and the route's.
@@ -223,6 +226,7 @@
 		s.Counters.RequestsDone++
 		s.logEvent(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
 		s.endRequest(now, r, "answered_"+strconv.Itoa(e.Status))
+		requestDone[P](s, now, r)
 		return
 	}
 	s.logEvent(EventAttemptFailed, s.requestFields(now, r, Field{"outcome", e.Outcome.String()}, intField("status", e.Status),
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -162,6 +162,8 @@
 	MinLoadTime time.Duration
 	// PrefillRate is the prompt tokens that a backend server processes per second.
 	PrefillRate float64
+	// Admission is the state of the admission control, which is empty while that is off.
+	Admission ServiceAdmission
 }
 
 // Backend is the state of one backend server, as this host knows it.
@@ -294,6 +296,7 @@
 	PrefillTokens int
 	// Delivered is set once a piece of a response has been sent to the caller: no other response can follow, only the rest of that one.
 	Delivered bool
+	Admission RequestAdmission
 }
 
 // Draining is the state of a planned shutdown.
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -1,6 +1,10 @@
 package reducer
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/admitter"
+)
 
 // Status is the state of a host as shown to operators; times are in milliseconds.
 type Status struct {
@@ -26,8 +30,12 @@
 type Gauges struct {
 	RequestsWaitingForTokens   int `json:"requests_waiting_for_tokens"`
 	RequestsWaitingForCapacity int `json:"requests_waiting_for_room"`
-	RequestsWaitingForAdapter  int `json:"requests_waiting_for_adapter"`
-	RequestsAtBackends         int `json:"requests_at_backend_servers"`
+	// RequestsWaitingByPriority is the number of requests that wait for capacity or for an adapter, by priority.
+	RequestsWaitingByPriority [admitter.Priorities]int `json:"requests_waiting_by_priority"`
+	// ReturnsPromised is the number of refused callers that were told to return and have not yet.
+	ReturnsPromised           int `json:"returns_promised"`
+	RequestsWaitingForAdapter int `json:"requests_waiting_for_adapter"`
+	RequestsAtBackends        int `json:"requests_at_backend_servers"`
 	// ConfirmedAgeMs is the time since the documents were last confirmed up to date.
 	ConfirmedAgeMs int64 `json:"confirmed_age_ms"`
 	// MaxHeartbeatAgeMs is the longest time since the last heartbeat of an active host.
@@ -150,6 +158,9 @@
 		RetryTokens: map[string]float64{}, ExpectedLoadMs: map[string]int64{},
 	}
 	for _, r := range s.Requests {
+		if r.Phase == PhaseQueued || r.Phase == PhaseAwaitingAdapter {
+			g.RequestsWaitingByPriority[min(max(r.Priority, 0), admitter.Priorities-1)]++
+		}
 		switch r.Phase {
 		case PhaseAwaitingTokens:
 			g.RequestsWaitingForTokens++
@@ -177,6 +188,7 @@
 	for name, v := range s.Services {
 		g.RetryTokens[name] = v.RetryBudget.Level
 		g.ExpectedLoadMs[name] = v.LoadTime.Milliseconds()
+		g.ReturnsPromised += len(v.Admission.Returns.Promises)
 	}
 	gaugeLeases(s, now, &g)
 	gaugeQuotas(s, now, &g)
