Let backend servers start slowly after they have started or failed

A server that had just started, or whose ejection had ended, got everything at once if no cold rate was published for its service.

With adaptive part `start`, such a server has a limit of the requests of all hosts that wait for their first response there. The lease holder finds the limit from the usage reports; other hosts go by their own answers between its reports and without it. Hosts whose share is below one take turns. Requests go to the other servers meanwhile, and wait only if all are limited. Events 167 to 169, three counters and the status show it. Without the part nothing changes.

--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -110,3 +110,13 @@
 	}
 	assert.Assert(t, refused*50 < sim.Traffic.Sent, "refused %v of %d", sim.Traffic.Refused, sim.Traffic.Sent)
 }
+
+// TestSoakWithSlowStart plays random faults before hosts that find how much a server takes after it has started or failed.
+func TestSoakWithSlowStart(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(max(*seeds/2, 1)); seed++ {
+		o := defaultOptions(seed)
+		o.ExtendedWorkload = true
+		o.Limits.Adaptive.Start = true
+		checkSeed(t, o)
+	}
+}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/ramper"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
@@ -34,6 +35,7 @@
 			dropBackend(s, b)
 		}
 		b = addBackend(s, now, info)
+		s.beginNewSlowStart(now, b)
 		s.logEvent(EventBackendJoined, Field{"backend_server", info.ID}, Field{"service", info.Service},
 			Field{"address", info.Address}, Field{"failure_domain", info.FailureDomain}, msField("cold_ms", info.ColdRemaining))
 	}
@@ -44,7 +46,11 @@
 	if b.Info.Service != info.Service {
 		s.invalidateBackendIndex()
 	}
+	returns := !b.RemovedAt.IsZero() && !b.Expired || b.Info.Draining && !info.Draining
 	b.Info = info
+	if returns {
+		s.beginSlowStart(now, now, b, ramper.ReasonReturned)
+	}
 	b.RemovedAt = time.Time{}
 	b.Expired = false
 	if info.ColdRemaining > 0 {
@@ -70,6 +76,7 @@
 // dropBackend deletes an incarnation of a backend server with its state and queues the requests that waited for its adapters.
 func dropBackend(s *State, b *Backend) {
 	delete(s.Backends, b.Info.ID)
+	delete(s.Starting, b.Info.ID)
 	s.invalidateBackendIndex()
 	if l, ok := s.Leases[b.Info.ID]; ok {
 		l.Inventory = newInventory()
@@ -119,7 +126,7 @@
 			delete(s.InUse, id)
 			continue
 		}
-		if s.isEngine(b) && now.Sub(b.UsageSentAt) >= s.usageInterval() && (b.Running > 0 || b.LastDispatchAt.After(b.UsageSentAt)) {
+		if s.isEngine(b) && now.Sub(b.UsageSentAt) >= s.usageIntervalOf(b) && (b.Running > 0 || b.LastDispatchAt.After(b.UsageSentAt)) {
 			sendUsage(s, now, b, true)
 		}
 		pruneParts(now, b)
@@ -154,6 +161,7 @@
 		b.UsageSentAt = now
 	}
 	usage := Usage{Backend: b.Info.ID, Running: b.Running, Tokens: b.Tokens, PrefillTokens: b.PrefillTokens}
+	b.SlowStart.report(&usage)
 	for _, key := range sortedAdapters(b.Adapters) {
 		adapter := b.Adapters[key]
 		if !adapter.UsageUnreported && (!full || adapter.Running == 0) {
@@ -211,11 +219,16 @@
 		return
 	}
 	b.ConsecutiveFailures++
-	if b.ConsecutiveFailures < ejectionThreshold || s.ejectionLimitReached(now, b) {
+	if b.ConsecutiveFailures < ejectionThreshold {
+		return
+	}
+	if s.ejectionLimitReached(now, b) {
+		s.beginSlowStart(now, now, b, ramper.ReasonEjected)
 		return
 	}
 	ejectionTime := min(baseEjectionTime<<min(b.ConsecutiveFailures-ejectionThreshold, maxEjectionDoublings), maxEjectionTime)
 	b.EjectedUntil = now.Add(ejectionTime)
+	s.beginSlowStart(now, b.EjectedUntil, b, ramper.ReasonEjected)
 	s.Counters.Ejections++
 	s.logEvent(EventBackendEjected, Field{"backend_server", b.Info.ID}, intField("failures", b.ConsecutiveFailures),
 		msField("pause_ms", ejectionTime))
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -33,6 +33,11 @@
 	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
 	LeavingNotices uint64 `json:"leaving_notices_total"`
 	Backoffs       uint64 `json:"backoffs_total"`
+	// SlowStarts counts slow starts of backend servers that began on this host, SlowStartBadAnswers the answers in them that were late or
+	// missing, and SlowStartHeld how often a limit kept a request from a server.
+	SlowStarts          uint64 `json:"slow_starts_total"`
+	SlowStartBadAnswers uint64 `json:"slow_start_bad_answers_total"`
+	SlowStartHeld       uint64 `json:"slow_start_held_total"`
 	// BackendCrashes counts the crashes of backend servers at which this host lost requests, and Quarantines the quarantines of
 	// content that began on this host.
 	BackendCrashes      uint64              `json:"backend_crashes_total"`
--- a/internal/reducer/delay.go
+++ b/internal/reducer/delay.go
@@ -25,7 +25,7 @@
 	if engine.KVCacheTokens > 0 && tokens+r.Tokens > engine.KVCacheTokens {
 		delay += cacheFullDelay
 	}
-	delay += time.Duration(b.FailureRate * float64(failureDelay))
+	delay += b.failurePenalty()
 	if r.Adapter.Adapter != "" && engine.AdapterSlots > 0 {
 		delay += s.adapterDelay(now, r, b)
 	}
@@ -101,7 +101,7 @@
 		delay += latency * time.Duration(busy-slots+1) / time.Duration(slots)
 	}
 	delay += time.Duration(busy) * runningDelay
-	return delay + time.Duration(b.FailureRate*float64(failureDelay))
+	return delay + b.failurePenalty()
 }
 
 // runningDelay is added for each running request, so that requests spread evenly over backend servers that all have free slots.
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -156,6 +156,9 @@
 		}
 		applyBackend(s, now, *d.Backend)
 	case cataloguer.KindWithdrawnDomain:
+		if d.Deleted && s.Documents.Withdrawn[d.Name] {
+			beginDomainSlowStart(s, now, d.Name)
+		}
 		s.Documents.Withdrawn[d.Name] = !d.Deleted
 		s.logEvent(EventDomainWithdrawn, Field{"failure_domain", d.Name}, boolField("withdrawn", !d.Deleted))
 	case cataloguer.KindAdapterVersion:
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -47,6 +47,9 @@
 	EventOrderFailed              = 152
 	EventAdapterLoaded            = 153
 	EventAdapterRequested         = 154
+	EventSlowStartBegan           = 167
+	EventSlowStartLimit           = 168
+	EventSlowStartEnded           = 169
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -30,12 +30,21 @@
 		return
 	}
 	candidates := s.candidates(now, r, service)
+	held := heldRequest{}
 	for len(candidates) > 0 {
 		var policy P
 		i := policy.Choose(candidates)
 		b := s.Backends[candidates[i].Backend]
+		if opensIn := s.slowStartOpensIn(now, r, b); opensIn > 0 {
+			held.add(opensIn)
+			candidates = slices.Delete(candidates, i, i+1)
+			continue
+		}
 		if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
 			if s.needsAdapterLoad(now, r, b) {
+				if s.prefersHeldServer(now, r, b, held, candidates[i].Delay) {
+					break
+				}
 				if r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.loadIsUseless(now, r, b, candidates[i].Delay) {
 					r.Backend = b.Info.ID
 					s.refuseUnplaced(now, r, ReasonNotLoaded)
@@ -51,6 +60,10 @@
 		}
 		candidates = slices.Delete(candidates, i, i+1)
 	}
+	if held.Servers > 0 {
+		s.waitForSlowStart(now, r, held)
+		return
+	}
 	s.waitForCapacity(now, r)
 }
 
@@ -233,6 +246,7 @@
 		s.Counters.LoadStallMillis += uint64(now.Sub(r.WaitSince).Milliseconds())
 		s.stopWaiting(r)
 	}
+	s.recordSlowStartDispatch(now, r, b)
 	r.Phase = PhaseRunning
 	r.Backend = b.Info.ID
 	r.Attempt++
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -40,6 +40,7 @@
 	case SettingsRead:
 		s.Limits, s.Self.Seeds = e.Limits, e.Seeds
 		s.Isolation.Content.Limit(now, s.Limits.Quarantine)
+		applySlowStartSetting(s)
 	case StatusRequested:
 		statusRequested(s, now, e)
 	case DrainRequested:
@@ -59,6 +60,7 @@
 	tickMembership(s, now)
 	tickGossip(s, now)
 	tickBackends(s, now)
+	tickSlowStarts(s, now)
 	tickLeases(s, now)
 	tickKeepAlive(s, now)
 	tickAccounts[P](s, now)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -163,6 +163,7 @@
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
+	s.recordAnswer(now, b, r, e.Latency)
 	if adapter, ok := b.Adapters[r.Adapter]; ok && adapter.Stage != StageAbsent {
 		adapter.Stage = StageReady
 		adapter.UpdatedAt = now
@@ -236,12 +237,16 @@
 	if r.Phase != PhaseRunning && r.Phase != PhaseResponding {
 		return
 	}
+	unanswered := r.Phase == PhaseRunning
 	r.Phase = PhaseQueued
 	r.WaitSince = now
 	b, ok := s.Backends[r.Backend]
 	if !ok || b.FirstSeenAt.After(r.SentAt) {
 		return
 	}
+	if unanswered {
+		s.recordUnanswered(now, b, r)
+	}
 	b.Running--
 	b.Tokens -= r.Tokens
 	b.PrefillTokens -= r.PrefillTokens
@@ -266,11 +271,13 @@
 	case OutcomeFailed:
 		s.recordSuccess(b)
 	case OutcomeNotSent, OutcomeBroken, OutcomeTimeout:
+		s.recordStartFailure(now, b, r)
 		s.recordFailure(now, b, 1)
 		if e.Disconnected {
 			s.recordLoss(now, b, r, e)
 		}
 	case OutcomeFull:
+		s.recordStartRefusal(now, b, r)
 		s.recordFailure(now, b, fullFailureWeight)
 	case OutcomeMisdirected:
 		b.EjectedUntil = later(b.EjectedUntil, now.Add(misdirectedEjectionTime))
--- a/internal/reducer/residency.go
+++ b/internal/reducer/residency.go
@@ -35,6 +35,7 @@
 		r.Phase = PhaseAwaitingAdapter
 		r.Backend = b.Info.ID
 		adapter.Waiting = append(adapter.Waiting, r.ID)
+		b.SlowStart.Ramp.Sent(now)
 		s.Counters.LoadStalls++
 		s.logEvent(EventRequestWaiting, s.requestFields(now, r, Field{"stage", adapter.Stage.String()},
 			ageField("known_age_ms", now, adapter.UpdatedAt), ageField("asked_age_ms", now, adapter.RequestedAt),
--- a/internal/reducer/sendstate.go
+++ b/internal/reducer/sendstate.go
@@ -1,6 +1,10 @@
 package reducer
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/ramper"
+)
 
 // SendState is whether this host may send new requests to a backend server, and if not, why.
 type SendState uint8
@@ -25,17 +29,20 @@
 	SendSaturated
 	// SendCold means that the server is in its cold start and gets few requests.
 	SendCold
+	// SendStarting means that the server is in slow start and gets as many requests as it answers in time.
+	SendStarting
 )
 
 var sendStateNames = [...]string{
-	"allowed", "removed", "draining", "leaving", "withdrawn", "backoff", "ejected", "saturated", "cold",
+	"allowed", "removed", "draining", "leaving", "withdrawn", "backoff", "ejected", "saturated", "cold", "starting",
 }
 
 // String returns the state's name in logs and the status.
 func (s SendState) String() string { return sendStateNames[s] }
 
-// Usable reports whether new requests may be sent; a cold server gets those that its rate limit allows.
-func (s SendState) Usable() bool { return s == SendAllowed || s == SendCold }
+// Usable reports whether new requests may be sent; a cold server gets those that its rate limit allows, and one in slow start those that its
+// limit allows.
+func (s SendState) Usable() bool { return s == SendAllowed || s == SendCold || s == SendStarting }
 
 // sendState returns whether this host may send new requests to a backend server. The time is when the state ends by itself; it is zero for
 // a state that only a change elsewhere ends.
@@ -61,6 +68,9 @@
 	if until := s.coldUntil(b, service); service.ColdRate > 0 && now.Before(until) {
 		return SendCold, until
 	}
+	if b.SlowStart.Ramp.Active() {
+		return SendStarting, time.Time{}
+	}
 	return SendAllowed, time.Time{}
 }
 
@@ -96,6 +106,9 @@
 	s.Counters.Backoffs++
 	s.logEvent(EventBackendBackoff, Field{"backend_server", b.Info.ID}, msField("backoff_ms", n.Backoff))
 	b.BackoffUntil = until
+	if n.Backoff >= slowStartPause {
+		s.beginSlowStart(now, until, b, ramper.ReasonPaused)
+	}
 }
 
 // maxBackoff is the longest time for which a host follows a backend server's request to send nothing; a server that asks for longer is
--- a/internal/reducer/stall.go
+++ b/internal/reducer/stall.go
@@ -9,6 +9,7 @@
 	if !ok || r.Attempt != e.Attempt || r.RetryReserved || r.Phase != PhaseRunning && r.Phase != PhaseResponding {
 		return
 	}
+	s.recordSilence(now, r)
 	other := s.otherBackend(now, r)
 	r.RetryReserved = other != nil && s.mayRunAgain(r) && s.withdrawRetry(r.Service)
 	s.logEvent(EventAttemptStalled, s.requestFields(now, r, boolField("ends", r.RetryReserved), boolField("other_server", other != nil))...)
@@ -25,7 +26,7 @@
 // otherBackend returns a backend server that can take a request at once in place of the present one, or nil.
 func (s *State) otherBackend(now time.Time, r *Request) *Backend {
 	for _, b := range s.usableBackends(now, r) {
-		if b.Info.ID == r.Backend || now.Before(b.ColdUntil) {
+		if b.Info.ID == r.Backend || now.Before(b.ColdUntil) || s.slowStartOpensIn(now, r, b) > 0 {
 			continue
 		}
 		if r.Adapter.Adapter == "" || !s.isEngine(b) || !s.needsAdapterLoad(now, r, b) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -26,8 +26,11 @@
 	Services    map[string]*Service
 	Backends    map[string]*Backend
 	// Removed holds the backend servers whose entries were removed, and InUse those that requests were sent to recently.
-	Removed     map[string]bool
-	InUse       map[string]bool
+	Removed map[string]bool
+	InUse   map[string]bool
+	// Starting holds the backend servers in slow start, and Carriers the hosts that carry traffic, as the senders to such servers.
+	Starting    map[string]bool
+	Carriers    Carriers
 	Leases      map[string]*Lease
 	LeaseGrants map[string]*LeaseGrant
 	Requests    map[string]*Request
@@ -162,6 +165,8 @@
 	MinLoadTime time.Duration
 	// PrefillRate is the prompt tokens that a backend server processes per second.
 	PrefillRate float64
+	// HeldAt is when the slow start of the service's servers last made a request wait.
+	HeldAt time.Time
 }
 
 // Backend is the state of one backend server, as this host knows it.
@@ -205,6 +210,7 @@
 	// PartsPrunedAt is when old prompt parts were last removed.
 	PartsPrunedAt time.Time
 	MeanLatency   time.Duration
+	SlowStart     SlowStart
 	// Lost holds the requests that this host lost there when the server closed their connections, until it is known whether the server has
 	// crashed; CrashedAt is when that was confirmed.
 	Lost      []LostRequest
@@ -281,6 +287,10 @@
 	// TriedBackends holds the backend servers at which an attempt failed for another reason than an absent adapter.
 	TriedBackends []string
 	SentAt        time.Time
+	// LateAfter is the time after SentAt from which the first response counts as late. UnverifiedAdapter is set if the present attempt may wait
+	// for the adapter at the server, which says nothing about the server's service rate.
+	LateAfter         time.Duration
+	UnverifiedAdapter bool
 	// RespondedAt is when the response of the present attempt began; zero before.
 	RespondedAt time.Time
 	RetryAt     time.Time
@@ -317,6 +327,7 @@
 		Backends:    map[string]*Backend{},
 		Removed:     map[string]bool{},
 		InUse:       map[string]bool{},
+		Starting:    map[string]bool{},
 		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}},
 		Leases:      map[string]*Lease{},
 		LeaseGrants: map[string]*LeaseGrant{},
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -76,11 +76,15 @@
 	// State is why the server gets no new requests from this host, or allowed or cold.
 	State string `json:"state"`
 	// StateEndsInMs is the time until the state ends by itself; 0 if it does not.
-	StateEndsInMs int64   `json:"state_ends_in_ms"`
-	Holder        string  `json:"holder"`
-	Running       int     `json:"running"`
-	FailureRate   float64 `json:"loss"`
-	Adapters      int     `json:"adapters"`
+	StateEndsInMs int64 `json:"state_ends_in_ms"`
+	// StartLimit is the number of requests that all hosts may have waiting for their first response while the server is in slow start, and
+	// StartReason why the slow start began.
+	StartLimit  float64 `json:"start_limit,omitempty"`
+	StartReason string  `json:"start_reason,omitempty"`
+	Holder      string  `json:"holder"`
+	Running     int     `json:"running"`
+	FailureRate float64 `json:"loss"`
+	Adapters    int     `json:"adapters"`
 }
 
 // AccountStatus is the state of a client account, or another account with a fleet-wide quota, on this host.
@@ -134,7 +138,7 @@
 		}
 		v.Backends = append(v.Backends, BackendStatus{
 			ID: id, Service: b.Info.Service, Usable: state.Usable(), State: state.String(), StateEndsInMs: endsIn, Holder: s.holderOf(now, id), Running: b.Running,
-			FailureRate: b.FailureRate, Adapters: len(b.Adapters),
+			FailureRate: b.FailureRate, Adapters: len(b.Adapters), StartLimit: b.SlowStart.Ramp.Limit(now), StartReason: b.SlowStart.Ramp.Reason.String(),
 		})
 	}
 	for _, name := range sortedKeys(s.Accounts) {
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -15,6 +15,9 @@
 		inv.Usage[from] = u
 	}
 	u.Running, u.Tokens, u.PrefillTokens, u.ReceivedAt = m.Running, m.Tokens, m.PrefillTokens, now
+	if from != s.Self.HostID {
+		s.recordReportedAnswers(now, m)
+	}
 	freed := false
 	for _, a := range m.Adapters {
 		u.RunningByAdapter[a.Adapter] = a.Running
@@ -36,6 +39,7 @@
 			load.PrefillTokens += u.PrefillTokens
 		}
 	}
+	s.reportSlowStart(now, from, inv, &load)
 	if freed {
 		sendNextOrder(s, now, m.Backend, l)
 	}
@@ -101,5 +105,6 @@
 	if b, ok := s.Backends[m.Backend]; ok {
 		b.OtherHosts = m
 		b.OtherHostsAt = now
+		s.adoptSlowStart(now, b, m)
 	}
 }
