--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -249,7 +249,7 @@
 	if now.Sub(b.OtherHostsAt) < loadReportTTL {
 		tokens += b.OtherHosts.PrefillTokens
 	}
-	return time.Duration(float64(tokens) / s.service(b.Info.Service).PrefillRate * float64(time.Second))
+	return time.Duration(float64(tokens) / s.prefillRate(now, b) * float64(time.Second))
 }
 
 // backlogAhead returns the part of the backlog that a server works off before a request: engines serve the more urgent ones first. How the work is
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -53,6 +53,11 @@
 	// was raised by one.
 	LateAdmissions uint64 `json:"late_admissions_total"`
 	PriorityRaises uint64 `json:"priority_raises_total"`
+	// SlowStarts counts slow starts of backend servers that began on this host, SlowStartBadAnswers the answers in them that were late or
+	// missing, and SlowStartHeld how often a limit kept a request from a server.
+	SlowStarts          uint64 `json:"slow_starts_total"`
+	SlowStartBadAnswers uint64 `json:"slow_start_bad_answers_total"`
+	SlowStartHeld       uint64 `json:"slow_start_held_total"`
 	// BackendCrashes counts the crashes of backend servers at which this host lost requests, and Quarantines the quarantines of
 	// content that began on this host.
 	BackendCrashes      uint64              `json:"backend_crashes_total"`
--- a/internal/reducer/delay.go
+++ b/internal/reducer/delay.go
@@ -42,7 +42,7 @@
 	} else {
 		delay += fixedAdmissionDelay(r, engine, load)
 	}
-	delay += time.Duration(b.FailureRate * float64(failureDelay))
+	delay += b.failurePenalty()
 	if r.Adapter.Adapter != "" && engine.AdapterSlots > 0 {
 		delay += s.adapterDelay(now, r, b)
 	}
@@ -127,7 +127,7 @@
 		delay += latency * time.Duration(busy-slots+1) / time.Duration(slots)
 	}
 	delay += time.Duration(busy) * runningDelay
-	return delay + time.Duration(b.FailureRate*float64(failureDelay))
+	return delay + b.failurePenalty()
 }
 
 // busy returns the number of requests at a backend server that runs no models, as far as this host knows.
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -51,6 +51,9 @@
 	EventServiceRateChanged       = 161
 	EventBackendSlowed            = 162
 	EventLoadFigureIgnored        = 163
+	EventSlowStartBegan           = 167
+	EventSlowStartLimit           = 168
+	EventSlowStartEnded           = 169
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -27,8 +27,11 @@
 	Services    map[string]*Service
 	Backends    map[string]*Backend
 	// Removed holds the backend servers whose entries were removed, and InUse those that requests were sent to recently.
-	Removed     map[string]bool
-	InUse       map[string]bool
+	Removed map[string]bool
+	InUse   map[string]bool
+	// Starting holds the backend servers in slow start, and Carriers the hosts that carry traffic, as the senders to such servers.
+	Starting    map[string]bool
+	Carriers    Carriers
 	Leases      map[string]*Lease
 	LeaseGrants map[string]*LeaseGrant
 	Requests    map[string]*Request
@@ -167,6 +170,8 @@
 	Pacing      ServicePacing
 	// Admission is the state of the admission control, which is empty while that is off.
 	Admission ServiceAdmission
+	// HeldAt is when the slow start of the service's servers last made a request wait.
+	HeldAt time.Time
 }
 
 // Backend is the state of one backend server, as this host knows it.
@@ -211,6 +216,7 @@
 	PartsPrunedAt time.Time
 	MeanLatency   time.Duration
 	Pacing        Pacing
+	SlowStart     SlowStart
 	// Lost holds the requests that this host lost there when the server closed their connections, until it is known whether the server has
 	// crashed; CrashedAt is when that was confirmed.
 	Lost      []LostRequest
@@ -287,6 +293,10 @@
 	// TriedBackends holds the backend servers at which an attempt failed for another reason than an absent adapter.
 	TriedBackends []string
 	SentAt        time.Time
+	// LateAfter is the time after SentAt from which the first response counts as late. UnverifiedAdapter is set if the present attempt may wait
+	// for the adapter at the server, which says nothing about the server's service rate.
+	LateAfter         time.Duration
+	UnverifiedAdapter bool
 	// RespondedAt is when the response of the present attempt began; zero before.
 	RespondedAt time.Time
 	RetryAt     time.Time
@@ -329,6 +339,7 @@
 		Backends:    map[string]*Backend{},
 		Removed:     map[string]bool{},
 		InUse:       map[string]bool{},
+		Starting:    map[string]bool{},
 		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}, AdapterRanks: map[rankedAdapter][]*Backend{}},
 		Leases:      map[string]*Lease{},
 		LeaseGrants: map[string]*LeaseGrant{},
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -84,11 +84,15 @@
 	// State is why the server gets no new requests from this host, or allowed or cold.
 	State string `json:"state"`
 	// StateEndsInMs is the time until the state ends by itself; 0 if it does not.
-	StateEndsInMs int64   `json:"state_ends_in_ms"`
-	Holder        string  `json:"holder"`
-	Running       int     `json:"running"`
-	FailureRate   float64 `json:"loss"`
-	Adapters      int     `json:"adapters"`
+	StateEndsInMs int64 `json:"state_ends_in_ms"`
+	// StartLimit is the number of requests that all hosts may have waiting for their first response while the server is in slow start, and
+	// StartReason why the slow start began.
+	StartLimit  float64 `json:"start_limit,omitempty"`
+	StartReason string  `json:"start_reason,omitempty"`
+	Holder      string  `json:"holder"`
+	Running     int     `json:"running"`
+	FailureRate float64 `json:"loss"`
+	Adapters    int     `json:"adapters"`
 	// ServiceRate is the prompt tokens or calls per second that the server usually does, and Slowdown the factor by which they take longer at
 	// present; both are left out if rates are not estimated.
 	ServiceRate float64 `json:"service_rate,omitempty"`
@@ -146,7 +150,7 @@
 		}
 		status := BackendStatus{
 			ID: id, Service: b.Info.Service, Usable: state.Usable(), State: state.String(), StateEndsInMs: endsIn, Holder: s.holderOf(now, id), Running: b.Running,
-			FailureRate: b.FailureRate, Adapters: len(b.Adapters),
+			FailureRate: b.FailureRate, Adapters: len(b.Adapters), StartLimit: b.SlowStart.Ramp.Limit(now), StartReason: b.SlowStart.Ramp.Reason.String(),
 		}
 		if s.Limits.Adaptive.Pace {
 			status.ServiceRate, status.Slowdown = s.usualRate(now, b), b.Pacing.Estimate.Slowdown(now)
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -15,6 +15,9 @@
 		inv.Usage[from] = u
 	}
 	u.Running, u.Tokens, u.PrefillTokens, u.ReceivedAt = m.Running, m.Tokens, m.PrefillTokens, now
+	if from != s.Self.HostID {
+		s.recordReportedAnswers(now, m)
+	}
 	freed := false
 	for _, a := range m.Adapters {
 		u.RunningByAdapter[a.Adapter] = a.Running
@@ -40,6 +43,7 @@
 			load.PrefillTokens += u.PrefillTokens
 		}
 	}
+	s.reportSlowStart(now, from, inv, &load)
 	if freed {
 		sendNextOrder(s, now, m.Backend, l)
 	}
@@ -107,5 +111,6 @@
 		b.OtherHosts = m
 		b.OtherHostsAt = now
 		s.mergePace(now, b, m)
+		s.adoptSlowStart(now, b, m)
 	}
 }
