Count late responses and streams with long gaps

Operators could not tell answers that begin late from streams that stall between events: both reach their callers.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -128,6 +128,8 @@
 	Disconnected bool
 	// Events is the number of complete events of a stream that went to the caller.
 	Events int
+	// LongestGap is the longest time between two events of a stream, or between its header and the first event.
+	LongestGap time.Duration
 	// FailureResponse is the response with which the backend server reported a failure.
 	FailureResponse *Response
 	// LastEventID is the id of the last event of a stream that went to the caller.
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -113,6 +113,7 @@
 	}
 	chunk := make([]byte, readBufferSize)
 	x.stall.expect(x.dispatch.StreamIdleTimeout)
+	lastEventAt := time.Now()
 	for {
 		n, err := resp.Body.Read(chunk)
 		complete := events.push(chunk[:n])
@@ -121,6 +122,9 @@
 			return
 		}
 		if len(complete) > 0 {
+			now := time.Now()
+			x.result.LongestGap = max(x.result.LongestGap, now.Sub(lastEventAt))
+			lastEventAt = now
 			if x.sink.Write(complete) != nil {
 				x.fail(err)
 				return
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -7,14 +7,18 @@
 	RequestsDone      uint64 `json:"requests_done_total"`
 	RequestsFailed    uint64 `json:"requests_failed_total"`
 	RequestsAbandoned uint64 `json:"requests_abandoned_total"`
-	Dispatches        uint64 `json:"dispatches_total"`
-	Retries           uint64 `json:"retries_total"`
-	Resumes           uint64 `json:"resumes_total"`
-	LoadStalls        uint64 `json:"load_stalls_total"`
-	LoadStallMillis   uint64 `json:"load_stall_ms_total"`
-	Loads             uint64 `json:"loads_total"`
-	ModelLoads        uint64 `json:"model_loads_total"`
-	Unloads           uint64 `json:"unloads_total"`
+	// LateResponses counts the answers whose first response came after the route's target, and SlowStreams the streams in which an event came
+	// after the route's stream gap target.
+	LateResponses   uint64 `json:"late_responses_total"`
+	SlowStreams     uint64 `json:"slow_streams_total"`
+	Dispatches      uint64 `json:"dispatches_total"`
+	Retries         uint64 `json:"retries_total"`
+	Resumes         uint64 `json:"resumes_total"`
+	LoadStalls      uint64 `json:"load_stalls_total"`
+	LoadStallMillis uint64 `json:"load_stall_ms_total"`
+	Loads           uint64 `json:"loads_total"`
+	ModelLoads      uint64 `json:"model_loads_total"`
+	Unloads         uint64 `json:"unloads_total"`
 	// ReplicaChanges counts the changes of the number of an adapter's replicas, and ReplicaPreloads the requests for loads at replicas ahead of
 	// their use.
 	ReplicaChanges  uint64 `json:"replica_changes_total"`
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -111,7 +111,9 @@
 	Disconnected bool
 	// Events is the number of complete events of a stream that the attempt delivered.
 	Events int
-	Took   time.Duration
+	// LongestGap is the longest time between two of these events, or between the header and the first of them.
+	LongestGap time.Duration
+	Took       time.Duration
 }
 
 // Load is the load that a backend server reports with a response.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -226,7 +226,9 @@
 	if e.Outcome == OutcomeDone {
 		s.returnReserved(r)
 		s.Counters.RequestsDone++
-		s.logEvent(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took))...)
+		s.recordTimeliness(now, r, e)
+		s.logEvent(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took),
+			msField("first_ms", r.RespondedAt.Sub(r.ArrivedAt)), msField("longest_gap_ms", e.LongestGap))...)
 		s.endRequest(now, r, "answered_"+strconv.Itoa(e.Status))
 		requestDone[P](s, now, r)
 		return
@@ -237,6 +239,20 @@
 	retryOrFail[P](s, now, r, e)
 }
 
+// recordTimeliness counts an answer that came late: its first response after the target, or an event after the stream gap target.
+func (s *State) recordTimeliness(now time.Time, r *Request, e DispatchEnded) {
+	started := r.RespondedAt
+	if started.IsZero() {
+		started = now
+	}
+	if r.Route.LatencyTarget > 0 && started.Sub(r.ArrivedAt) > r.Route.LatencyTarget {
+		s.Counters.LateResponses++
+	}
+	if r.Route.StreamGapTarget > 0 && e.LongestGap > r.Route.StreamGapTarget {
+		s.Counters.SlowStreams++
+	}
+}
+
 // detachBackend removes a request from the counts of its backend server and queues it.
 func (s *State) detachBackend(now time.Time, r *Request) {
 	if r.Phase != PhaseRunning && r.Phase != PhaseResponding {
