--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -130,6 +130,8 @@
 	Events int
 	// LongestGap is the longest time between two events of a stream, or between its header and the first event.
 	LongestGap time.Duration
+	// TypicalGap is the time between two events while the server decodes without interruption; 0 if the stream had too few events.
+	TypicalGap time.Duration
 	// FailureResponse is the response with which the backend server reported a failure.
 	FailureResponse *Response
 	// LastEventID is the id of the last event of a stream that went to the caller.
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -113,7 +113,9 @@
 	}
 	chunk := make([]byte, readBufferSize)
 	x.stall.expect(x.dispatch.StreamIdleTimeout)
-	lastEventAt := time.Now()
+	var gaps gapRecorder
+	defer func() { x.result.LongestGap, x.result.TypicalGap = gaps.longest, gaps.typical() }()
+	gaps.start(time.Now())
 	for {
 		n, err := resp.Body.Read(chunk)
 		complete := events.push(chunk[:n])
@@ -122,9 +124,7 @@
 			return
 		}
 		if len(complete) > 0 {
-			now := time.Now()
-			x.result.LongestGap = max(x.result.LongestGap, now.Sub(lastEventAt))
-			lastEventAt = now
+			gaps.event(time.Now())
 			if x.sink.Write(complete) != nil {
 				x.fail(err)
 				return
--- /dev/null
+++ b/internal/estimator/logmean.go
@@ -0,0 +1,35 @@
+package estimator
+
+import (
+	"math"
+	"time"
+)
+
+// LogMean is a moving geometric mean of times, on which single long ones have little weight.
+type LogMean struct {
+	Log     float64
+	Samples int
+}
+
+// logMeanSamples is the number of samples over which the mean moves, and minLogMeanSamples that from which it is known.
+const (
+	logMeanSamples    = 200
+	minLogMeanSamples = 12
+)
+
+// Add adds a time above 0.
+func (m *LogMean) Add(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	m.Samples = min(m.Samples+1, logMeanSamples)
+	m.Log += (math.Log(took.Seconds()) - m.Log) / float64(m.Samples)
+}
+
+// Ratio returns how many times the mean a time is, and false if the mean is not known.
+func (m LogMean) Ratio(took time.Duration) (ratio float64, ok bool) {
+	if took <= 0 || m.Samples < minLogMeanSamples {
+		return 0, false
+	}
+	return took.Seconds() / math.Exp(m.Log), true
+}
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -121,8 +121,8 @@
 	s.Control.Report(context.WithoutCancel(ctx), reducer.DispatchEnded{
 		ID: dispatch.ID, Backend: dispatch.Backend, Attempt: dispatch.Attempt, Outcome: result.Outcome, Status: result.Status, Load: result.Load,
 		Notice: result.Notice, Mismatched: result.Mismatched, Delivered: result.Delivered, Disconnected: result.Disconnected, Events: result.Events,
-		LongestGap: result.LongestGap,
-		Took:       clocker.Now().Sub(start),
+		LongestGap: result.LongestGap, TypicalGap: result.TypicalGap,
+		Took: clocker.Now().Sub(start),
 	})
 	return result.Outcome == reducer.OutcomeDone
 }
--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 type Server struct {
 	ID            string
 	FailureDomain string
+	// Weight is the relative number of adapters that the server ranks first for.
+	Weight float64
 }
 
 // plainRanks is the number of first ranks that go by the hash alone; later ranks take the failure domains in turn.
@@ -20,10 +23,11 @@
 // Rank returns the indices of the servers in the order in which they get replicas of an adapter: by rendezvous hashing, and from the fourth on
 // with the failure domains in turn, so that the replicas of a popular adapter are spread over all domains.
 func Rank(key uint64, servers []Server) []int {
-	scores := make([]uint64, len(servers))
+	scores := make([]float64, len(servers))
 	order := make([]int, len(servers))
 	for i, server := range servers {
-		scores[i] = hasher.Score(key, hasher.NewName(server.ID))
+		u := (float64(hasher.Score(key, hasher.NewName(server.ID))>>11) + 0.5) / (1 << 53)
+		scores[i] = math.Log(u) / max(server.Weight, 1e-3)
 		order[i] = i
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -113,6 +113,8 @@
 	Events int
 	// LongestGap is the longest time between two of these events, or between the header and the first of them.
 	LongestGap time.Duration
+	// TypicalGap is the time between two of these events while the server decodes without interruption; 0 if it is not known.
+	TypicalGap time.Duration
 	Took       time.Duration
 }
 
--- a/internal/reducer/pace.go
+++ b/internal/reducer/pace.go
@@ -25,6 +25,8 @@
 type ServicePacing struct {
 	Mean    estimator.Mean
 	Domains map[string]*estimator.Mean
+	// Gaps is the mean typical gap between the events of the service's streams.
+	Gaps estimator.LogMean
 	// MeanStay is the moving average of the time that a request spends at an engine; 0 before the first response.
 	MeanStay time.Duration
 }
--- a/internal/reducer/places.go
+++ b/internal/reducer/places.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	// Unreported is the work that has not been reported yet, by the backend server whose lease holder gets the report.
 	Unreported map[string]*UnreportedWork
 	PrunedAt   time.Time
+	Fast       map[string]bool
+	FastAt     time.Time
 }
 
 // UnreportedWork is the work of requests, in prompt tokens, since the last report to a lease holder.
@@ -121,7 +124,7 @@
 func (s *State) replicaBackends(now time.Time, r *Request, count int) []*Backend {
 	var untried, tried, published []*Backend
 	ready := false
-	for _, b := range s.adapterRanking(r.Service, r.Adapter) {
+	for _, b := range s.adapterRanking(r.Service, r.Adapter, s.isLong(r)) {
 		if len(untried) >= count && ready {
 			break
 		}
@@ -148,18 +151,19 @@
 type rankedAdapter struct {
 	Service string
 	Adapter AdapterKey
+	Long    bool
 }
 
 // adapterRanking returns all engines of a service in the order in which they get replicas of an adapter.
-func (s *State) adapterRanking(service string, key AdapterKey) []*Backend {
+func (s *State) adapterRanking(service string, key AdapterKey, long bool) []*Backend {
 	backends := s.serviceBackends(service)
-	id := rankedAdapter{service, key}
+	id := rankedAdapter{service, key, long}
 	if ranking, ok := s.Index.AdapterRanks[id]; ok {
 		return ranking
 	}
 	servers := make([]placer.Server, len(backends))
 	for i, b := range backends {
-		servers[i] = placer.Server{ID: b.Info.ID, FailureDomain: b.Info.FailureDomain}
+		servers[i] = placer.Server{ID: b.Info.ID, FailureDomain: b.Info.FailureDomain, Weight: s.laneWeight(b, long)}
 	}
 	ranking := make([]*Backend, len(backends))
 	for rank, i := range placer.Rank(hasher.Key(key.Model+"/"+key.Adapter), servers) {
@@ -223,7 +227,7 @@
 // demandServer returns the backend server whose lease holder sums the demand for an adapter: the first by rank that has one. It returns ""
 // if none of the first has one.
 func (s *State) demandServer(now time.Time, service string, key AdapterKey) string {
-	ranking := s.adapterRanking(service, key)
+	ranking := s.adapterRanking(service, key, false)
 	for _, b := range ranking[:min(len(ranking), maxCandidates)] {
 		if s.holderOf(now, b.Info.ID) != "" {
 			return b.Info.ID
@@ -320,8 +324,49 @@
 	return order
 }
 
+func (s *State) laneWeight(b *Backend, long bool) float64 {
+	if !s.Places.Fast[b.Info.ID] {
+		return 1
+	}
+	if long {
+		return longFast
+	}
+	return shortFast
+}
+
+const (
+	longFast  = 5
+	shortFast = 0.5
+)
+
+func (s *State) isLong(r *Request) bool {
+	return r.Route.StreamGapTarget > 0 && float64(r.PromptTokens)/30000 > r.Route.StreamGapTarget.Seconds()/2
+}
+
+func (s *State) tickFast(now time.Time) {
+	if now.Sub(s.Places.FastAt) < time.Second {
+		return
+	}
+	s.Places.FastAt = now
+	fast := map[string]bool{}
+	for id, b := range s.Backends {
+		if !s.isEngine(b) {
+			continue
+		}
+		mean, _ := s.meanRates(b)
+		if rate := s.usualRate(now, b); rate > 1.35*mean || s.Places.Fast[id] && rate > 1.2*mean {
+			fast[id] = true
+		}
+	}
+	if !maps.Equal(fast, s.Places.Fast) {
+		clear(s.Index.AdapterRanks)
+	}
+	s.Places.Fast = fast
+}
+
 // tickPlaces reports work that has waited for a usage report, and drops what is no longer used.
 func tickPlaces(s *State, now time.Time) {
+	s.tickFast(now)
 	for _, id := range sortedKeys(s.Places.Unreported) {
 		age := now.Sub(s.Places.Unreported[id].Since)
 		b, ok := s.Backends[id]
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -227,6 +227,9 @@
 		s.returnReserved(r)
 		s.Counters.RequestsDone++
 		s.recordTimeliness(now, r, e)
+		if b, known := s.Backends[e.Backend]; known {
+			s.recordDecode(now, b, r, e)
+		}
 		s.logEvent(EventRequestEnded, s.requestFields(now, r, intField("status", e.Status), msField("took_ms", e.Took),
 			msField("first_ms", r.RespondedAt.Sub(r.ArrivedAt)), msField("longest_gap_ms", e.LongestGap))...)
 		s.endRequest(now, r, "answered_"+strconv.Itoa(e.Status))
