Take samples of uncertain work only where one amount is plausible; run the exerciser with estimated rates

Other hosts may have put a shared prompt part into an engine's cache. In a trial with such prompts, the estimates of fast engines settled at a third of the actual rate: a whole prompt was taken for its own part as soon as the estimate was low. A request that waited for its adapter to be loaded now counts with its whole prompt if that is plausible, and a sample counts as at most twice as slow as expected, since waits go unseen. A unary server's own rate prevails over that of its domain after two calls in place of three. Sums between hosts are bounded.

The exerciser's backend servers can have different speeds and report their load (Options.UnevenServers).

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -106,36 +106,39 @@
 	return min(max(rate, service/maxDeviation), service*maxDeviation)
 }
 
-// The largest factors by which one sample counts as faster or slower than expected of its server, and in a mean than expected of the group.
-// A request that has waited unseen looks slower than its server, and one server with wrong figures must not move the mean far.
+// The largest factors by which one sample counts as slower or faster than expected. The former is smaller, because a request that has waited
+// unseen looks slower than its server, while nothing but a wrong figure makes one look faster.
 const (
-	MaxSampleDeviation = 4
-	MaxMeanDeviation   = 2
+	maxSlower = 2
+	maxFaster = 8
 )
 
-// Limit returns the time of a sample, limited to a factor to the time that the work takes at the expected rate; the rate is 0 if none is
-// expected.
-func Limit(work float64, took time.Duration, rate, factor float64) time.Duration {
+// Limit returns the time of a sample, limited by the time that the work takes at the expected rate; the rate is 0 if none is expected.
+func Limit(work float64, took time.Duration, rate float64) time.Duration {
 	if rate <= 0 {
 		return took
 	}
 	expected := work / rate * float64(time.Second)
-	return time.Duration(min(max(float64(took), expected/factor), expected*factor))
+	return time.Duration(min(max(float64(took), expected/maxFaster), expected*maxSlower))
 }
 
 // maxAmbiguity is the factor to the expected rate within which an amount of work is plausible.
 const maxAmbiguity = 2
 
 // Plausible returns the one of several possible amounts of work that explains the time of a sample at about the expected rate, and false if
-// none or more than one does.
-func Plausible(amounts []float64, took time.Duration, rate float64) (work float64, ok bool) {
+// none does, or more than one. With firstLikely, the first amount is taken if others explain the time too.
+func Plausible(amounts []float64, took time.Duration, rate float64, firstLikely bool) (work float64, ok bool) {
 	found := 0
-	for _, amount := range amounts {
+	for i, amount := range amounts {
 		deviation := math.Abs(math.Log(amount / took.Seconds() / rate))
-		if deviation <= math.Log(maxAmbiguity) {
-			work = amount
-			found++
+		if deviation > math.Log(maxAmbiguity) {
+			continue
 		}
+		if firstLikely && i == 0 {
+			return amount, true
+		}
+		work = amount
+		found++
 	}
 	return work, found == 1
 }
--- a/internal/estimator/sums.go
+++ b/internal/estimator/sums.go
@@ -43,7 +43,13 @@
 	return Sums{Work: a.Work - b.Work, Busy: a.Busy - b.Busy, UpdatedAt: now}
 }
 
+// The largest sums of samples that a server could give within some half-lives.
+const (
+	maxWork = 1e12
+	maxBusy = time.Hour
+)
+
 // Valid reports whether work and time can be sums of samples.
 func Valid(work float64, busy time.Duration) bool {
-	return work > 0 && !math.IsInf(work, 0) && busy > 0
+	return work > 0 && work < maxWork && busy > 0 && busy < maxBusy
 }
--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -72,6 +72,9 @@
 	if s.Options.ExtendedWorkload {
 		return scale * reducedRateFactor
 	}
+	if s.Options.UnevenServers {
+		return scale * unevenRateFactor
+	}
 	return scale
 }
 
@@ -113,6 +116,8 @@
 		b.Info.Slots = s.Options.EngineSpec.Slots
 		b.Info.Models = []cataloguer.ResidentModel{{Model: modelName}}
 		b.Engine = modeler.NewEngine(s.Options.EngineSpec)
+		b.Engine.Spec.PrefillRate *= s.speed(domain)
+		b.Engine.Spec.TokenTime = time.Duration(float64(b.Engine.Spec.TokenTime) / s.speed(domain))
 		b.Engine.LatestVersions = s.Checker.latestVersions
 		if s.Options.ExtendedWorkload {
 			b.Engine.Spec.LoadTime *= time.Duration(1 + s.extendedRNG.IntN(maxLoadSlowdown))
@@ -122,7 +127,7 @@
 			b.ColdSince = s.Now
 		}
 	} else {
-		b.Engine = modeler.NewEngine(modeler.Spec{Slots: 6, QueueSize: 24})
+		b.Engine = modeler.NewEngine(modeler.Spec{Slots: 6, QueueSize: 24, TokenTime: s.Options.EngineSpec.TokenTime})
 	}
 	s.publishBackend(b)
 	if s.Options.UniformAdapters && !restarted && service == engineService {
@@ -227,7 +232,7 @@
 			s.Checker.checkNotices(s.Now, s.Options.Limits.DrainDeadline, s.faultFree(h), b, h)
 			s.Checker.checkArrival(s.Now, s.faultFree(h), b, h)
 		}
-		event.Notice = s.notice(h, b, outcome)
+		event.Notice, event.Load = s.notice(h, b, outcome), s.load(b)
 		if outcome != reducer.OutcomeDone {
 			event.Outcome = outcome
 			s.after(s.messageDelay(), func() { s.post(h, incarnation, event) })
@@ -268,15 +273,16 @@
 	startedUnixMs := b.Info.StartedUnixMs
 	startedAt := s.Now
 	event := reducer.DispatchEnded{ID: e.ID, Backend: e.Backend, Attempt: e.Attempt, Outcome: reducer.OutcomeBroken}
-	processingTime := unaryDuration
+	processingTime := time.Duration(float64(unaryDuration) / s.speed(b.Info.FailureDomain))
 	if b.Info.Service == engineService {
 		processingTime = firstTokenAt.Sub(s.Now)
 	}
+	processingTime = processingTime * s.workPercent(b) / usualPercent
 	a := &answer{}
 	a.abort = func() {
 		event.Disconnected = true
 		if event.Delivered {
-			event.Events = int(s.Now.Sub(firstTokenAt) / (tokensPerEvent * s.Options.EngineSpec.TokenTime))
+			event.Events = int(s.Now.Sub(firstTokenAt) / (tokensPerEvent * b.Engine.Spec.TokenTime))
 		}
 		s.post(h, incarnation, event)
 	}
@@ -292,10 +298,14 @@
 			return
 		}
 		event.Notice = s.notice(h, b, reducer.OutcomeDone)
-		s.post(h, incarnation, reducer.ResponseStarted{ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt), Notice: event.Notice})
+		event.Load = s.load(b)
+		s.post(h, incarnation, reducer.ResponseStarted{
+			ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt), Load: event.Load, Notice: event.Notice,
+		})
+		s.Traffic.ResponseTimes[b.Info.Service] = append(s.Traffic.ResponseTimes[b.Info.Service], s.Now.Sub(r.sentAt))
 		event.Delivered = true
 		s.answerBegan(b, r)
-		s.after(time.Duration(r.event.OutputTokens)*s.Options.EngineSpec.TokenTime, func() {
+		s.after(time.Duration(r.event.OutputTokens)*b.Engine.Spec.TokenTime, func() {
 			if a.aborted {
 				return
 			}
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -48,6 +48,8 @@
 	// UniformAdapters makes all requests use adapters that are drawn uniformly, which means that most requests need a load order, and
 	// publishes the resident adapters in the entries of engines.
 	UniformAdapters bool
+	// UnevenServers gives backend servers different speeds (speeds.go) and makes them report their load.
+	UnevenServers bool
 	// MeasureCost enables the measurement of envelope sizes and of the time spent in Reduce.
 	MeasureCost bool
 }
@@ -202,7 +204,7 @@
 		hostAtAcquisition: map[[2]string]string{},
 	}
 	s.Messages, s.MessageBytes = map[string]int{}, map[string]int{}
-	s.Traffic.requests = map[string]*Request{}
+	s.Traffic.requests, s.Traffic.ResponseTimes = map[string]*Request{}, map[string][]time.Duration{}
 	s.Checker = Checker{
 		requestTimes: map[string][]time.Time{}, retryTimes: map[string][]time.Time{}, latestVersions: map[reducer.AdapterKey]int64{},
 		versionPublishedAt: map[reducer.AdapterKey]time.Time{},
--- a/internal/exerciser/traffic.go
+++ b/internal/exerciser/traffic.go
@@ -14,6 +14,8 @@
 	Sent    int
 	Done    int
 	Refused map[string]int
+	// ResponseTimes holds, by service, the time from the arrival of each request to the start of its response at the backend server.
+	ResponseTimes map[string][]time.Duration
 
 	requests             map[string]*Request
 	catalogueVersion     int64
--- a/internal/reducer/pace.go
+++ b/internal/reducer/pace.go
@@ -33,7 +33,7 @@
 	// priorTokens and priorCalls are the work whose samples count as much as the mean of the failure domain: about one long prompt, or a few
 	// calls, so that a server's own rate prevails within a few requests.
 	priorTokens = 8000
-	priorCalls  = 3
+	priorCalls  = 2
 	// certainWork is the factor up to which the prompt tokens that may or may not be cached leave a sample's work certain.
 	certainWork = 1.5
 	// loggedRateChange is the factor by which a rate changes before it is logged again.
@@ -167,7 +167,7 @@
 		return
 	}
 	s.Counters.RateSamples++
-	took = estimator.Limit(work, took, s.usualRate(now, b), estimator.MaxSampleDeviation)
+	took = estimator.Limit(work, took, s.usualRate(now, b))
 	b.Pacing.Estimate.Add(now, work, took)
 	b.Pacing.Unreported.Add(now, work, took)
 	s.addToMeans(b, work, took)
@@ -188,7 +188,9 @@
 	if float64(r.PrefillTokens) <= certainWork*float64(own) {
 		return float64(r.PrefillTokens), true
 	}
-	return estimator.Plausible([]float64{float64(r.PrefillTokens), float64(max(own, minPrefillSample))}, took, s.usualRate(now, b))
+	// Of an adapter that has just been loaded, the engine can hardly have cached anything.
+	amounts := []float64{float64(r.PrefillTokens), float64(max(own, minPrefillSample))}
+	return estimator.Plausible(amounts, took, s.usualRate(now, b), r.AwaitedAdapter)
 }
 
 // ownTokens returns the prompt tokens that no other request shares. The other parts may be cached without this host's knowledge, because
@@ -206,7 +208,7 @@
 	prior := s.initialPrior(b)
 	service, domain := s.meanRates(b)
 	pacing := &s.service(b.Info.Service).Pacing
-	pacing.Mean.Add(work, estimator.Limit(work, took, service, estimator.MaxMeanDeviation), prior)
+	pacing.Mean.Add(work, estimator.Limit(work, took, service), prior)
 	if pacing.Domains == nil {
 		pacing.Domains = map[string]*estimator.Mean{}
 	}
@@ -215,7 +217,7 @@
 		mean = &estimator.Mean{}
 		pacing.Domains[b.Info.FailureDomain] = mean
 	}
-	mean.Add(work, estimator.Limit(work, took, domain, estimator.MaxMeanDeviation), prior)
+	mean.Add(work, estimator.Limit(work, took, domain), prior)
 }
 
 // logRate logs the rate of a backend server if it has changed much.
--- a/internal/reducer/pace_test.go
+++ b/internal/reducer/pace_test.go
@@ -15,11 +15,10 @@
 func newPaceFixture(t *testing.T, pace bool) *fixture {
 	f := newEngineFixture(t, 0)
 	f.state.Limits.Adaptive.Pace = pace
-	for _, domain := range []string{"east", "west"} {
-		for i := range 2 {
-			f.publishIn(domain, domain+strconv.Itoa(i), 1)
-		}
+	for _, id := range []string{"east0", "east1", "west0", "west1"} {
+		f.publishIn(id[:4], id, 1)
 	}
+	f.publishBackend(cataloguer.Backend{ID: "desk-3", Service: "desk", Address: "10.0.1.1:80", FailureDomain: "east", StartedUnixMs: 1, Slots: 6})
 	return f
 }
 
@@ -32,11 +31,9 @@
 // begin sends a request with the given prompt to a backend server, without choosing one.
 func (f *fixture) begin(id string, prompt int) *Request {
 	b := f.state.Backends[id]
-	service := f.state.Documents.Services[b.Info.Service]
-	r := &Request{ID: strconv.Itoa(int(f.state.Counters.Dispatches)), Service: b.Info.Service, PromptTokens: prompt, Tokens: prompt, Phase: PhaseQueued}
-	r.Deadline = f.now.Add(time.Minute)
+	r := &Request{ID: strconv.Itoa(int(f.state.Counters.Dispatches)), Service: b.Info.Service, PromptTokens: prompt, Tokens: prompt}
 	f.state.Requests[r.ID] = r
-	f.state.dispatch(f.now, r, b, service)
+	f.state.dispatch(f.now, r, b, f.state.Documents.Services[b.Info.Service])
 	return r
 }
 
@@ -48,10 +45,10 @@
 	f.reduce(DispatchEnded{ID: r.ID, Backend: id, Attempt: 1, Outcome: OutcomeDone, Status: 200, Took: took, Load: load})
 }
 
-// deviation returns the factor by which the expected delay of a request at an engine is wrong.
-func (f *fixture) deviation(id string, prompt int, actual time.Duration) float64 {
+// deviation returns the factor by which the expected delay of a request with 6,000 tokens at an engine is wrong.
+func (f *fixture) deviation(id string, actual time.Duration) float64 {
 	b := f.state.Backends[id]
-	expected := f.state.engineDelay(f.now, &Request{PromptTokens: prompt, Tokens: prompt}, b, f.state.engineOf(b))
+	expected := f.state.engineDelay(f.now, &Request{PromptTokens: 6000, Tokens: 6000}, b, f.state.engineOf(b))
 	return math.Exp(math.Abs(math.Log(expected.Seconds() / actual.Seconds())))
 }
 
@@ -63,19 +60,17 @@
 // Load: the engines of one failure domain work at 0.55 of the nominal speed, the others at 1.2. Guards against expecting the same of all,
 // also of an engine that has just joined.
 func TestRatesOfASlowFailureDomainAreKnownAfterAFewRequests(t *testing.T) {
-	speed := map[string]float64{"east": 1.2, "west": 0.55}
 	worst := map[bool]float64{}
 	for _, pace := range []bool{false, true} {
 		f := newPaceFixture(t, pace)
 		for range 3 {
-			for domain, v := range speed {
-				f.serve(domain+"0", 6000, prefillTime(6000, v), Load{})
-			}
+			f.serve("west0", 6000, prefillTime(6000, 0.55), Load{})
+			f.serve("east0", 6000, prefillTime(6000, 1.2), Load{})
 		}
-		for domain, v := range speed {
+		for domain, v := range map[string]float64{"east": 1.2, "west": 0.55} {
 			f.publishIn(domain, domain+"-new", 1)
-			for _, id := range []string{domain + "0", domain + "1", domain + "-new"} {
-				worst[pace] = max(worst[pace], f.deviation(id, 6000, prefillTime(6000, v)))
+			for _, id := range []string{"0", "1", "-new"} {
+				worst[pace] = max(worst[pace], f.deviation(domain+id, prefillTime(6000, v)))
 			}
 		}
 	}
@@ -90,10 +85,10 @@
 		slowdown := []float64{1, 2.5}[i%2]
 		f.serve("east0", 6000, time.Duration(float64(usual)*slowdown), Load{Known: true, Slots: 64, Percent: 100 * slowdown})
 	}
-	assert.Assert(t, f.deviation("east0", 6000, usual*5/2) < 1.1, "while the figure is fresh")
+	assert.Assert(t, f.deviation("east0", usual*5/2) < 1.1, "while the figure is fresh")
 	f.now = f.now.Add(600 * time.Millisecond)
-	assert.Assert(t, f.deviation("east0", 6000, usual) < 1.1, "when it is old")
-	assert.Assert(t, f.deviation("east1", 6000, usual) < 1.2, "another engine of the failure domain")
+	assert.Assert(t, f.deviation("east0", usual) < 1.1, "when it is old")
+	assert.Assert(t, f.deviation("east1", usual) < 1.2, "another engine of the failure domain")
 }
 
 // Load: a unary server is full for a while. Guards against a server that looks slow since its calls wait, idle once it gets none, and then
@@ -128,7 +123,7 @@
 			service, _ := f.state.meanRates(f.state.Backends["east0"])
 			rate := f.state.presentRate(f.now, f.state.Backends["east0"])
 			assert.Assert(t, rate <= service*8.001 && rate >= service/8.001, "%v, %v: %.0f beside %.0f", load, took, rate, service)
-			assert.Assert(t, f.deviation("east1", 6000, prefillTime(6000, 1)) < 2, "%v, %v: sound engine", load, took)
+			assert.Assert(t, f.deviation("east1", prefillTime(6000, 1)) < 2, "%v, %v: sound engine", load, took)
 		}
 	}
 }
@@ -150,21 +145,16 @@
 // samples coming back to it, and against a message without samples erasing those before it.
 func TestSamplesOfOtherHostsSurviveLostAndOldMessages(t *testing.T) {
 	f := newPaceFixture(t, true)
-	inv := newInventory()
-	host := map[string]*HostUsage{"b": {}, "c": {}, "former-build": {}}
-	for range 3 {
-		f.state.receivePace(f.now, &inv, host["b"], Usage{PaceWork: 6000, PaceBusy: prefillTime(6000, 0.55)})
-	}
-	own := f.state.receivePace(f.now, &inv, host["b"], Usage{PaceWork: math.Inf(1), PaceBusy: -time.Second})
-	assert.Equal(t, own.Work, 0.0)
-	f.state.receivePace(f.now, &inv, host["former-build"], Usage{})
-	others := f.state.receivePace(f.now, &inv, host["c"], Usage{PaceWork: 6000, PaceBusy: time.Second})
+	inv, first, second := newInventory(), &HostUsage{}, &HostUsage{}
+	f.state.receivePace(f.now, &inv, first, Usage{PaceWork: 18_000, PaceBusy: prefillTime(18_000, 0.55)})
+	f.state.receivePace(f.now, &inv, &HostUsage{}, Usage{})
+	assert.Equal(t, f.state.receivePace(f.now, &inv, first, Usage{PaceWork: math.Inf(1), PaceBusy: -time.Second}).Work, 0.0)
+	others := f.state.receivePace(f.now, &inv, second, Usage{PaceWork: 6000, PaceBusy: time.Second})
 	assert.Equal(t, others.Work, 18_000.0)
-
 	f.reduce(PeerReceived{From: "b", Messages: []Message{BackendLoad{Backend: "west0", PaceWork: others.Work, PaceBusy: others.Busy}}})
 	f.reduce(PeerReceived{From: "b", Messages: []Message{BackendLoad{Backend: "west0"}, BackendLoad{Backend: "west0", PaceWork: math.NaN(), PaceBusy: 1}}})
-	assert.Assert(t, f.deviation("west0", 6000, prefillTime(6000, 0.55)) < 1.2)
-	assert.Assert(t, f.deviation("west1", 6000, prefillTime(6000, 0.55)) < 1.3, "another engine of the failure domain")
+	assert.Assert(t, f.deviation("west0", prefillTime(6000, 0.55)) < 1.2)
+	assert.Assert(t, f.deviation("west1", prefillTime(6000, 0.55)) < 1.3, "another engine of the failure domain")
 }
 
 // Load: long streams. Guards against the load in a header counting as new when the stream ends.
@@ -198,11 +188,10 @@
 	for _, pace := range []bool{false, true} {
 		for host := range 60 {
 			f := newPaceFixture(t, pace)
-			f.publishBackend(cataloguer.Backend{ID: "desk-3", Service: "desk", Address: "10.0.1.1:80", FailureDomain: "east", StartedUnixMs: 1, Slots: 6})
 			f.state.Random = uint64(host)
-			for i, id := range []string{"desk-1", "desk-2", "desk-3"} {
-				f.serve(id, 0, time.Duration(30+i)*time.Millisecond, Load{Known: true, Running: 2, Slots: 6})
-			}
+			f.serve("desk-1", 0, 30*time.Millisecond, Load{Known: true, Running: 2, Slots: 6})
+			f.serve("desk-2", 0, 31*time.Millisecond, Load{Known: true, Running: 2, Slots: 6})
+			f.serve("desk-3", 0, 32*time.Millisecond, Load{Known: true, Running: 2, Slots: 6})
 			if must[Dispatch](t, f.arrive("call", "/safe/x", "secret")).Backend == "desk-1" {
 				most[pace]++
 			}
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -232,7 +232,8 @@
 
 // dispatch sends a request to a backend server and counts it there.
 func (s *State) dispatch(now time.Time, r *Request, b *Backend, service cataloguer.Service) {
-	if r.Phase == PhaseAwaitingAdapter {
+	r.AwaitedAdapter = r.Phase == PhaseAwaitingAdapter
+	if r.AwaitedAdapter {
 		s.Counters.LoadStallMillis += uint64(now.Sub(r.WaitSince).Milliseconds())
 		s.stopWaiting(r)
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -296,6 +296,8 @@
 	PrefillTokens int
 	// Uncontended is set if, as far as was known, the present attempt found the backend server without anything to wait for.
 	Uncontended bool
+	// AwaitedAdapter is set if the request of the present attempt waited for its adapter to be loaded.
+	AwaitedAdapter bool
 	// Delivered is set once a piece of a response has been sent to the caller: no other response can follow, only the rest of that one.
 	Delivered bool
 }
