--- a/internal/reducer/doc.go
+++ b/internal/reducer/doc.go
@@ -21,6 +21,8 @@
 //     active host that ranks first for the quota, grants tokens to the hosts, which spend them on requests.
 //   - An attempt that makes no progress is stalled. It ends only if another backend server can take the request at once, since its own may be slow
 //     but sound.
+//   - A backend server that has started or recovered is in slow start (ramp.go): all hosts together have a limited number of requests waiting for
+//     their first response there, which follows from how the server answers.
 //   - Content is what requests share: an adapter in its version, and parts of prompts. Content whose requests crash one backend server after the
 //     other is quarantined: all hosts refuse requests with it for a time.
 //   - The configuration service is the part of the users' platform that publishes documents: the catalogue, the entries of backend servers,
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -36,7 +36,7 @@
 		i := policy.Choose(candidates)
 		b := s.Backends[candidates[i].Backend]
 		if opensIn := s.slowStartOpensIn(now, r, b); opensIn > 0 {
-			held.add(opensIn)
+			held.add(opensIn, s.readyDelay(now, r, b))
 			candidates = slices.Delete(candidates, i, i+1)
 			continue
 		}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -13,11 +13,7 @@
 // requestArrived routes a request, charges its account and places it, or refuses it.
 func requestArrived[P selector.Policy](s *State, now time.Time, e RequestArrived) {
 	s.Counters.RequestsArrived++
-	r := &Request{
-		ID: e.ID, CallerID: e.CallerID, Connection: e.Connection, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
-		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts,
-		Phase: PhaseQueued, WaitSince: now,
-	}
+	r := newRequest(now, e)
 	if s.refusesArrivals(now) {
 		refuse(s, now, r, ReasonDraining, drainRetryAfter)
 		return
@@ -37,17 +33,7 @@
 		refuse(s, now, r, ReasonNoKey, 0)
 		return
 	}
-	r.Account = name
-	r.Priority = route.Priority
-	if known {
-		account := s.Documents.Accounts[name]
-		if account.Priority >= 0 {
-			r.Priority = account.Priority
-		}
-		r.QuotaCost = account.Cost(r.Tokens)
-	}
-	r.Deadline = e.At.Add(timeLeft(e, route))
-	r.Service = s.pickService(route)
+	s.assignAccount(r, e, name, known)
 	s.depositRetry(now, r.Service)
 	s.Requests[r.ID] = r
 	if refuseQuarantined(s, now, r) {
@@ -61,9 +47,37 @@
 		r.Phase = PhaseAwaitingTokens
 		return
 	}
+	if s.holdsOlderRequests(now, r) {
+		placeQueued[P](s, now)
+		return
+	}
 	placeRequest[P](s, now, r)
 }
 
+// newRequest returns the request that an arrival states, without a route.
+func newRequest(now time.Time, e RequestArrived) *Request {
+	return &Request{
+		ID: e.ID, CallerID: e.CallerID, Connection: e.Connection, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
+		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts,
+		Phase: PhaseQueued, WaitSince: now,
+	}
+}
+
+// assignAccount sets what a request's route and account decide: priority, cost, deadline and service.
+func (s *State) assignAccount(r *Request, e RequestArrived, name string, known bool) {
+	r.Account = name
+	r.Priority = r.Route.Priority
+	if known {
+		account := s.Documents.Accounts[name]
+		if account.Priority >= 0 {
+			r.Priority = account.Priority
+		}
+		r.QuotaCost = account.Cost(r.Tokens)
+	}
+	r.Deadline = e.At.Add(timeLeft(e, r.Route))
+	r.Service = s.pickService(r.Route)
+}
+
 // timeLeft returns the time limit of a request: the shorter of the caller's and the route's.
 func timeLeft(e RequestArrived, route cataloguer.Route) time.Duration {
 	if e.TimeLeft <= 0 || route.Timeout > 0 && route.Timeout < e.TimeLeft {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -287,10 +287,8 @@
 	// TriedBackends holds the backend servers at which an attempt failed for another reason than an absent adapter.
 	TriedBackends []string
 	SentAt        time.Time
-	// LateAfter is the time after SentAt from which the first response counts as late. UnverifiedAdapter is set if the present attempt may wait
-	// for the adapter at the server, which says nothing about the server's service rate.
-	LateAfter         time.Duration
-	UnverifiedAdapter bool
+	// LateAfter is the time after SentAt from which the first response counts as late.
+	LateAfter time.Duration
 	// RespondedAt is when the response of the present attempt began; zero before.
 	RespondedAt time.Time
 	RetryAt     time.Time
