--- a/internal/reducer/decode.go
+++ b/internal/reducer/decode.go
@@ -25,7 +25,7 @@
 		return
 	}
 	took := time.Duration(decodeSampleTokens / service * ratio * float64(time.Second))
-	took = estimator.Limit(decodeSampleTokens, took, s.usualRate(now, b), estimator.MaxSampleDeviation)
+	took = estimator.Limit(decodeSampleTokens, took, s.usualRate(now, b))
 	b.Pacing.Estimate.Add(now, decodeSampleTokens, took)
 	b.Pacing.Unreported.Add(now, decodeSampleTokens, took)
 	s.logRate(now, b)
