--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -48,6 +48,8 @@
 	hosts    []*host
 	// backendProxies holds the proxies in front of the backend servers by server id; it is empty in a fleet without proxies.
 	backendProxies map[string]*proxy
+	// descriptors is the limit on the open descriptors of hosts that are started from now on; 0 leaves that of the test process.
+	descriptors int
 }
 
 type host struct {
@@ -167,6 +169,10 @@
 	out, err := os.OpenFile(h.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(f.t, err)
 	h.command = exec.Command(daemonPath, "--config", h.settingsPath)
+	if f.descriptors > 0 {
+		limit := fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\"", f.descriptors)
+		h.command = exec.Command("sh", "-c", limit, daemonPath, "--config", h.settingsPath)
+	}
 	h.command.Stdout, h.command.Stderr = out, out
 	assert.NilError(f.t, h.command.Start())
 	h.exited = make(chan error, 1)
