Bound what clients make a host hold by one budget in bytes and connections

A process ran out of memory when clients that its operators do not control sent many large bodies at once, heads without end, or opened connections without requests: each body was read as a whole into a doubling buffer, and only heads at the callers' address had a limit.

Package budgeter decides who may take more bytes and who is dropped: groups (client accounts) and connections above their share first, of those the one with the least progress in bytes over time. The listener carries it out: bytes are taken before they are read, in steps of 64 KiB without doubling, and given back when the request has ended. Heads, idle connections, kept responses and the directory, readiness, operator and peer addresses count in the same budget. The published head limit and timeouts are used once known. Connections are bounded by class below the descriptors of the process; idle ones are closed first. go-zero's server is replaced by net/http, since it opens its own socket.

--- a/cmd/redwingpickd/daemon.go
+++ b/cmd/redwingpickd/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,7 +13,9 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
 
+	"github.com/redwingpick/redwingpick/internal/budgeter"
 	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
@@ -37,6 +38,8 @@
 	memoryLimitPercent = 70
 	// shutdownTimeout bounds the shutdown of the caller listener, in which the last responses are sent after the drain.
 	shutdownTimeout = 700 * time.Millisecond
+	// maxProcessDescriptors is taken for the number of descriptors of a process without a limit.
+	maxProcessDescriptors = 1 << 20
 	// settingsPollInterval is the interval between two polls of the settings file, which may change without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
 )
@@ -55,6 +58,7 @@
 	callers   *listener.Callers[policy, platform.Codec, platform.Codec]
 	peers     *listener.Peers[policy, platform.Codec]
 	operators *listener.Operators[policy, platform.Codec]
+	guard     *listener.Guard
 }
 
 func newDaemon(file string, settings configurer.Settings) *daemon {
@@ -83,14 +87,22 @@
 		Latencies:   &meter.Latencies{},
 		MailboxSize: settings.MailboxSize,
 	}
+	guard := &listener.Guard{
+		Limits: budgeter.Limits{
+			Bytes:       int64(settings.CallerMemoryMB) << 20,
+			Connections: budgeter.DivideConnections(settings.ConnectionDescriptors(processDescriptors())),
+		},
+		Published: control.CallerLimits, Recorder: rec,
+	}
 	return &daemon{
 		file:      file,
 		settings:  settings,
 		recorder:  rec,
 		control:   control,
-		callers:   &listener.Callers[policy, platform.Codec, platform.Codec]{Address: settings.Address, Control: control},
+		callers:   &listener.Callers[policy, platform.Codec, platform.Codec]{Address: settings.Address, Control: control, Guard: guard},
 		peers:     &listener.Peers[policy, platform.Codec]{HostID: settings.HostID, Incarnation: incarnation, Control: control},
-		operators: &listener.Operators[policy, platform.Codec]{Control: control},
+		operators: &listener.Operators[policy, platform.Codec]{Control: control, Guard: guard},
+		guard:     guard,
 	}
 }
 
@@ -112,7 +124,7 @@
 
 func (d *daemon) run() error {
 	signals := make(chan os.Signal, 4)
-	// go-zero's own signal handler ends the process some seconds after a signal, which would cut requests.
+	// The signal handler of go-zero's library ends the process some seconds after a signal, which would cut requests.
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
@@ -219,31 +231,31 @@
 
 // serve starts the listeners and returns a function that shuts down the one for callers.
 func (d *daemon) serve() (stop func(), err error) {
-	peerServer := &http.Server{Handler: d.peers.Handler(), Protocols: new(http.Protocols)}
-	peerServer.Protocols.SetHTTP1(true)
-	peerServer.Protocols.SetUnencryptedHTTP2(true)
-	servers := map[string]*http.Server{
-		d.settings.PeerListenAddress: peerServer,
-		d.settings.OperatorAddress:   {Handler: d.operators.Handler()},
-		d.settings.DirectoryAddress:  {Handler: d.callers.Directory()},
-		d.settings.ReadinessAddress:  {Handler: d.callers.Readiness()},
+	servers := []struct {
+		class   budgeter.Class
+		address string
+		handler http.Handler
+	}{
+		{budgeter.ClassPeers, d.settings.PeerListenAddress, d.peers.Handler()},
+		{budgeter.ClassOperators, d.settings.OperatorAddress, d.operators.Handler()},
+		{budgeter.ClassDirectory, d.settings.DirectoryAddress, d.callers.Directory()},
+		{budgeter.ClassReadiness, d.settings.ReadinessAddress, d.callers.Readiness()},
 	}
 	if err := d.control.Worker.Messenger.Datagrams.Listen(d.settings.PeerListenAddress); err != nil {
 		return nil, err
 	}
-	for address, server := range servers {
-		if err := listen(server, address); err != nil {
+	d.recorder.CaptureLibraryLog()
+	for _, s := range servers {
+		socket, err := d.guard.Listen(s.class, s.address)
+		if err != nil {
 			return nil, err
 		}
-	}
-	if err := checkAddressFree(d.settings.Address); err != nil {
-		return nil, err
+		server := d.guard.OtherServer(s.class, s.handler)
+		go func() { _ = server.Serve(socket) }()
 	}
 	if err := d.callers.Start(); err != nil {
 		return nil, err
 	}
-	// go-zero sets up its logger when it creates its server, which would undo an earlier redirection to the recorder.
-	d.recorder.CaptureLibraryLog()
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
@@ -251,20 +263,11 @@
 	}, nil
 }
 
-func listen(server *http.Server, address string) error {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	go func() { _ = server.Serve(socket) }()
-	return nil
-}
-
-// checkAddressFree returns an error if an address is in use, since go-zero's server would panic on it.
-func checkAddressFree(address string) error {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
+// processDescriptors returns the number of file descriptors that the process may have open.
+func processDescriptors() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxProcessDescriptors {
+		return maxProcessDescriptors
 	}
-	return socket.Close()
+	return int(limit.Cur)
 }
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -279,6 +279,8 @@
 	"retries_spent":     "the retry budget of the service was exhausted",
 	"mailbox_full":      "the mailbox of the host's control goroutine was full",
 	"bad_request":       "the request could not be read: it had no id or its body was incomplete",
+	"caller_memory":     "the memory for the requests of callers was exhausted, and other callers made more progress",
+	"head_too_large":    "the head was larger than the configuration allows",
 	"too_large":         "the body was larger than the configuration allows",
 	"draining":          "the host was draining, and the request could have lasted until it stopped",
 	"quarantined":       "backend servers crash when they begin to answer requests with the same content, since the event 148 of the host that names it",
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -47,13 +48,23 @@
 	// HostName is the value of the Host header.
 	HostName string
 	Header   http.Header
-	Body     []byte
+	// Body is the body in parts, which are never changed.
+	Body [][]byte
 	// ResumeAfter is the id of the last event that the caller has received of the stream; empty at its start.
 	ResumeAfter string
 	// Continues is set once an earlier attempt has begun to deliver a stream to the caller: only the rest of that stream can follow.
 	Continues bool
 }
 
+// bodySize returns the size of the body in bytes.
+func (c Call) bodySize() int {
+	size := 0
+	for _, part := range c.Body {
+		size += len(part)
+	}
+	return size
+}
+
 // Response is a complete response of a backend server, or one whose body is still being read.
 type Response struct {
 	Status int
@@ -104,6 +115,9 @@
 	Write(p []byte) error
 	// WriteResponse sends a response that is not a stream. If it returns an error, the response is not complete.
 	WriteResponse(resp Response) error
+	// Reserve reports whether there is room for bytes of a response that are kept until the caller has them; Release returns them.
+	Reserve(size int) bool
+	Release(size int)
 }
 
 // Client sends requests to backend servers. Its exported fields are set before its first use.
@@ -128,7 +142,7 @@
 	Disconnected bool
 	// Events is the number of complete events of a stream that went to the caller.
 	Events int
-	// FailureResponse is the response with which the backend server reported a failure.
+	// FailureResponse is the response with which the backend server reported a failure; nil if there was no memory to keep it.
 	FailureResponse *Response
 	// LastEventID is the id of the last event of a stream that went to the caller.
 	LastEventID string
@@ -216,8 +230,8 @@
 // writeRequest writes the request. A large body is written by another goroutine while the response is read, and is not counted in written.
 func (x *exchange[C, S]) writeRequest(timeLeft time.Duration) (written int, err error) {
 	header := x.encodeHeader(timeLeft)
-	if len(x.call.Body) < largeRequestBody {
-		n, err := x.conn.Write(append(header, x.call.Body...))
+	if x.call.bodySize() < largeRequestBody {
+		n, err := x.conn.Write(append(header, bytes.Join(x.call.Body, nil)...))
 		x.writeResult <- err
 		return n, err
 	}
@@ -227,7 +241,8 @@
 		return n, err
 	}
 	go func() {
-		_, err := x.conn.Write(x.call.Body)
+		parts := net.Buffers(slices.Clone(x.call.Body))
+		_, err := parts.WriteTo(x.conn)
 		x.writeResult <- err
 	}()
 	return n, nil
@@ -238,8 +253,8 @@
 	header := x.client.Codec.EncodeHeader(x.call.Header, x.dispatch, timeLeft, x.call.ResumeAfter)
 	var buf bytes.Buffer
 	buf.WriteString(x.call.Method + " " + x.call.Target + " HTTP/1.1\r\nHost: " + x.call.HostName + "\r\n")
-	if len(x.call.Body) > 0 || x.call.Method != http.MethodGet && x.call.Method != http.MethodHead {
-		buf.WriteString("Content-Length: " + strconv.Itoa(len(x.call.Body)) + "\r\n")
+	if x.call.bodySize() > 0 || x.call.Method != http.MethodGet && x.call.Method != http.MethodHead {
+		buf.WriteString("Content-Length: " + strconv.Itoa(x.call.bodySize()) + "\r\n")
 	}
 	_ = header.Write(&buf)
 	buf.WriteString("\r\n")
--- a/internal/dispatcher/closed_window_test.go
+++ b/internal/dispatcher/closed_window_test.go
@@ -56,7 +56,7 @@
 func sendBody(address string, size int) (Result, *sink, time.Duration) {
 	startedAt := time.Now()
 	result, s := send(&Client[codec, *sink]{}, address, "one", func(c *Call, d *reducer.Dispatch) {
-		c.Body, d.Stream, d.Deadline = make([]byte, size), true, clocker.Now().Add(8*time.Second)
+		c.Body, d.Stream, d.Deadline = [][]byte{make([]byte, size)}, true, clocker.Now().Add(8*time.Second)
 	})
 	return result, s, time.Since(startedAt)
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -51,8 +51,15 @@
 	return reducer.BackendReport{StartedUnixMs: started}, err
 }
 
+// room is a sink's memory for responses, without a bound.
+type room struct{}
+
+func (room) Reserve(int) bool { return true }
+func (room) Release(int)      {}
+
 // sink records the body that it receives.
 type sink struct {
+	room
 	body    strings.Builder
 	started bool
 }
@@ -102,7 +109,7 @@
 
 // send sends a request with the id to a server; change, if set, first modifies the call and the dispatch. It ends an attempt that has stalled.
 func send(client *Client[codec, *sink], address, id string, change func(*Call, *reducer.Dispatch)) (Result, *sink) {
-	call := Call{CallerID: id, Method: http.MethodPost, Target: "/x?q=%2F", HostName: "h", Header: http.Header{}, Body: []byte("body")}
+	call := Call{CallerID: id, Method: http.MethodPost, Target: "/x?q=%2F", HostName: "h", Header: http.Header{}, Body: [][]byte{[]byte("body")}}
 	dispatch := reducer.Dispatch{ID: id, Backend: "b", Address: address, Deadline: clocker.Now().Add(2 * time.Second)}
 	if change != nil {
 		change(&call, &dispatch)
@@ -242,7 +249,7 @@
 		func(c net.Conn, r *bufio.Reader) { writeResponse(c, "two", readRequest(r)) },
 	)
 	client := &Client[codec, *sink]{}
-	_, s := send(client, address, "one", func(c *Call, _ *reducer.Dispatch) { c.Body = make([]byte, 8<<20) })
+	_, s := send(client, address, "one", func(c *Call, _ *reducer.Dispatch) { c.Body = [][]byte{make([]byte, 4<<20), make([]byte, 4<<20)} })
 	assert.Equal(t, s.body.String(), "early")
 	_, s = send(client, address, "two", nil)
 	assert.Equal(t, s.body.String(), "POST /x?q=%2F body")
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -69,8 +69,10 @@
 	x.releaseConn(resp, nil)
 	if failed {
 		x.result.Outcome = reducer.OutcomeFailed
-		complete.Body = bytes.Clone(body)
-		x.result.FailureResponse = &complete
+		if x.sink.Reserve(len(body)) {
+			complete.Body = bytes.Clone(body)
+			x.result.FailureResponse = &complete
+		}
 		return
 	}
 	x.hooks.OnStart(x.start())
--- a/internal/dispatcher/reset_test.go
+++ b/internal/dispatcher/reset_test.go
@@ -34,7 +34,7 @@
 
 func sendLargeUpload(address string, stream bool) (Result, *sink) {
 	return send(&Client[codec, *sink]{}, address, "one", func(c *Call, d *reducer.Dispatch) {
-		c.Body, d.Stream = make([]byte, largeUpload), stream
+		c.Body, d.Stream = [][]byte{make([]byte, largeUpload)}, stream
 	})
 }
 
--- a/internal/dispatcher/reuse_test.go
+++ b/internal/dispatcher/reuse_test.go
@@ -16,6 +16,7 @@
 
 // heldSink is a caller that takes its response once it is released.
 type heldSink struct {
+	room
 	started, release chan struct{}
 }
 
@@ -39,16 +40,16 @@
 	})
 	client := &Client[codec, *heldSink]{}
 	exchange := func(ctx context.Context, id string, s *heldSink) Result {
-		call := Call{CallerID: id, Method: http.MethodPost, Target: "/x", HostName: "h", Header: http.Header{}, Body: []byte("body")}
+		call := Call{CallerID: id, Method: http.MethodPost, Target: "/x", HostName: "h", Header: http.Header{}, Body: [][]byte{[]byte("body")}}
 		dispatch := reducer.Dispatch{ID: id, Backend: "b", Address: address, Deadline: clocker.Now().Add(2 * time.Second)}
 		return client.Send(ctx, call, dispatch, s, Hooks{OnStart: func(Start) {}})
 	}
-	slow := &heldSink{make(chan struct{}), make(chan struct{})}
+	slow := &heldSink{started: make(chan struct{}), release: make(chan struct{})}
 	ctx, leave := context.WithCancel(context.Background())
 	done := make(chan Result)
 	go func() { done <- exchange(ctx, "one", slow) }()
 	<-slow.started
-	next := &heldSink{make(chan struct{}), make(chan struct{})}
+	next := &heldSink{started: make(chan struct{}), release: make(chan struct{})}
 	close(next.release)
 	go func() { done <- exchange(context.Background(), "two", next) }()
 	time.Sleep(50 * time.Millisecond)
--- a/internal/dispatcher/unbounded_stream_test.go
+++ b/internal/dispatcher/unbounded_stream_test.go
@@ -56,6 +56,7 @@
 
 // slowSink counts the bytes that it receives and blocks each Write until resume is closed.
 type slowSink struct {
+	room
 	received atomic.Int64
 	resume   chan struct{}
 }
--- a/internal/dispatcher/unbounded_test.go
+++ b/internal/dispatcher/unbounded_test.go
@@ -236,7 +236,7 @@
 }
 
 // discardingSink is a caller that keeps nothing of what it is sent.
-type discardingSink struct{}
+type discardingSink struct{ room }
 
 func (discardingSink) BeginStream(int, http.Header) {}
 func (discardingSink) Write([]byte) error           { return nil }
--- a/internal/executor/control.go
+++ b/internal/executor/control.go
@@ -43,7 +43,7 @@
 	draining     atomic.Bool
 	drained      chan struct{}
 	counters     atomic.Pointer[reducer.Counters]
-	callerLimits atomic.Pointer[cataloguer.CallerLimits]
+	callerLimits atomic.Pointer[reducer.ApplyCallerLimits]
 	violations   atomic.Uint64
 	// shed counts refusals by reason that never reached the reducer and are missing from its counters.
 	shed [reducer.ReasonCount]atomic.Uint64
@@ -55,7 +55,7 @@
 	c.results = make(chan reducer.Event, c.MailboxSize)
 	c.drained = make(chan struct{})
 	c.counters.Store(&reducer.Counters{})
-	c.callerLimits.Store(&cataloguer.CallerLimits{})
+	c.callerLimits.Store(&reducer.ApplyCallerLimits{})
 	c.Worker.Results = c.results
 	c.Worker.Messenger.Results = c.results
 	if c.Worker.Messenger.Datagrams != nil {
@@ -143,7 +143,12 @@
 func (c *Control[P, C, S]) Draining() bool { return c.draining.Load() }
 
 // CallerLimits returns the limits on what callers may send, which are zero until a catalogue is applied.
-func (c *Control[P, C, S]) CallerLimits() cataloguer.CallerLimits { return *c.callerLimits.Load() }
+func (c *Control[P, C, S]) CallerLimits() cataloguer.CallerLimits {
+	return c.callerLimits.Load().Limits
+}
+
+// Account returns the client account of a key; it is empty if the key is not known.
+func (c *Control[P, C, S]) Account(key string) string { return c.callerLimits.Load().Accounts[key] }
 
 // Drained returns a channel that is closed when the drain is complete and the process may exit.
 func (c *Control[P, C, S]) Drained() <-chan struct{} { return c.drained }
@@ -223,7 +228,7 @@
 	case reducer.RecordLatency:
 		c.Latencies.Record(latencyName(e), e.Took)
 	case reducer.ApplyCallerLimits:
-		c.callerLimits.Store(&e.Limits)
+		c.callerLimits.Store(&e)
 	case reducer.WakeAt:
 		c.wake(e.At)
 	case reducer.SetReady:
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/zeromicro/go-zero/core/service"
-	"github.com/zeromicro/go-zero/rest"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/redwingpick/redwingpick/internal/budgeter"
 	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
@@ -22,15 +18,11 @@
 	"github.com/redwingpick/redwingpick/internal/tracer"
 )
 
-const (
-	// defaultMaxBody is the limit in bytes on request bodies until a catalogue is applied.
-	defaultMaxBody    = 4 << 20
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
-	callerIdleTimeout = 2 * time.Minute
-	// controlTimeout is how long a handler waits for a response of the control goroutine.
-	controlTimeout = time.Second
-)
+// controlTimeout is how long a handler waits for a response of the control goroutine.
+const controlTimeout = time.Second
+
+// callerMemoryRetryAfter is the retry delay sent to a caller for whose request there was no memory.
+const callerMemoryRetryAfter = 500 * time.Millisecond
 
 // CallerCodec decodes the requests of callers and encodes the responses to them.
 type CallerCodec interface { // type constraint
@@ -51,6 +43,8 @@
 	Address string
 	Control *executor.Control[P, C, *Sink]
 	Codec   F
+	// Guard bounds what callers make the host hold.
+	Guard *Guard
 
 	// sequence numbers the requests, which makes their ids unique within the process.
 	sequence atomic.Uint64
@@ -59,42 +53,14 @@
 	server  *http.Server
 }
 
-// RestConf returns a configuration of go-zero's server without the features that would refuse or cut a request by themselves.
-func RestConf(address string) (rest.RestConf, error) {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil {
-		return rest.RestConf{}, err
-	}
-	number, err := strconv.Atoi(port)
-	if err != nil {
-		return rest.RestConf{}, err
-	}
-	conf := rest.RestConf{Host: host, Port: number}
-	conf.Name = "redwingpickd"
-	conf.Mode = service.PreMode
-	conf.Telemetry.Disabled = true
-	return conf, nil
-}
-
-// Start starts the server of the callers and returns once it has been created; it serves until Shutdown.
+// Start listens for callers and serves them until Shutdown.
 func (c *Callers[P, C, F]) Start() error {
-	conf, err := RestConf(c.Address)
+	socket, err := c.Guard.Listen(budgeter.ClassCallers, c.Address)
 	if err != nil {
 		return err
 	}
-	server, err := rest.NewServer(conf, rest.WithRouter(router{handler: http.HandlerFunc(c.serve)}))
-	if err != nil {
-		return err
-	}
-	created := make(chan struct{})
-	go server.StartWithOpts(func(s *http.Server) {
-		s.MaxHeaderBytes = maxHeaderBytes
-		s.ReadHeaderTimeout = readHeaderTimeout
-		s.IdleTimeout = callerIdleTimeout
-		c.server = s
-		close(created)
-	})
-	<-created
+	c.server = c.Guard.CallerServer(http.HandlerFunc(c.serve))
+	go func() { _ = c.server.Serve(socket) }()
 	return nil
 }
 
@@ -104,40 +70,18 @@
 // Running returns the number of requests in progress.
 func (c *Callers[P, C, F]) Running() int64 { return c.running.Load() }
 
-// router is a go-zero router that passes every request to one handler, since the routes change with the catalogue.
-type router struct {
-	handler http.Handler
-}
-
-// ServeHTTP serves a request.
-func (rt router) ServeHTTP(w http.ResponseWriter, r *http.Request) { rt.handler.ServeHTTP(w, r) }
-
-// Handle ignores the route.
-func (rt router) Handle(string, string, http.Handler) error { return nil }
-
-// SetNotFoundHandler ignores the handler.
-func (rt router) SetNotFoundHandler(http.Handler) {}
-
-// SetNotAllowedHandler ignores the handler.
-func (rt router) SetNotAllowedHandler(http.Handler) {}
-
 // serve handles one request of a caller.
 func (c *Callers[P, C, F]) serve(w http.ResponseWriter, r *http.Request) {
 	c.running.Add(1)
 	defer c.running.Add(-1)
+	client := clientOf(r)
+	defer client.endRequest()
 	arrivedAt := clocker.Now()
-	sink := &Sink{writer: w, draining: c.Control.Draining()}
+	sink := &Sink{writer: w, client: client, draining: c.Control.Draining()}
 	event, call, ok := c.Codec.DecodeRequest(r)
-	reason := reducer.ReasonBadRequest
-	if ok {
-		reason = c.readBody(w, r, &call)
-	}
-	if reason != reducer.ReasonNone {
-		sink.Refuse(reducer.Refuse{Reason: reason})
-		shed := reducer.RequestShed{CallerID: event.CallerID, Connection: r.RemoteAddr, At: arrivedAt, Reason: reason}
-		if !c.Control.Post(shed) {
-			c.Control.Shed(clocker.Now(), shed)
-		}
+	client.assign(c.Control.Account(event.Key))
+	if reason := c.readRequest(w, r, &call, ok); reason != reducer.ReasonNone {
+		c.shed(sink, reducer.RequestShed{CallerID: event.CallerID, Connection: r.RemoteAddr, At: arrivedAt, Reason: reason})
 		return
 	}
 	event.At, event.Connection = arrivedAt, r.RemoteAddr
@@ -151,22 +95,43 @@
 	}
 }
 
-// readBody reads the complete body into the call, since a retry sends it again. It returns the reason for a refusal, if any.
-func (c *Callers[P, C, F]) readBody(w http.ResponseWriter, r *http.Request, call *dispatcher.Call) reducer.Reason {
-	limit := c.Control.CallerLimits().MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return reducer.ReasonTooLarge
+// readRequest checks the head of a request and reads its complete body into the call, since a retry sends it again. It returns the reason for a
+// refusal, if any.
+func (c *Callers[P, C, F]) readRequest(w http.ResponseWriter, r *http.Request, call *dispatcher.Call, decoded bool) reducer.Reason {
+	limits := c.Control.CallerLimits()
+	if headSize(r) > orDefault(limits.MaxHeaderBytes, maxHeaderBytes) {
+		return reducer.ReasonHeadTooLarge
 	}
-	if err != nil {
+	if !decoded {
 		return reducer.ReasonBadRequest
 	}
+	body, reason := readSegments(clientOf(r), w, r, orDefault(limits.MaxBodyBytes, defaultMaxBody))
 	call.Body = body
-	return reducer.ReasonNone
+	return reason
+}
+
+// headSize returns the size of a head in bytes without the spaces that a caller may add.
+func headSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n\r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// shed refuses a request that never reaches the reducer, which counts it.
+func (c *Callers[P, C, F]) shed(sink *Sink, shed reducer.RequestShed) {
+	refusal := reducer.Refuse{Reason: shed.Reason}
+	if shed.Reason == reducer.ReasonCallerMemory {
+		refusal.RetryAfter = callerMemoryRetryAfter
+		sink.writer.Header().Set("Connection", "close")
+	}
+	sink.Refuse(refusal)
+	if !c.Control.Post(shed) {
+		c.Control.Shed(clocker.Now(), shed)
+	}
 }
 
 // Directory returns the handler of the directory, which returns the addresses of the hosts that callers may use.
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -17,6 +17,8 @@
 // Operators serves operators and monitoring. Its exported fields are set before Handler.
 type Operators[P selector.Policy, C executor.Codec] struct {
 	Control *executor.Control[P, C, *Sink]
+	// Guard is shown in the status and the metrics.
+	Guard *Guard
 
 	sequence atomic.Uint64
 }
@@ -33,6 +35,12 @@
 	return mux
 }
 
+// hostStatus is the status of a host with that of its clients.
+type hostStatus struct {
+	reducer.Status
+	Clients GuardStatus `json:"clients"`
+}
+
 // status serves the status of the host as JSON.
 func (o *Operators[P, C]) status(w http.ResponseWriter, r *http.Request) {
 	status, ok := o.requestStatus(r.Context())
@@ -41,7 +49,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(status)
+	_ = json.NewEncoder(w).Encode(hostStatus{Status: status, Clients: o.Guard.Status()})
 }
 
 // requestStatus returns the status of the host. It reports ok as false if the control goroutine does not respond in time.
@@ -70,6 +78,7 @@
 		counters["arrivals_waiting"], counters["results_waiting"] = o.Control.Queued()
 		counters["log_lines_left_out_total"] = o.Control.Recorder.Dropped()
 		counters["goroutines_waiting"] = o.Control.Waiters.Count()
+		counters["clients"] = o.Guard.Status()
 		if status, ok := o.requestStatus(context.Background()); ok {
 			counters["state"] = status.Gauges
 		}
--- a/internal/listener/sink.go
+++ b/internal/listener/sink.go
@@ -13,6 +13,7 @@
 // Sink writes the response of one request to its caller.
 type Sink struct {
 	writer   http.ResponseWriter
+	client   *client
 	draining bool
 	// started is set when the status and the header are sent.
 	started bool
@@ -73,6 +74,12 @@
 // copyBufferSize is the size in bytes of the buffer through which the rest of a long body passes.
 const copyBufferSize = 16 << 10
 
+// Reserve takes bytes of the clients' memory for a response that is kept until the caller has it, and reports whether there is room.
+func (s *Sink) Reserve(size int) bool { return s.client.tryTake(int64(size)) }
+
+// Release returns reserved bytes; those that are left at the end of the request are returned then.
+func (s *Sink) Release(size int) { s.client.give(int64(size)) }
+
 // Refuse sends a refusal, or aborts the response if it has started.
 func (s *Sink) Refuse(refusal reducer.Refuse) {
 	if s.started {
@@ -108,6 +115,8 @@
 		return http.StatusTooManyRequests
 	case reducer.ReasonBadRequest:
 		return http.StatusBadRequest
+	case reducer.ReasonHeadTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case reducer.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case reducer.ReasonTimeout:
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -20,6 +20,10 @@
 	EventMailboxFull             = 13
 	EventLinesDropped            = 14
 	EventConfigServiceCallFailed = 15
+	EventConnectionRefused       = 215
+	EventConnectionClosed        = 216
+	EventRequestDropped          = 217
+	EventHeadRejected            = 218
 )
 
 // Entry describes one numbered event; lines of Routine events are the first to be dropped when the log exceeds its budget.
@@ -88,6 +92,10 @@
 	{reducer.EventAttemptStalled, log.WarnLevel, false, "attempt stalled", "The backend server has sent nothing for longer than expected. ends says whether the attempt is ended for a retry, which takes another server that can serve the request at once and a retry of the budget; otherwise it goes on.", "If frequent, look at the backend server."},
 	{reducer.EventRequestWaiting, log.InfoLevel, true, "request waits", "The request waits at a backend server for its adapter; stage and holder are what this host knew of the adapter and of the lease.", "None."},
 	{reducer.EventCallerDisconnected, log.InfoLevel, false, "caller disconnected", "The caller closed its connection before the response was complete.", "None."},
+	{EventConnectionRefused, log.WarnLevel, true, "connection refused", "A new connection was closed at once: the class of clients has as many connections as bound allows, or the memory for clients is exhausted, and no other client made less progress.", "If the clients are wanted, add hosts or raise max_descriptors; otherwise find who opens the connections."},
+	{EventConnectionClosed, log.WarnLevel, true, "connection closed for others", "A connection was closed since memory or connections for clients were short, and of the clients that hold much it had made the least progress; phase says what it did for phase_ms, held_bytes what it held of all_held_bytes, bytes_per_second its progress. Idle connections are closed first.", "None, unless callers complain: look at clients in `status`, raise caller_memory_mb if the host has memory to spare."},
+	{EventRequestDropped, log.WarnLevel, true, "request dropped for others", "The body of a request was not read on, since memory for clients was short and of the clients that hold much this one had made the least progress; the fields are as in event 216. The request is refused as not run, with reason caller_memory.", "As for event 216."},
+	{EventHeadRejected, log.WarnLevel, true, "head rejected", "The head of a request did not end within max_header_bytes (too_long) or header_timeout_ms (too_slow) as published, and the connection was closed; other addresses than that of callers have bounds of their own.", "Find the client."},
 }
 
 // Entries returns the catalogue, sorted by number.
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -183,7 +184,7 @@
 	for _, v := range c.Services {
 		docs.Services[v.Name] = v
 	}
-	s.emit(ApplyCallerLimits{Limits: c.CallerLimits})
+	s.emit(ApplyCallerLimits{Limits: c.CallerLimits, Accounts: maps.Clone(docs.Keys)})
 	s.logEvent(EventCatalogueApplied, intField("version", int(c.Version)), intField("revision", int(d.Revision)),
 		intField("routes", len(c.Routes)), intField("accounts", len(c.Accounts)),
 		Field{"from", r.From}, ageField("confirmed_age_ms", now, r.ConfirmedAt))
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -138,6 +138,8 @@
 // ApplyCallerLimits applies the limits on what callers may send.
 type ApplyCallerLimits struct {
 	Limits cataloguer.CallerLimits
+	// Accounts are the client accounts by key.
+	Accounts map[string]string
 }
 
 // StatusResponse responds to an operator with the state of this host.
--- a/internal/reducer/outcome.go
+++ b/internal/reducer/outcome.go
@@ -76,13 +76,15 @@
 	ReasonTooLarge
 	ReasonDraining
 	ReasonQuarantined
+	ReasonCallerMemory
+	ReasonHeadTooLarge
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{
 	"none", "no_catalogue", "no_route", "no_key", "over_rate", "no_backend_server", "full", "not_loaded", "timeout", "broken",
 	"retries_spent", "mailbox_full", "bad_request", "too_large", "draining",
-	"quarantined",
+	"quarantined", "caller_memory", "head_too_large",
 }
 
 // String returns the name of the reason in logs and counters.
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -40,6 +40,12 @@
 	MailboxSize int `yaml:"mailbox_size,omitempty"`
 	// MemoryMB is the memory limit of the process, in megabytes; 0 sets none.
 	MemoryMB int `yaml:"memory_mb,omitempty"`
+	// CallerMemoryMB is the memory that clients may make the host hold, for heads, bodies and responses that are read slowly, in megabytes. Default:
+	// a quarter of MemoryMB, or DefaultCallerMemoryMB if that is not set.
+	CallerMemoryMB int `yaml:"caller_memory_mb,omitempty"`
+	// MaxDescriptors is the number of file descriptors that the process may have open, of which keptDescriptors are not for connections. Default: the
+	// limit of the process.
+	MaxDescriptors int `yaml:"max_descriptors,omitempty"`
 	// CPUShare is the share of each core that the host may use, and Cores the number of its cores, by which callers are directed to larger
 	// hosts more often. A share of 0 means that the capacity is not known. Default of Cores: 1.
 	CPUShare float64 `yaml:"cpu_share,omitempty"`
@@ -94,6 +100,7 @@
 const (
 	DefaultMailboxSize       = 4096
 	DefaultQuarantineSeconds = 300
+	DefaultCallerMemoryMB    = 256
 	DefaultLogLevel          = "info"
 	DefaultLogBytesPerSecond = 64 << 10
 )
@@ -112,6 +119,15 @@
 // Adapts reports whether the settings list a part of the load handling as adaptive.
 func (s Settings) Adapts(part string) bool { return slices.Contains(s.Adaptive, part) }
 
+const (
+	// callerMemoryShare is the part of the process's memory, as its inverse, that clients may make the host hold by default.
+	callerMemoryShare = 4
+	// minCallerMemoryMB is the least default, in which some bodies of the usual limit fit.
+	minCallerMemoryMB = 16
+	// keptDescriptors is the number of descriptors that are kept for files.
+	keptDescriptors = 200
+)
+
 // maxCores is the largest number of cores of a host.
 const maxCores = 1024
 
@@ -121,6 +137,15 @@
 // CapacityMillicores returns the processor capacity of the host in thousandths of a core; 0 if it is not known.
 func (s Settings) CapacityMillicores() int { return int(1000 * s.CPUShare * s.Cores) }
 
+// ConnectionDescriptors returns the number of descriptors for connections, if the process may have the given number open.
+func (s Settings) ConnectionDescriptors(processLimit int) int {
+	descriptors := processLimit
+	if s.MaxDescriptors > 0 {
+		descriptors = min(descriptors, s.MaxDescriptors)
+	}
+	return max(descriptors-keptDescriptors, descriptors/2)
+}
+
 // Read reads and validates a settings file. Every error is a *decoder.FieldError that names the file, the line and the field.
 func Read(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -209,6 +234,10 @@
 		return document.ErrorAt("must not be negative", "mailbox_size")
 	case s.MemoryMB < 0:
 		return document.ErrorAt("must not be negative", "memory_mb")
+	case s.CallerMemoryMB < 0 || s.MemoryMB > 0 && s.CallerMemoryMB >= s.MemoryMB:
+		return document.ErrorAt("must not be negative, and below memory_mb", "caller_memory_mb")
+	case s.MaxDescriptors < 0:
+		return document.ErrorAt("must not be negative", "max_descriptors")
 	case !(s.CPUShare >= 0 && s.CPUShare <= 1):
 		return document.ErrorAt("must be between 0 and 1", "cpu_share")
 	case !(s.Cores >= 0 && s.Cores <= maxCores):
@@ -238,6 +267,12 @@
 	if s.MailboxSize == 0 {
 		s.MailboxSize = DefaultMailboxSize
 	}
+	if s.CallerMemoryMB == 0 {
+		s.CallerMemoryMB = DefaultCallerMemoryMB
+		if s.MemoryMB > 0 {
+			s.CallerMemoryMB = min(max(s.MemoryMB/callerMemoryShare, minCallerMemoryMB), s.MemoryMB)
+		}
+	}
 	if s.PeerListenAddress == "" {
 		s.PeerListenAddress = s.PeerAddress
 	}
