Let bodies take longer than heads, and drop clients that have stopped whatever they hold

The read deadline of a head stayed in force for the body: a body that took longer than header_timeout_ms was refused as incomplete. The deadline that the HTTP library sets is now kept until the head has arrived.

A client that had stopped was spared while others held more than it: clients count as stopped below 1 KiB/s, and half of the mean is what others must hold to be dropped.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	for target in FuzzDocument FuzzPage FuzzReport FuzzResponse FuzzCallerRequest; do \
 		go test ./platform -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) || exit 1; done
 	go test ./internal/messenger -run '^$$' -fuzz FuzzDatagram -fuzztime $(FUZZTIME)
+	go test ./internal/listener -run '^$$' -fuzz FuzzFirstBytes -fuzztime $(FUZZTIME)
 	go test ./pkg/configurer -run '^$$' -fuzz FuzzSettings -fuzztime $(FUZZTIME)
 
 capacity:
--- a/e2e/untrusted_clients_test.go
+++ b/e2e/untrusted_clients_test.go
@@ -197,12 +197,12 @@
 
 // sendBody sends a body of untrustedBodySize bytes with its length, in pieces of the given size, all but the last byte of it.
 func sendBody(start string, piece int, pause time.Duration) func(client int, conn net.Conn) error {
+	bytesOfPiece := bytes.Repeat([]byte("x"), piece)
 	return func(client int, conn net.Conn) error {
 		head := strings.ReplaceAll(start, "untrusted-0", fmt.Sprintf("untrusted-%d", client))
 		if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", head, untrustedBodySize); err != nil {
 			return err
 		}
-		bytesOfPiece := bytes.Repeat([]byte("x"), piece)
 		for left := untrustedBodySize - 1; left > 0; left -= piece {
 			if _, err := conn.Write(bytesOfPiece[:min(piece, left)]); err != nil {
 				return err
--- a/internal/budgeter/client.go
+++ b/internal/budgeter/client.go
@@ -52,6 +52,8 @@
 	progressHalfLife = time.Second
 	// freshRate is the progress in bytes per second with which a phase starts, so that new clients go before those that have stopped.
 	freshRate = 64 << 10
+	// stoppedRate is the progress in bytes per second below which a client with a request counts as stopped, however little it holds.
+	stoppedRate = 1 << 10
 	// maxRate is the progress in bytes per second above which clients are equal. Among equals the oldest stay, so that some complete.
 	maxRate = 256 << 10
 )
@@ -103,6 +105,9 @@
 	return min(c.Rate(now), maxRate)
 }
 
+// hasStopped reports whether the client has a request and makes next to no progress with it.
+func (c *Client) hasStopped(now time.Time) bool { return c.Phase != PhaseIdle && c.Rate(now) < stoppedRate }
+
 // wait stops the clock of the client's progress; resume lets it go on.
 func (c *Client) wait(now time.Time) {
 	if c.WaitingSince.IsZero() {
--- a/internal/budgeter/victim.go
+++ b/internal/budgeter/victim.go
@@ -42,9 +42,9 @@
 
 func inScope(c *Client, group string) bool { return group == anyGroup || c.Group == group }
 
-// weakest returns the client to drop. Groups above their share of the budget come first, and in them the clients that hold at least the mean, so that
-// neither a group nor a client with little pays for one with much. Of those the one with the least progress is dropped. The client with the
-// given key counts with the bytes that it asks for.
+// weakest returns the client to drop. Groups above their share of the budget come first, and in them the clients that hold at least half of the mean or
+// have stopped, so that neither a group nor a client with little pays for one with much. Of those the one with the least progress is dropped.
+// The client with the given key counts with the bytes that it asks for.
 func (b *Budget[K]) weakest(now time.Time, key K, size int64, group string) (victim K, ok bool) {
 	share := b.Limits.Bytes / int64(max(len(b.Groups), 1))
 	above := func(c *Client) bool { return inScope(c, group) && c.CanBeDropped() && b.Groups[c.Group] >= share }
@@ -70,7 +70,8 @@
 	}
 	var weakest *Client
 	for k, c := range b.Clients {
-		if isCandidate(c) && holds(k, c)*count >= sum && (weakest == nil || isWeaker(now, c, weakest)) {
+		pays := isCandidate(c) && (holds(k, c)*count*2 >= sum || c.hasStopped(now))
+		if pays && (weakest == nil || isWeaker(now, c, weakest)) {
 			victim, weakest = k, c
 		}
 	}
--- a/internal/listener/client.go
+++ b/internal/listener/client.go
@@ -56,6 +56,8 @@
 	// headBytes is the number of bytes of the present head, and headEnd the time at which it must have arrived.
 	headBytes int
 	headEnd   time.Time
+	// bodyDeadline is the deadline that the HTTP library set last, which counts once the head has arrived.
+	bodyDeadline time.Time
 	// shared is set if several requests share the connection, whose heads the HTTP library bounds.
 	shared bool
 }
@@ -117,8 +119,11 @@
 
 // SetReadDeadline sets the deadline of reads. Until a head has arrived, the published limits take the place of the HTTP library's.
 func (c *client) SetReadDeadline(at time.Time) error {
+	if c.shared {
+		return c.Conn.SetReadDeadline(at)
+	}
+	c.bodyDeadline = at
 	switch {
-	case c.shared:
 	case c.is(budgeter.PhaseIdle):
 		at = time.Now().Add(c.bounds.idleTimeout())
 	case c.is(budgeter.PhaseHead):
@@ -127,6 +132,14 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
+// beginRequest starts a request whose head has arrived.
+func (c *client) beginRequest() {
+	if !c.shared {
+		_ = c.Conn.SetReadDeadline(c.bodyDeadline)
+	}
+	c.enterPhase(budgeter.PhaseRunning)
+}
+
 // Write writes a part of a response, in pieces whose progress counts.
 func (c *client) Write(p []byte) (written int, err error) {
 	before := budgeter.Phase(c.phase.Load())
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -275,7 +275,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		g.enter(c, budgeter.PhaseRunning)
+		c.beginRequest()
 	case http.StateIdle:
 		c.headBytes = 0
 		g.enter(c, budgeter.PhaseIdle)
--- a/pkg/configurer/configurer_test.go
+++ b/pkg/configurer/configurer_test.go
@@ -40,6 +40,8 @@
 		{"region: r", "region: r\ncpu_share: 1.5", "f:4: cpu_share: must be between 0 and 1"},
 		{"region: r", "region: r\ncpu_share: .nan", "f:4: cpu_share: must be between 0 and 1"},
 		{"region: r", "region: r\ncores: -1", "f:4: cores: must be between 0 and 1024"},
+		{"region: r", "region: r\nmemory_mb: 144\ncaller_memory_mb: 144", "f:5: caller_memory_mb: must not be negative, and below memory_mb"},
+		{"region: r", "region: r\nmax_descriptors: -1", "f:4: max_descriptors: must not be negative"},
 		{"region: r", "region: r\nadaptive: [pace, sped]", "f:4: adaptive.1: must be pace, places, admission or start"},
 		{"region: r", "region: r\nregoin: x", "f:4: regoin: unknown field"},
 	} {
@@ -68,6 +70,19 @@
 	assert.Equal(t, s.CapacityMillicores(), 2000)
 }
 
+// Guards against a default that a single body of the usual limit does not fit into, and against bounds above what the process may open.
+func TestBoundsOnClientsFollowFromTheHost(t *testing.T) {
+	s, err := Parse("f", []byte(validSettings+"memory_mb: 144\nmax_descriptors: 3075\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.CallerMemoryMB, 36)
+	assert.Equal(t, s.ConnectionDescriptors(1<<20), 2875)
+	assert.Equal(t, s.ConnectionDescriptors(1024), 824)
+	assert.Equal(t, s.ConnectionDescriptors(256), 128)
+	s, err = Parse("f", []byte(validSettings))
+	assert.NilError(t, err)
+	assert.Equal(t, s.CallerMemoryMB, DefaultCallerMemoryMB)
+}
+
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Fuzz(func(t *testing.T, data []byte) {
