Bound compressed calls of other hosts, and add untrusted clients to the fault soak

The server for other hosts had no limit on messages: 60 compressed calls of 65 kB brought a process to 4,010 MB, as they were expanded. A test of calls on shared connections shows that they count while they run.

Four clients of the fault soak send requests that do not end.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -32,12 +34,15 @@
 
 // Durations and bounds of a run. The values follow from the fleet's settings and the users' requirements.
 const (
-	soakCallers      = 16
-	soakOrderLeaseMs = 3000
-	recoveryDuration = 12 * time.Second
-	measuredDuration = 4 * time.Second
-	orderCheckPause  = 300 * time.Millisecond
-	drainDeadline    = 2 * time.Second
+	soakCallers = 16
+	// soakUntrustedClients send requests that do not end, each for up to untrustedClientTime.
+	soakUntrustedClients = 4
+	untrustedClientTime  = 2 * time.Second
+	soakOrderLeaseMs     = 3000
+	recoveryDuration     = 12 * time.Second
+	measuredDuration     = 4 * time.Second
+	orderCheckPause      = 300 * time.Millisecond
+	drainDeadline        = 2 * time.Second
 	// smallQuotaTokens is the number of tokens that the small account may use within quotaWindow.
 	smallQuotaTokens = (100*8+100)*1.25 + 2000
 	quotaWindow      = 8 * time.Second
@@ -78,6 +83,9 @@
 	for i := range soakCallers {
 		callers.Go(func() { s.runCaller(i, rand.New(rand.NewPCG(seed, uint64(10+i)))) })
 	}
+	for i := range soakUntrustedClients {
+		callers.Go(func() { s.runUntrustedClient(rand.New(rand.NewPCG(seed, uint64(100+i)))) })
+	}
 	for end := time.Now().Add(*soakFaultDuration); time.Now().Before(end); {
 		s.injectFault()
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
@@ -137,6 +145,31 @@
 	}
 }
 
+// runUntrustedClient opens connections one after the other, each with a request that does not end, until the run stops.
+func (s *soak) runUntrustedClient(random *rand.Rand) {
+	start := requestHead(0, standin.KeyLarge)
+	kinds := []func(client int, conn net.Conn) error{
+		sendHead(start, 60<<10), sendHead(start, 1<<10), sendEmptyLines, sendBody(start, untrustedBodySize, 0),
+		sendBody(start, 1<<10, 20*time.Millisecond), sendChunks(start, 10_000), sendChunks(start, 16),
+	}
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(time.Duration(random.IntN(200)) * time.Millisecond):
+		}
+		conn, err := net.Dial("tcp", s.hosts[random.IntN(len(s.hosts))].callerProxy.address)
+		if err != nil {
+			continue
+		}
+		_ = conn.SetDeadline(time.Now().Add(untrustedClientTime))
+		if kinds[random.IntN(len(kinds))](0, conn) == nil {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+		_ = conn.Close()
+	}
+}
+
 // injectFault injects one random fault and schedules its repair; faults overlap.
 func (s *soak) injectFault() {
 	h := s.hosts[s.random.IntN(len(s.hosts))]
--- a/e2e/untrusted_clients_test.go
+++ b/e2e/untrusted_clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"flag"
 	"fmt"
 	"io"
@@ -327,6 +328,24 @@
 	streams.Wait()
 }
 
+// Guards against calls of other hosts that are small on the wire and expand without end.
+func TestCompressedCallsStayWithinMemory(t *testing.T) {
+	f, h := untrustedFleet(t)
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	_, err := writer.Write(make([]byte, 64<<20))
+	assert.NilError(t, err)
+	assert.NilError(t, writer.Close())
+	head := fmt.Sprintf("%sContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n", peerCall, compressed.Len())
+	f.checkSurvives(h, startGroup(t, *untrustedClients, h.peer, func(_ int, conn net.Conn) error {
+		_, err := conn.Write(append([]byte(head), compressed.Bytes()...))
+		return err
+	}))
+}
+
+// peerCall begins the head of a call of another host.
+const peerCall = "POST /redwingpick.peer.v1.PeerService/Exchange HTTP/1.1\r\nHost: peer\r\nContent-Type: application/proto\r\n"
+
 // Guards against the same clients at the other addresses of a host: the directory, the readiness check, operators and other hosts.
 func TestUntrustedClientsAtOtherAddressesStayWithinMemory(t *testing.T) {
 	for _, c := range []struct {
@@ -336,8 +355,7 @@
 		{"directory", "GET " + standin.DirectoryPath + " HTTP/1.1\r\nHost: directory\r\n", func(h *host) string { return h.directory }},
 		{"readiness", "GET " + standin.ReadinessPath + " HTTP/1.1\r\nHost: readiness\r\n", func(h *host) string { return h.readiness }},
 		{"operator", "GET /v1/status HTTP/1.1\r\nHost: operator\r\n", func(h *host) string { return h.operator }},
-		{"peer", "POST /redwingpick.peer.v1.PeerService/Exchange HTTP/1.1\r\nHost: peer\r\nContent-Type: application/proto\r\n",
-			func(h *host) string { return h.peer }},
+		{"peer", peerCall, func(h *host) string { return h.peer }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f, h := untrustedFleet(t)
--- a/internal/budgeter/client.go
+++ b/internal/budgeter/client.go
@@ -106,7 +106,9 @@
 }
 
 // hasStopped reports whether the client has a request and makes next to no progress with it.
-func (c *Client) hasStopped(now time.Time) bool { return c.Phase != PhaseIdle && c.Rate(now) < stoppedRate }
+func (c *Client) hasStopped(now time.Time) bool {
+	return c.Phase != PhaseIdle && c.Rate(now) < stoppedRate
+}
 
 // wait stops the clock of the client's progress; resume lets it go on.
 func (c *Client) wait(now time.Time) {
--- a/internal/listener/body.go
+++ b/internal/listener/body.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/redwingpick/redwingpick/internal/budgeter"
+	"github.com/redwingpick/redwingpick/internal/messenger"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
@@ -15,12 +16,10 @@
 	// bodyStepSize is the size in bytes of the parts in which a body is read and kept; a body of unknown length begins with firstStepSize.
 	bodyStepSize  = 64 << 10
 	firstStepSize = 4 << 10
-	// maxPeerBody is the limit in bytes on the body of a call from another host.
-	maxPeerBody = 16 << 20
 	// peerBodyFactor is the number of bytes that are held for each byte of a call, whose buffers double as they grow.
 	peerBodyFactor = 3
-	// compressedBytes is what a compressed call is charged for beside its body, as it is expanded.
-	compressedBytes = 4 << 20
+	// compressedBytes is what a compressed call is charged for beside its body, which may expand to the largest call in a buffer that doubles.
+	compressedBytes = 2 * messenger.MaxCallSize
 )
 
 // errBudgetExceeded is returned when a body is not read on because the budget of all clients is exhausted.
@@ -113,7 +112,7 @@
 		if r.Body != http.NoBody {
 			c.enterPhase(budgeter.PhaseBody)
 		}
-		if r.Header.Get("Content-Encoding") != "" && !c.take(compressedBytes) {
+		if isCompressed(r) && !c.take(compressedBytes) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -122,6 +121,16 @@
 	})
 }
 
+// isCompressed reports whether the body of a call, or a message in it, is compressed.
+func isCompressed(r *http.Request) bool {
+	for _, name := range []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"} {
+		if r.Header.Get(name) != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // sharedClient returns the client of one request on a connection that several requests share.
 func (g *Guard) sharedClient(class budgeter.Class, w http.ResponseWriter, r *http.Request) *client {
 	c := &client{guard: g, class: class, name: r.RemoteAddr}
--- a/internal/listener/client.go
+++ b/internal/listener/client.go
@@ -142,6 +142,9 @@
 
 // Write writes a part of a response, in pieces whose progress counts.
 func (c *client) Write(p []byte) (written int, err error) {
+	if c.shared {
+		return c.Conn.Write(p)
+	}
 	before := budgeter.Phase(c.phase.Load())
 	if before == budgeter.PhaseRunning {
 		c.guard.enter(c, budgeter.PhaseWriting)
--- a/internal/listener/guard_test.go
+++ b/internal/listener/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -54,7 +55,7 @@
 func waitUntilReturned(t testing.TB, g *Guard) {
 	t.Helper()
 	for range 500 {
-		if status := g.Status(); status.HeldBytes == 0 && status.Connections["callers"] == 0 {
+		if status := g.Status(); status.HeldBytes == 0 && status.Connections["callers"]+status.Connections["peers"] == 0 {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -184,6 +185,42 @@
 	waitUntilReturned(t, g)
 }
 
+// Guards against calls of other hosts on a shared connection that count as idle while they run, whose bodies are not counted, or whose bytes are not
+// returned; a compressed call is refused if there is no memory to expand it.
+func TestCallsOnSharedConnectionsCount(t *testing.T) {
+	g := newGuard(2 << 20)
+	socket, err := g.Listen(budgeter.ClassPeers, "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := g.OtherServer(budgeter.ClassPeers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		connection := clientOf(r)
+		assert.Check(t, connection.shared && connection.is(budgeter.PhaseRunning))
+		assert.Check(t, g.Status().HeldBytes >= int64(sharedConnectionBytes+peerBodyFactor*len(body)))
+	}))
+	go func() { _ = server.Serve(socket) }()
+	defer func() { _ = server.Close() }()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	var conn net.Conn
+	transport := &http.Transport{Protocols: protocols, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		conn, err = net.Dial("tcp", socket.Addr().String())
+		return conn, err
+	}}
+	for encoding, status := range map[string]int{"": http.StatusOK, "gzip": http.StatusServiceUnavailable} {
+		request, err := http.NewRequest(http.MethodPost, "http://"+socket.Addr().String(), bytes.NewReader(make([]byte, 100_000)))
+		assert.NilError(t, err)
+		request.Header.Set("Content-Encoding", encoding)
+		resp, err := transport.RoundTrip(request)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, status, encoding)
+		assert.NilError(t, resp.Body.Close())
+	}
+	assert.Equal(t, g.Status().Connections["peers"], 1)
+	assert.NilError(t, conn.Close())
+	waitUntilReturned(t, g)
+}
+
 // Guards against first bytes of a connection that end the server, keep a connection or bytes, or are read beyond the limit.
 func FuzzFirstBytes(f *testing.F) {
 	for _, seed := range []string{
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/budgeter"
+	"github.com/redwingpick/redwingpick/internal/messenger"
 )
 
 // Bounds on the clients of a host until a catalogue is known, and on those of the addresses for which none are published.
@@ -93,7 +94,7 @@
 	case budgeter.ClassOperators:
 		server.WriteTimeout = operatorWriteTimeout
 	case budgeter.ClassPeers:
-		server.Handler = g.guardBodies(class, maxPeerBody, handler)
+		server.Handler = g.guardBodies(class, messenger.MaxCallSize, handler)
 		server.Protocols = new(http.Protocols)
 		server.Protocols.SetHTTP1(true)
 		server.Protocols.SetUnencryptedHTTP2(true)
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -34,6 +34,9 @@
 	senderIdleTimeout = 30 * time.Second
 )
 
+// MaxCallSize is the limit in bytes on the message of a call from another host, both compressed and decompressed.
+const MaxCallSize = 4 << 20
+
 // Client sends envelopes to other hosts and reads configuration updates from them. Its exported fields are set before its first use.
 type Client[C translator.DocumentCodec] struct {
 	HostID string
@@ -68,7 +71,7 @@
 
 // HandlerOptions returns the options for the handler of the peer service.
 func HandlerOptions() connect.HandlerOption {
-	return connect.WithCompressMinBytes(compressMinSize)
+	return connect.WithHandlerOptions(connect.WithCompressMinBytes(compressMinSize), connect.WithReadMaxBytes(MaxCallSize))
 }
 
 func (c *Client[C]) peerClient(address string) peerv1connect.PeerServiceClient {
