--- a/internal/budgeter/budget.go
+++ b/internal/budgeter/budget.go
@@ -12,6 +12,10 @@
 	// groupNumerator and groupDenominator give the largest part of the budget that one group may hold.
 	groupNumerator   = 3
 	groupDenominator = 4
+	// requestNumerator and requestDenominator give the part of the budget that requests may use, so that callers can connect in any case and be told
+	// that there is no memory.
+	requestNumerator   = 7
+	requestDenominator = 8
 	// maxClosing is the number of connections of a class that may be closing beyond its bound.
 	maxClosing = 32
 )
@@ -79,7 +83,7 @@
 
 // takeBase takes the bytes of a new connection. If others are dropped for it, the connection does not wait until they have ended.
 func (b *Budget[K]) takeBase(now time.Time, key K, base int64) Decision[K] {
-	decision := b.Take(now, key, base)
+	decision := b.take(now, key, base, b.Limits.Bytes)
 	switch decision.Answer {
 	case Wait:
 		b.Clients[key].resume(now)
@@ -126,11 +130,16 @@
 
 // Take asks for bytes before they are read.
 func (b *Budget[K]) Take(now time.Time, key K, size int64) Decision[K] {
+	return b.take(now, key, size, b.Limits.Bytes*requestNumerator/requestDenominator)
+}
+
+// take asks for bytes of which all clients together may hold no more than a limit.
+func (b *Budget[K]) take(now time.Time, key K, size, limit int64) Decision[K] {
 	c, ok := b.Clients[key]
 	if !ok || c.Dropped {
 		return Decision[K]{Answer: Refused}
 	}
-	missing, group := b.missing(c, size)
+	missing, group := b.missing(c, size, limit)
 	if missing <= 0 {
 		c.resume(now)
 		b.hold(c, size)
--- a/internal/budgeter/budget_test.go
+++ b/internal/budgeter/budget_test.go
@@ -128,6 +128,18 @@
 	assert.Assert(t, !b.Clients["running"].Dropped, "a request that runs goes on without the bytes")
 }
 
+// Guards against callers that cannot connect, and so get no answer at all, while requests that run hold the memory.
+func TestCallersConnectWhileRequestsHoldTheMemory(t *testing.T) {
+	b := newBudget(10)
+	for i, account := range []string{"a", "b"} {
+		open(t, b, start, account, account)
+		take(t, b, start, account, testLimit*int64(5-3*i)/8)
+		assert.Assert(t, b.Enter(start, account, PhaseRunning))
+	}
+	assert.Equal(t, b.Open(start, "new", ClassCallers, testLimit/100).Answer, Granted)
+	assert.Equal(t, b.Take(start, "new", testLimit/100).Answer, Refused)
+}
+
 // Guards against a client that loses its place for the time in which the host, not the client, had it wait.
 func TestWaitingDoesNotCountAgainstAClient(t *testing.T) {
 	b := newBudget(10)
--- a/internal/budgeter/victim.go
+++ b/internal/budgeter/victim.go
@@ -5,12 +5,12 @@
 // anyGroup is the scope of clients of all groups.
 const anyGroup = ""
 
-// missing returns how many bytes are missing for a client, and the group that must give them, or anyGroup.
-func (b *Budget[K]) missing(c *Client, size int64) (missing int64, group string) {
+// missing returns how many bytes are missing for a client within a limit, and the group that must give them, or anyGroup.
+func (b *Budget[K]) missing(c *Client, size, limit int64) (missing int64, group string) {
 	if over := b.Groups[c.Group] + size - b.Limits.Bytes*groupNumerator/groupDenominator; over > 0 {
 		return over, c.Group
 	}
-	return b.Held + size - b.Limits.Bytes, anyGroup
+	return b.Held + size - limit, anyGroup
 }
 
 // dropFor drops clients until those that are ending give back the missing bytes. It reports enough as false if the client itself is the weakest, or
--- a/internal/commander/fleet.go
+++ b/internal/commander/fleet.go
@@ -5,6 +5,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/redwingpick/redwingpick/internal/budgeter"
 	"github.com/redwingpick/redwingpick/internal/recorder"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
@@ -26,10 +27,16 @@
 	_ = command.MarkFlagRequired("operator")
 }
 
-func readStatuses(addresses []string) ([]reducer.Status, error) {
-	statuses := make([]reducer.Status, 0, len(addresses))
+// HostStatus is the status of a host with that of its clients.
+type HostStatus struct {
+	reducer.Status
+	Clients budgeter.Status `json:"clients"`
+}
+
+func readStatuses(addresses []string) ([]HostStatus, error) {
+	statuses := make([]HostStatus, 0, len(addresses))
 	for _, a := range addresses {
-		var s reducer.Status
+		var s HostStatus
 		if err := getJSON(a, "/v1/status", &s); err != nil {
 			return statuses, err
 		}
@@ -50,9 +57,12 @@
 	})
 }
 
-func (o *options) printStatus(s reducer.Status) {
+func (o *options) printStatus(s HostStatus) {
 	o.printf("%s: ready %v, leaving %v, %d requests in progress\n", s.Host, s.Ready, s.Draining, s.RequestsInProgress)
 	o.printf("  catalogue version %d, revision %d, confirmed %d ms ago, withdrawn %v\n", s.CatalogueVersion, s.Revision, s.ConfirmedAgeMs, s.WithdrawnDomains)
+	o.printf("  clients hold %d of %d bytes, %d connections of callers of %d, %d requests dropped, %d connections closed, %d refused\n", s.Clients.HeldBytes,
+		s.Clients.LimitBytes, s.Clients.Connections["callers"], s.Clients.Bounds["callers"], s.Clients.DroppedRequests, s.Clients.ClosedConnections,
+		s.Clients.RefusedConnections)
 	for _, q := range s.Quarantined {
 		o.printf("  requests with %s are refused for %d ms more, %d crashes\n", q.Content, q.EndsInMs, q.Crashes)
 	}
--- a/internal/listener/client.go
+++ b/internal/listener/client.go
@@ -27,6 +27,9 @@
 	headSlack = 4 << 10
 	// writePieceSize is the size in bytes of the pieces in which responses are written, after each of which progress is counted.
 	writePieceSize = 64 << 10
+	// lingerTime and maxLingerBytes bound what is read of a head that is too long after it was answered.
+	lingerTime     = 500 * time.Millisecond
+	maxLingerBytes = 256 << 10
 )
 
 // errHeadTooLong ends a connection whose head exceeds its limit; the HTTP library answers no error of this kind.
@@ -101,7 +104,7 @@
 	left := c.bounds.maxHead() + headSlack - c.headBytes
 	if left <= 0 {
 		c.guard.rejectHead(c, "too_long")
-		_, _ = io.WriteString(c.Conn, headTooLongResponse)
+		c.refuseHead()
 		return 0, errHeadTooLong
 	}
 	p = p[:min(len(p), left)]
@@ -117,6 +120,14 @@
 	return n, err
 }
 
+// refuseHead answers a head that is too long, and reads some of its rest, since the client may lose the response if bytes of it are left unread.
+func (c *client) refuseHead() {
+	_, _ = io.WriteString(c.Conn, headTooLongResponse)
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+}
+
 // SetReadDeadline sets the deadline of reads. Until a head has arrived, the published limits take the place of the HTTP library's.
 func (c *client) SetReadDeadline(at time.Time) error {
 	if c.shared {
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -41,21 +41,6 @@
 	refusedConnections, closedConnections, droppedRequests, rejectedHeads atomic.Uint64
 }
 
-// GuardStatus is the state of a guard as shown to operators.
-type GuardStatus struct {
-	HeldBytes   int64            `json:"held_bytes"`
-	LimitBytes  int64            `json:"limit_bytes"`
-	Connections map[string]int   `json:"connections"`
-	Bounds      map[string]int   `json:"connection_bounds"`
-	Groups      map[string]int64 `json:"held_bytes_by_group"`
-
-	RefusedConnections uint64       `json:"connections_refused_total"`
-	ClosedConnections  uint64       `json:"connections_closed_total"`
-	DroppedRequests    uint64       `json:"requests_dropped_total"`
-	RejectedHeads      uint64       `json:"heads_rejected_total"`
-	HeldByRequest      meter.Spread `json:"request_held_bytes"`
-}
-
 // maxGroupsShown is the number of groups in a status, those with the most bytes.
 const maxGroupsShown = 8
 
@@ -67,11 +52,11 @@
 }
 
 // Status returns the present state and the totals.
-func (g *Guard) Status() GuardStatus {
+func (g *Guard) Status() budgeter.Status {
 	g.setUp()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	status := GuardStatus{
+	status := budgeter.Status{
 		HeldBytes: g.budget.Held, LimitBytes: g.Limits.Bytes, Groups: g.budget.LargestGroups(maxGroupsShown),
 		Connections: map[string]int{}, Bounds: map[string]int{},
 		RefusedConnections: g.totals.refusedConnections.Load(), ClosedConnections: g.totals.closedConnections.Load(),
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -9,6 +9,7 @@
 	"net/http/pprof"
 	"sync/atomic"
 
+	"github.com/redwingpick/redwingpick/internal/budgeter"
 	"github.com/redwingpick/redwingpick/internal/executor"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
@@ -38,7 +39,7 @@
 // hostStatus is the status of a host with that of its clients.
 type hostStatus struct {
 	reducer.Status
-	Clients GuardStatus `json:"clients"`
+	Clients budgeter.Status `json:"clients"`
 }
 
 // status serves the status of the host as JSON.
