Refuse a request whose connection was dropped as its head ended

The connection of a head could be dropped for others between its last byte and the start of its handler: the request ran, and its caller saw a closed connection, which must mean that nothing ran. The handler now asks the budget before it goes on.

--- a/internal/listener/body.go
+++ b/internal/listener/body.go
@@ -27,6 +27,10 @@
 
 // readSegments reads a body in parts, each of which is taken from the budget before it is read. It returns the reason for a refusal, if any.
 func readSegments(c *client, w http.ResponseWriter, r *http.Request, limit int64) ([][]byte, reducer.Reason) {
+	if !c.enterPhase(budgeter.PhaseRunning) {
+		// The connection was dropped as the head ended: nothing must run whose caller gets no response.
+		return nil, reducer.ReasonCallerMemory
+	}
 	if r.ContentLength == 0 {
 		return nil, reducer.ReasonNone
 	}
--- a/internal/listener/guard_test.go
+++ b/internal/listener/guard_test.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// Guards against a request that runs although its connection was dropped as its head ended, so that its caller gets no response.
+func TestRequestOfDroppedConnectionDoesNotRun(t *testing.T) {
+	g := newGuard(1 << 20)
+	reasons := make(chan reducer.Reason, 1)
+	address := serveCallers(t, g, func(w http.ResponseWriter, r *http.Request) {
+		g.budget.Clients[clientOf(r)].Dropped = true
+		_, reason := readSegments(clientOf(r), w, r, 100)
+		g.budget.Clients[clientOf(r)].Dropped = false
+		reasons <- reason
+	})
+	exchange(t, address, []byte("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+	assert.Equal(t, <-reasons, reducer.ReasonCallerMemory)
+}
+
 // Guards against a body that arrives changed from its parts, whatever its size and framing, and against bytes that are not returned.
 func TestBodiesAreReadInParts(t *testing.T) {
 	g := newGuard(8 << 20)
@@ -191,7 +205,7 @@
 	g := newGuard(2 << 20)
 	socket, err := g.Listen(budgeter.ClassPeers, "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := g.OtherServer(budgeter.ClassPeers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := g.OtherServer(budgeter.ClassPeers, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		assert.Check(t, err)
 		connection := clientOf(r)
