--- a/internal/estimator/logmean.go
+++ b/internal/estimator/logmean.go
@@ -26,10 +26,8 @@
 	m.Log += (math.Log(took.Seconds()) - m.Log) / float64(m.Samples)
 }
 
-// Ratio returns how many times the mean a time is, and false if the mean is not known.
-func (m LogMean) Ratio(took time.Duration) (ratio float64, ok bool) {
-	if took <= 0 || m.Samples < minLogMeanSamples {
-		return 0, false
-	}
-	return took.Seconds() / math.Exp(m.Log), true
-}
+// Known reports whether there are enough samples.
+func (m LogMean) Known() bool { return m.Samples >= minLogMeanSamples }
+
+// Ratio returns how many times the mean a time is.
+func (m LogMean) Ratio(took time.Duration) float64 { return took.Seconds() / math.Exp(m.Log) }
--- a/internal/reducer/decode.go
+++ b/internal/reducer/decode.go
@@ -6,8 +6,15 @@
 	"github.com/redwingpick/redwingpick/internal/estimator"
 )
 
-// decodeSampleTokens is the work, in prompt tokens, as which the events of one stream count in the estimate of an engine's service rate.
-const decodeSampleTokens = 2000
+// decodeSampleTokens is the work, in prompt tokens, as which one stream counts in the estimate of an engine's service rate. It equals
+// priorTokens, since the gaps between events tell engines apart far better than the times to first responses.
+const decodeSampleTokens = priorTokens
+
+// ratedByDecode reports whether the rate of a backend server, relative to its service, is estimated from the events of streams. The times to
+// first responses then only give the mean rate of the service: they hold waiting that hosts don't know of.
+func (s *State) ratedByDecode(b *Backend) bool {
+	return s.isEngine(b) && s.service(b.Info.Service).Pacing.Gaps.Known()
+}
 
 // recordDecode takes a sample of an engine's service rate from the typical time between the events of a complete stream.
 //
@@ -18,15 +25,11 @@
 		return
 	}
 	gaps := &s.service(b.Info.Service).Pacing.Gaps
-	ratio, known := gaps.Ratio(e.TypicalGap)
 	gaps.Add(e.TypicalGap)
 	service, _ := s.meanRates(b)
-	if !known || service <= 0 {
+	if !gaps.Known() || service <= 0 {
 		return
 	}
-	took := time.Duration(decodeSampleTokens / service * ratio * float64(time.Second))
-	took = estimator.Limit(decodeSampleTokens, took, s.usualRate(now, b))
-	b.Pacing.Estimate.Add(now, decodeSampleTokens, took)
-	b.Pacing.Unreported.Add(now, decodeSampleTokens, took)
-	s.logRate(now, b)
+	took := time.Duration(decodeSampleTokens / service * gaps.Ratio(e.TypicalGap) * float64(time.Second))
+	s.addSample(now, b, decodeSampleTokens, estimator.Limit(decodeSampleTokens, took, s.usualRate(now, b)))
 }
--- a/internal/reducer/pace.go
+++ b/internal/reducer/pace.go
@@ -170,9 +170,16 @@
 	}
 	s.Counters.RateSamples++
 	took = estimator.Limit(work, took, s.usualRate(now, b))
+	s.addToMeans(b, work, took)
+	if !s.ratedByDecode(b) {
+		s.addSample(now, b, work, took)
+	}
+}
+
+// addSample adds a sample to the estimate of a backend server and to the next report to its lease holder.
+func (s *State) addSample(now time.Time, b *Backend, work float64, took time.Duration) {
 	b.Pacing.Estimate.Add(now, work, took)
 	b.Pacing.Unreported.Add(now, work, took)
-	s.addToMeans(b, work, took)
 	s.logRate(now, b)
 }
 
@@ -267,7 +274,9 @@
 	}
 	added := b.Pacing.Estimate.Merge(now, m.PaceWork, m.PaceBusy)
 	if estimator.Valid(added.Work, added.Busy) {
-		s.addToMeans(b, added.Work, added.Busy)
+		if !s.ratedByDecode(b) {
+			s.addToMeans(b, added.Work, added.Busy)
+		}
 		s.logRate(now, b)
 	}
 }
