--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -304,6 +304,7 @@
 		})
 		s.Traffic.ResponseTimes[b.Info.Service] = append(s.Traffic.ResponseTimes[b.Info.Service], s.Now.Sub(r.sentAt))
 		event.Delivered = true
+		r.beganAt = s.Now
 		s.answerBegan(b, r)
 		s.after(time.Duration(r.event.OutputTokens)*b.Engine.Spec.TokenTime, func() {
 			if a.aborted {
@@ -317,6 +318,7 @@
 			s.runOnHost(h, incarnation, func() {
 				if event.Outcome == reducer.OutcomeDone && r.attempt == e.Attempt && r.outcome == "" {
 					r.finish(&s.Checker, s.Now, "done")
+					s.recordAnswer(r)
 				}
 				s.reduce(h, event)
 			})
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -47,7 +47,7 @@
 	RateSamplesSkipped uint64 `json:"service_rate_samples_skipped_total"`
 	LoadFiguresIgnored uint64 `json:"load_figures_ignored_total"`
 	// ReturnsPromised counts the refusals with a time for the caller's return, and PromisedWaitMillis the sum of these waits. ReturnsKept counts
-	// the callers that returned at that time, ReturnsRefused those of them that were refused again, and EarlyReturns those that were early.
+	// the callers that returned, as far as known, ReturnsRefused how often these were refused again, and EarlyReturns those that were early.
 	ReturnsPromised    uint64 `json:"returns_promised_total"`
 	PromisedWaitMillis uint64 `json:"promised_wait_ms_total"`
 	ReturnsKept        uint64 `json:"returns_kept_total"`
