Spread adapters by demand, hold prefixes together, and pace loads from the weight store

- Replicas are loaded ahead only if those that are ready would be used too much, the engine has a free slot and no other request waits for a load.
- The lease holder that sums a demand tells all hosts when it calls for more replicas; before, most hosts learned it after their next request.
- Requests with a shared prompt prefix go to the same replicas, bounded by the delay of the others.
- Hosts remember for 30 s which engines held an adapter, ask the first engine before they load the adapter elsewhere, and drop loads that nobody waits for.
- Lease holders lower their rate of loads when loads take longer than usual.
- With the setting pace, slow engines get fewer adapters.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -88,6 +88,9 @@
 	referenceHosts = 6
 )
 
+// unlimitedAccount is an account without a quota, which only some configurations have.
+const unlimitedAccount = "unlimited"
+
 func extraPrefix(i int) string { return "/extra-" + string(rune('a'+i%26)) + "/" }
 
 func (s *Simulation[P]) publishCatalogue() {
@@ -108,6 +111,7 @@
 	b.DrainingAt, b.leaving, b.unlisted = time.Time{}, false, false
 	b.told = map[string]*toldHost{}
 	b.answers, b.refuses = nil, false
+	b.cachedParts = map[string]bool{}
 	b.Info = cataloguer.Backend{ID: id, Service: service, Address: id, FailureDomain: domain, StartedUnixMs: s.Now.UnixMilli(), Slots: 6}
 	if service == engineService {
 		b.Info.Slots = s.Options.EngineSpec.Slots
@@ -219,7 +223,7 @@
 		if b.Info.Service != engineService {
 			key = reducer.AdapterKey{}
 		}
-		firstTokenAt, outcome := b.Engine.StartRequest(s.Now, key, e.Version, r.event.PromptTokens)
+		firstTokenAt, outcome := b.Engine.StartRequest(s.Now, key, e.Version, s.uncachedTokens(b, r))
 		s.Checker.checkRetryBudget(s.Now, s.Options.Limits, b.Info.Service, r)
 		s.checkDeadlyArrival(h, r)
 		// The users' rules on cold starts and drains do not count requests that are rejected because the adapter is not loaded.
@@ -241,6 +245,22 @@
 	})
 }
 
+// uncachedTokens returns the prompt tokens of a request that an engine has to prefill, and records its parts as cached.
+func (s *Simulation[P]) uncachedTokens(b *Backend, r *Request) int {
+	tokens := r.event.PromptTokens
+	if !s.Options.PrefixCache {
+		return tokens
+	}
+	for _, part := range r.event.Parts {
+		key := r.event.Adapter + "/" + part.ID
+		if b.cachedParts[key] {
+			tokens -= part.Tokens
+		}
+		b.cachedParts[key] = true
+	}
+	return tokens
+}
+
 // tokensPerEvent is the number of tokens in one event of a stream.
 const tokensPerEvent = 5
 
--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -91,6 +91,9 @@
 
 // checkQuota checks an account's usage of its quota over all hosts in a sliding window.
 func (c *Checker) checkQuota(now time.Time, scale float64, r *Request) {
+	if r.account == unlimitedAccount {
+		return
+	}
 	if c.usage == nil {
 		c.usage = map[string][]usageRecord{}
 	}
--- a/internal/exerciser/deadly_parts.go
+++ b/internal/exerciser/deadly_parts.go
@@ -141,6 +141,9 @@
 
 // answerBegan crashes the engine soon after it has begun to answer a request with the deadly part.
 func (s *Simulation[P]) answerBegan(b *Backend, r *Request) {
+	if s.onAnswer != nil {
+		s.onAnswer(b, r)
+	}
 	if r.sound != nil {
 		r.sound.Begun++
 		r.sound = nil
--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -163,6 +163,7 @@
 		} else if e.Unload {
 			event.Result = b.Engine.Unload(s.Now, e.Adapter)
 		} else {
+			s.slowLoads(b)
 			var overCapacity bool
 			if event.Result, overCapacity = b.Engine.Load(s.Now, e.Adapter); overCapacity {
 				s.Checker.addViolation(s.Now, "places", e.Backend+" got an order to load an adapter while no adapter slot was free, from "+h.ID)
@@ -172,6 +173,18 @@
 	})
 }
 
+// slowLoads sets how long the next load of an engine takes, with Options.StoreTransit.
+func (s *Simulation[P]) slowLoads(b *Backend) {
+	if s.Options.StoreTransit <= 0 {
+		return
+	}
+	transit := 1
+	for _, other := range s.Backends {
+		transit += other.Engine.LoadingFromStore(s.Now)
+	}
+	b.Engine.Spec.LoadTime = s.Options.EngineSpec.LoadTime * time.Duration(max(transit, s.Options.StoreTransit)) / time.Duration(s.Options.StoreTransit)
+}
+
 func (s *Simulation[P]) readReport(h *Host, e reducer.ReadReport) {
 	incarnation := h.Incarnation
 	event := reducer.BackendReported{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, RequestedAt: s.Now}
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -48,6 +48,11 @@
 	// UniformAdapters makes all requests use adapters that are drawn uniformly, which means that most requests need a load order, and
 	// publishes the resident adapters in the entries of engines.
 	UniformAdapters bool
+	// PrefixCache makes engines prefill each prompt part once for each adapter.
+	PrefixCache bool
+	// StoreTransit is the number of adapters that the weight store delivers at once at full speed; with more in transit over all engines,
+	// loads take proportionally longer. 0 means no limit.
+	StoreTransit int
 	// MeasureCost enables the measurement of envelope sizes and of the time spent in Reduce.
 	MeasureCost bool
 }
@@ -96,6 +101,8 @@
 	leaseHolders map[string][]*Host
 	// hostAtAcquisition describes, by host and backend server, the state of the host when it last acquired the lease.
 	hostAtAcquisition map[[2]string]string
+	// onAnswer, if set, is called when a backend server begins to answer a request.
+	onAnswer func(b *Backend, r *Request)
 	// reportedKeys holds the keys of violations that have been reported and are not reported again.
 	reportedKeys map[string]bool
 }
@@ -145,6 +152,9 @@
 	// refuses is set after a crash until the restart: connections are refused at once.
 	refuses bool
 
+	// cachedParts holds the prompt parts that the engine has prefilled, by adapter and part.
+	cachedParts map[string]bool
+
 	// told holds what the server has told each process of a host about itself, by host ID.
 	told map[string]*toldHost
 }
--- a/internal/exerciser/soak_test.go
+++ b/internal/exerciser/soak_test.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// TestSoakWithPlacement plays random faults with adapter placement, which asks for loads ahead of requests.
+func TestSoakWithPlacement(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(max(*seeds/2, 1)); seed++ {
+		o := defaultOptions(seed)
+		o.ExtendedWorkload = seed%2 == 0
+		o.Limits.Adaptive.Places = true
+		checkSeed(t, o)
+	}
+}
+
 func checkSeed(t *testing.T, o Options) {
 	seed := o.Seed
 	t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
--- a/internal/modeler/engine.go
+++ b/internal/modeler/engine.go
@@ -101,6 +101,17 @@
 	return reducer.OrderAccepted, false
 }
 
+// LoadingFromStore returns the number of adapters in transit from the weight store.
+func (e *Engine) LoadingFromStore(now time.Time) int {
+	n := 0
+	for key, a := range e.Adapters {
+		if now.Before(a.ReadyAt) && !e.Cached[key] {
+			n++
+		}
+	}
+	return n
+}
+
 // replace handles an order to load an adapter that is present, possibly in an older version.
 func (e *Engine) replace(now time.Time, key reducer.AdapterKey, a *Adapter) reducer.OrderResult {
 	if a.Version >= e.LatestVersions[key] {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -1,11 +1,16 @@
 package placer
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/hasher"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -84,3 +89,108 @@
 		assert.Assert(t, n >= 4 && n <= 6, "domain %s has %d", domain, n)
 	}
 }
+
+// TestSlowServersGetFewerAdapters guards against an even spread over uneven servers: a domain at half the rate of the others.
+func TestSlowServersGetFewerAdapters(t *testing.T) {
+	all := servers(40, 4)
+	for i := range all {
+		all[i].Weight = 1
+		if all[i].FailureDomain == "0" {
+			all[i].Weight = Weight(1, 0.53)
+		}
+	}
+	slow := 0
+	for key := range uint64(4000) {
+		if all[Rank(hasher.Mix(key), all)[0]].FailureDomain == "0" {
+			slow++
+		}
+	}
+	// The slow domain has 10 of 40 servers and half the weight of the others: a seventh of all adapters.
+	assert.Assert(t, slow > 500 && slow < 640, "%d of 4000", slow)
+	assert.Equal(t, Weight(1, 1.2), 1.0, "a small difference keeps the weight")
+}
+
+// TestStaleFiguresDoNotHerd guards against hosts that all send to the replica that was idle at their last report: 20 hosts, 10 replicas,
+// figures that are a second old, 80 requests/s with 100 ms of work.
+func TestStaleFiguresDoNotHerd(t *testing.T) {
+	longest := func(choose func(delays []time.Duration) int) (worst time.Duration) {
+		queues, known := make([]time.Duration, 10), make([]time.Duration, 10)
+		for i := range 1600 {
+			if i%80 == 0 {
+				copy(known, queues)
+			}
+			queues[choose(known)] += 100 * time.Millisecond
+			for r := range queues {
+				worst = max(worst, queues[r])
+				queues[r] = max(queues[r]-12500*time.Microsecond, 0)
+			}
+		}
+		return worst
+	}
+	least := longest(func(delays []time.Duration) int { return slices.Index(delays, slices.Min(delays)) })
+	rng := rand.New(rand.NewPCG(1, 1))
+	drawn := longest(func(delays []time.Duration) int {
+		replicas := make([]Replica, len(delays))
+		for i := range replicas {
+			replicas[i] = Replica{Ready: true, Draw: rng.Uint64(), Prefill: 100 * time.Millisecond}
+		}
+		total := Order(replicas, Preferences{Reserve: time.Minute})
+		for i := range total {
+			total[i] += delays[i]
+		}
+		best := 0
+		for i := range total {
+			if cmp.Or(cmp.Compare(total[i], total[best]), cmp.Compare(replicas[i].Draw, replicas[best].Draw)) < 0 {
+				best = i
+			}
+		}
+		return best
+	})
+	assert.Assert(t, drawn*3 < least, "%v with drawn replicas, %v with the least loaded one", drawn, least)
+}
+
+// TestPrefixesStayTogetherUnlessPopular guards against a copy of each prompt prefix on all replicas, and against one replica for a prefix that
+// all requests share.
+func TestPrefixesStayTogetherUnlessPopular(t *testing.T) {
+	var p Prefixes[string]
+	for i := range 400 {
+		p.Record(start, "popular", 1)
+		p.Record(start, "mixed", 100+uint64(i%20))
+	}
+	assert.Equal(t, p.HomeCount(start, "mixed", 100, 10), 1)
+	assert.Assert(t, p.HomeCount(start, "popular", 1, 10) >= 9)
+	p.Prune(start.Add(time.Minute))
+	assert.Equal(t, len(p.ByHash)+len(p.Groups), 0)
+}
+
+// TestLoadsKeepToTheStore guards against loads that slow each other down: 20 hosts with 2 servers each want 100 loads/s from a store that
+// delivers 14 at once in 250 ms.
+func TestLoadsKeepToTheStore(t *testing.T) {
+	const usual = 250 * time.Millisecond
+	hosts := make([]LoadPace, 20)
+	var ends []time.Time
+	slow, all := 0, 0
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 3000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		ends = slices.DeleteFunc(ends, func(end time.Time) bool { return !end.After(now) })
+		host := &hosts[rng.IntN(len(hosts))]
+		if !host.Allows(now) {
+			continue
+		}
+		host.Began(now)
+		took := usual * time.Duration(max(len(ends)+1, 14)) / 14
+		ends = append(ends, now.Add(took))
+		if !host.Slow(now, took, usual, 2) {
+			host.Usual(now, usual)
+		}
+		if i >= 1000 {
+			all++
+			if took > 2*usual {
+				slow++
+			}
+		}
+	}
+	assert.Assert(t, all > 700, "%d loads in 20 s", all)
+	assert.Assert(t, slow*10 < all, "%d of %d loads were slow", slow, all)
+}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -54,7 +54,7 @@
 
 // addBackend adds a backend server that this host has not seen before, or a new incarnation of one.
 func addBackend(s *State, now time.Time, info cataloguer.Backend) *Backend {
-	b := &Backend{Info: info, FirstSeenAt: now, Adapters: map[AdapterKey]*Residency{}, CachedParts: map[string]time.Time{}}
+	b := &Backend{Info: info, FirstSeenAt: now, Adapters: map[AdapterKey]*Residency{}, CachedParts: map[string]time.Time{}, HeldAt: map[AdapterKey]time.Time{}}
 	s.Backends[info.ID] = b
 	s.invalidateBackendIndex()
 	return b
@@ -185,6 +185,7 @@
 
 // markAbsent records that an adapter is not resident on a backend server.
 func markAbsent(now time.Time, b *Backend, key AdapterKey) {
+	b.rememberHeld(now, key)
 	if adapter, ok := b.Adapters[key]; ok && len(adapter.Waiting) == 0 && adapter.Running == 0 {
 		delete(b.Adapters, key)
 		return
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -19,6 +19,10 @@
 	// their use.
 	ReplicaChanges  uint64 `json:"replica_changes_total"`
 	ReplicaPreloads uint64 `json:"replica_preloads_total"`
+	// DemandsSent counts how often this host told all others of a risen demand.
+	DemandsSent uint64 `json:"demands_sent_total"`
+	// LoadsHeldBack counts how often a load was held back because loads slow each other down.
+	LoadsHeldBack uint64 `json:"loads_held_back_total"`
 	// KeepAlives counts the reloads of idle adapters that only show that this host lives.
 	KeepAlives       uint64 `json:"keep_alive_orders_total"`
 	LeasesAcquired   uint64 `json:"leases_taken_total"`
--- a/internal/reducer/delay.go
+++ b/internal/reducer/delay.go
@@ -41,8 +41,8 @@
 	if s.publishedResident(now, r, b) {
 		return 0
 	}
-	delay := s.loadTime(b, false)
-	if ok && now.Sub(adapter.NoSlotReportedAt) < noSlotTTL || now.Sub(b.OtherHostsAt) < loadReportTTL && b.OtherHosts.FreeSlots <= 0 {
+	delay := s.loadTime(b, s.heldRecently(now, b, r.Adapter))
+	if ok && now.Sub(adapter.NoSlotReportedAt) < noSlotTTL || s.lacksFreeSlot(now, b) && !s.mayHoldUnknown(r, b) {
 		delay += noSlotDelay
 	}
 	return delay
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -33,7 +33,7 @@
 	// Ranks caches the results of ranked: the first hosts by rendezvous rank for each key.
 	Ranks map[rankKey][]string
 	// AdapterRanks caches the results of adapterRanking for the backend servers as indexed.
-	AdapterRanks map[rankedAdapter][]*Backend
+	AdapterRanks map[rankedAdapter]adapterRank
 	// ActiveChangedAt is when the set of active hosts last changed.
 	ActiveChangedAt time.Time
 }
--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -193,12 +193,15 @@
 		s.orderModel(now, b, l, model)
 		return
 	}
-	inv.dropStalePending(now)
+	inv.dropStalePending(now, s.requestTTL())
 	if len(inv.Pending) == 0 || inv.loadingCount() >= s.service(b.Info.Service).concurrentLoadLimit() {
 		return
 	}
 	engine := s.engineOf(b)
-	next := inv.Pending[0]
+	next, ok := s.nextLoad(now, b, inv)
+	if !ok {
+		return
+	}
 	if e, ok := inv.Entries[next.Adapter]; ok {
 		reload(s, now, backend, l, next, e)
 		return
@@ -219,10 +222,10 @@
 }
 
 // dropStalePending drops the requesters that have not repeated their request, and the pending loads that have no requester left.
-func (inv *Inventory) dropStalePending(now time.Time) {
+func (inv *Inventory) dropStalePending(now time.Time, ttl time.Duration) {
 	inv.Pending = slices.DeleteFunc(inv.Pending, func(p PendingLoad) bool {
 		for host, at := range p.Requesters {
-			if now.Sub(at) > adapterRequestAttempts*adapterRequestInterval {
+			if now.Sub(at) > ttl {
 				delete(p.Requesters, host)
 			}
 		}
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -48,6 +48,7 @@
 	EventAdapterLoaded            = 153
 	EventAdapterRequested         = 154
 	EventReplicasChanged          = 164
+	EventLoadsSlowed              = 165
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -23,6 +23,7 @@
 	inv.Entries[load.Adapter] = entry
 	inv.OrderPending = true
 	s.Counters.Loads++
+	s.recordLoadBegan(now, b, cached)
 	s.emitOrder(now, b, l, load.Adapter, load.Version, false)
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -162,6 +162,8 @@
 	LoadTime time.Duration
 	// MinLoadTime is the lowest LoadTime after a verified load; 0 before the first.
 	MinLoadTime time.Duration
+	// LoadPace limits the rate at which this host orders loads from the weight store.
+	LoadPace placer.LoadPace
 	// PrefillRate is the prompt tokens that a backend server processes per second.
 	PrefillRate float64
 }
@@ -199,6 +201,10 @@
 	ReportedLoad Load
 	ReportedAt   time.Time
 	Adapters     map[AdapterKey]*Residency
+	// PlaceWeight is the share of adapters that are placed on the server, relative to others of its service; 0 for the usual share.
+	PlaceWeight float64
+	// HeldAt holds when this host learned that the server no longer holds an adapter.
+	HeldAt map[AdapterKey]time.Time
 	// CachedParts holds when each prompt part was last sent here.
 	CachedParts map[string]time.Time
 	// LastDispatchAt is when a request was last sent here, and UsageSentAt when the use was last reported to the lease holder.
@@ -322,7 +328,7 @@
 		Backends:    map[string]*Backend{},
 		Removed:     map[string]bool{},
 		InUse:       map[string]bool{},
-		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}, AdapterRanks: map[rankedAdapter][]*Backend{}},
+		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}, AdapterRanks: map[rankedAdapter]adapterRank{}},
 		Leases:      map[string]*Lease{},
 		LeaseGrants: map[string]*LeaseGrant{},
 		Requests:    map[string]*Request{},
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -19,7 +19,9 @@
 	// Quarantined lists the content for which requests are refused.
 	Quarantined        []QuarantineStatus `json:"quarantined"`
 	RequestsInProgress int                `json:"requests_in_progress"`
-	Gauges             Gauges             `json:"gauges"`
+	// HotAdapters lists the adapters with more than one replica, those with the largest demand first.
+	HotAdapters []AdapterStatus `json:"hot_adapters,omitempty"`
+	Gauges      Gauges          `json:"gauges"`
 }
 
 // Gauges holds the current queue lengths, quotas and ages of a host; the number of gauges does not grow with the number of hosts.
@@ -83,6 +85,17 @@
 	Adapters      int     `json:"adapters"`
 }
 
+// AdapterStatus is the demand for an adapter and its replicas as known to this host.
+type AdapterStatus struct {
+	Model    string `json:"model"`
+	Adapter  string `json:"adapter"`
+	Replicas int    `json:"replicas"`
+	// Ready is the number of backend servers that hold the adapter, as far as this host knows.
+	Ready int `json:"ready"`
+	// TokensPerSecond is the demand at all hosts.
+	TokensPerSecond int64 `json:"tokens_per_s"`
+}
+
 // AccountStatus is the state of a client account, or another account with a fleet-wide quota, on this host.
 type AccountStatus struct {
 	Name    string  `json:"name"`
@@ -141,6 +154,7 @@
 		a := s.Accounts[name]
 		v.Accounts = append(v.Accounts, AccountStatus{Name: name, Level: a.Level, Refused: a.Refused})
 	}
+	v.HotAdapters = s.hotAdapters(now)
 	s.emit(StatusResponse{ReplyID: e.ReplyID, Status: v})
 }
 
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -18,7 +18,7 @@
 	freed := false
 	for _, a := range m.Adapters {
 		u.RunningByAdapter[a.Adapter] = a.Running
-		l.verifyAdapter(s, m.Backend, a)
+		l.verifyAdapter(s, now, m.Backend, a)
 		if a.Running == 0 {
 			delete(u.RunningByAdapter, a.Adapter)
 			freed = true
@@ -28,14 +28,8 @@
 			e.Requesters[from] = now
 		}
 	}
-	load := BackendLoad{Backend: m.Backend, FreeSlots: inv.freeSlots(s, now, m.Backend), Demands: s.receiveWork(now, m)}
-	for host, u := range inv.Usage {
-		if host != from && now.Sub(u.ReceivedAt) < 3*s.usageInterval() {
-			load.Running += u.Running
-			load.Tokens += u.Tokens
-			load.PrefillTokens += u.PrefillTokens
-		}
-	}
+	load := inv.loadFor(s, now, m.Backend, from)
+	load.Demands = s.receiveWork(now, from, m, inv)
 	if freed {
 		sendNextOrder(s, now, m.Backend, l)
 	}
@@ -46,8 +40,21 @@
 	s.send(from, load)
 }
 
+// loadFor returns the load on a backend server of all hosts but one.
+func (inv *Inventory) loadFor(s *State, now time.Time, backend, to string) BackendLoad {
+	load := BackendLoad{Backend: backend, FreeSlots: inv.freeSlots(s, now, backend)}
+	for host, u := range inv.Usage {
+		if host != to && now.Sub(u.ReceivedAt) < 3*s.usageInterval() {
+			load.Running += u.Running
+			load.Tokens += u.Tokens
+			load.PrefillTokens += u.PrefillTokens
+		}
+	}
+	return load
+}
+
 // verifyAdapter marks an adapter as verified if a response has shown it to be resident, and adapts the expected load time.
-func (l *Lease) verifyAdapter(s *State, backend string, a AdapterUsage) {
+func (l *Lease) verifyAdapter(s *State, now time.Time, backend string, a AdapterUsage) {
 	e, ok := l.Inventory.Entries[a.Adapter]
 	if !ok || e.Verified || !a.Verified || a.Version < e.Version || e.Stage == StageUnloading {
 		return
@@ -59,6 +66,7 @@
 		return
 	}
 	service := s.service(b.Info.Service)
+	s.recordUsualLoad(now, service)
 	service.LoadTime = time.Duration(float64(service.LoadTime) * onTimeLoadFactor)
 	if service.MinLoadTime == 0 || service.LoadTime < service.MinLoadTime {
 		service.MinLoadTime = service.LoadTime
@@ -81,6 +89,7 @@
 	}
 	e.Overdue = true
 	service := s.service(b.Info.Service)
+	s.recordSlowLoad(now, b, service, elapsed)
 	service.LoadTime = min(time.Duration(float64(service.LoadTime)*overdueLoadFactor), maxLoadTime)
 }
 
