--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -54,6 +54,7 @@
 	EventSlowStartBegan           = 167
 	EventSlowStartLimit           = 168
 	EventSlowStartEnded           = 169
+	EventLoadsSlowed              = 165
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/pace_test.go
+++ b/internal/reducer/pace_test.go
@@ -52,8 +52,8 @@
 	return math.Exp(math.Abs(math.Log(expected.Seconds() / actual.Seconds())))
 }
 
-// prefillTime is how long an engine takes for a prompt at a fraction of the nominal speed of the second deployment.
-func prefillTime(prompt int, speed float64) time.Duration {
+// firstResponse is how long an engine takes for a prompt at a fraction of the nominal speed of the second deployment.
+func firstResponse(prompt int, speed float64) time.Duration {
 	return time.Duration(float64(prompt) / (38_100 * speed) * float64(time.Second))
 }
 
@@ -64,13 +64,13 @@
 	for _, pace := range []bool{false, true} {
 		f := newPaceFixture(t, pace)
 		for range 3 {
-			f.serve("west0", 6000, prefillTime(6000, 0.55), Load{})
-			f.serve("east0", 6000, prefillTime(6000, 1.2), Load{})
+			f.serve("west0", 6000, firstResponse(6000, 0.55), Load{})
+			f.serve("east0", 6000, firstResponse(6000, 1.2), Load{})
 		}
 		for domain, v := range map[string]float64{"east": 1.2, "west": 0.55} {
 			f.publishIn(domain, domain+"-new", 1)
 			for _, id := range []string{"0", "1", "-new"} {
-				worst[pace] = max(worst[pace], f.deviation(domain+id, prefillTime(6000, v)))
+				worst[pace] = max(worst[pace], f.deviation(domain+id, firstResponse(6000, v)))
 			}
 		}
 	}
@@ -80,7 +80,7 @@
 // Load: noisy neighbours slow a server by 2.5 for 600 ms at a time. Guards against learning that as its rate, and against using an old figure.
 func TestNoisyNeighboursCountOnlyWhileTheyAreReported(t *testing.T) {
 	f := newPaceFixture(t, true)
-	usual := prefillTime(6000, 1)
+	usual := firstResponse(6000, 1)
 	for i := range 20 {
 		slowdown := []float64{1, 2.5}[i%2]
 		f.serve("east0", 6000, time.Duration(float64(usual)*slowdown), Load{Known: true, Slots: 64, Percent: 100 * slowdown})
@@ -117,13 +117,13 @@
 			f := newPaceFixture(t, true)
 			for range 20 {
 				f.serve("east0", 6000, took, load)
-				f.serve("east1", 6000, prefillTime(6000, 1), Load{})
-				f.serve("west0", 6000, prefillTime(6000, 1), Load{})
+				f.serve("east1", 6000, firstResponse(6000, 1), Load{})
+				f.serve("west0", 6000, firstResponse(6000, 1), Load{})
 			}
 			service, _ := f.state.meanRates(f.state.Backends["east0"])
 			rate := f.state.presentRate(f.now, f.state.Backends["east0"])
 			assert.Assert(t, rate <= service*8.001 && rate >= service/8.001, "%v, %v: %.0f beside %.0f", load, took, rate, service)
-			assert.Assert(t, f.deviation("east1", prefillTime(6000, 1)) < 2, "%v, %v: sound engine", load, took)
+			assert.Assert(t, f.deviation("east1", firstResponse(6000, 1)) < 2, "%v, %v: sound engine", load, took)
 		}
 	}
 }
@@ -131,7 +131,7 @@
 // Load: an engine restarts while it serves. Guards against the samples and the responses of the former process counting for the new one.
 func TestRestartForgetsSamples(t *testing.T) {
 	f := newPaceFixture(t, true)
-	f.serve("west0", 6000, prefillTime(6000, 0.55), Load{})
+	f.serve("west0", 6000, firstResponse(6000, 0.55), Load{})
 	r := f.begin("west0", 6000)
 	f.now = f.now.Add(time.Millisecond)
 	f.publishIn("west", "west0", 2)
@@ -146,15 +146,15 @@
 func TestSamplesOfOtherHostsSurviveLostAndOldMessages(t *testing.T) {
 	f := newPaceFixture(t, true)
 	inv, first, second := newInventory(), &HostUsage{}, &HostUsage{}
-	f.state.receivePace(f.now, &inv, first, Usage{PaceWork: 18_000, PaceBusy: prefillTime(18_000, 0.55)})
+	f.state.receivePace(f.now, &inv, first, Usage{PaceWork: 18_000, PaceBusy: firstResponse(18_000, 0.55)})
 	f.state.receivePace(f.now, &inv, &HostUsage{}, Usage{})
 	assert.Equal(t, f.state.receivePace(f.now, &inv, first, Usage{PaceWork: math.Inf(1), PaceBusy: -time.Second}).Work, 0.0)
 	others := f.state.receivePace(f.now, &inv, second, Usage{PaceWork: 6000, PaceBusy: time.Second})
 	assert.Equal(t, others.Work, 18_000.0)
 	f.reduce(PeerReceived{From: "b", Messages: []Message{BackendLoad{Backend: "west0", PaceWork: others.Work, PaceBusy: others.Busy}}})
 	f.reduce(PeerReceived{From: "b", Messages: []Message{BackendLoad{Backend: "west0"}, BackendLoad{Backend: "west0", PaceWork: math.NaN(), PaceBusy: 1}}})
-	assert.Assert(t, f.deviation("west0", prefillTime(6000, 0.55)) < 1.2)
-	assert.Assert(t, f.deviation("west1", prefillTime(6000, 0.55)) < 1.3, "another engine of the failure domain")
+	assert.Assert(t, f.deviation("west0", firstResponse(6000, 0.55)) < 1.2)
+	assert.Assert(t, f.deviation("west1", firstResponse(6000, 0.55)) < 1.3, "another engine of the failure domain")
 }
 
 // Load: long streams. Guards against the load in a header counting as new when the stream ends.
--- a/internal/reducer/ramp.go
+++ b/internal/reducer/ramp.go
@@ -46,8 +46,8 @@
 	carriersTTL = time.Second
 	// slowStartWake is the least time until a request that a limit holds is placed again without an answer.
 	slowStartWake = 5 * time.Millisecond
-	// heldTTL is how long after a slow start last made a request wait such requests are looked for.
-	heldTTL = 100 * time.Millisecond
+	// slowStartHeldTTL is how long after a slow start last made a request wait such requests are looked for.
+	slowStartHeldTTL = 100 * time.Millisecond
 	// maxReportedAnswers bounds the answers that one usage report counts for.
 	maxReportedAnswers = 1000
 	// slowStartReportDivisor is the divisor of the usage interval for servers in slow start that have answered.
--- a/internal/reducer/rampanswer.go
+++ b/internal/reducer/rampanswer.go
@@ -57,7 +57,7 @@
 	ramp := &b.SlowStart.Ramp
 	ramp.Measured(took)
 	ramp.Answered(now, r.SentAt, true, s.answerWeight(now, b))
-	if ramp.Active() && now.Sub(s.service(r.Service).HeldAt) < heldTTL {
+	if ramp.Active() && now.Sub(s.service(r.Service).HeldAt) < slowStartHeldTTL {
 		s.wakeAt(now)
 	}
 }
--- a/internal/reducer/ramphold.go
+++ b/internal/reducer/ramphold.go
@@ -53,7 +53,7 @@
 
 // holdsOlderRequests reports whether requests for the service of a new one wait for a slow start: they are placed in their order.
 func (s *State) holdsOlderRequests(now time.Time, r *Request) bool {
-	return s.Limits.Adaptive.Start && now.Sub(s.service(r.Service).HeldAt) < heldTTL
+	return s.Limits.Adaptive.Start && now.Sub(s.service(r.Service).HeldAt) < slowStartHeldTTL
 }
 
 // waitForSlowStart queues a request until a server in slow start allows it, or refuses it at once if none does in the time that a request
