Add redwingpick where: where a host would send a request now, and why

To learn why a request went to a server, operators had to wait for one and read its log lines; nothing showed the servers that it did not get.

The query WhereRequested decides about the request on a deep copy of the state (internal/cloner), with requestArrived and placeRequest themselves, so the parts that are built beside this are followed without a change here. It shows the candidates in the order of placement with their expected delay by component, what rules the others out, and the answer with its retry time. Tests compare state, counters and random source before and after, and the answer with what a request gets then. The key travels in the body of POST /v1/where and occurs in no response; bad input exits with 2.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -54,7 +55,7 @@
 	root.SetOut(out)
 	root.PersistentFlags().StringVar(&o.output, "output", OutputText, "text or json")
 	root.AddCommand(newCheckCommand(o), newStatusCommand(o), newAccountsCommand(o), newMetricsCommand(o), newEventsCommand(o),
-		newExplainCommand(o))
+		newExplainCommand(o), newWhereCommand(o))
 	return root
 }
 
@@ -77,6 +78,22 @@
 func getJSON(address, path string, value any) error {
 	client := &http.Client{Timeout: requestTimeout}
 	response, err := client.Get("http://" + address + path)
+	return decodeResponse(address, response, err, value)
+}
+
+// postJSON sends a question as JSON to path at the operator address of a host and decodes the JSON response into value.
+func postJSON(address, path string, question, value any) error {
+	body, err := json.Marshal(question)
+	if err != nil {
+		return merry.Wrap(ErrUsage, merry.WithCause(err))
+	}
+	client := &http.Client{Timeout: requestTimeout}
+	response, err := client.Post("http://"+address+path, "application/json", bytes.NewReader(body))
+	return decodeResponse(address, response, err, value)
+}
+
+// decodeResponse decodes the JSON response of a host into value, unless the request failed with err.
+func decodeResponse(address string, response *http.Response, err error, value any) error {
 	if err != nil {
 		return merry.Wrap(ErrHost, merry.WithCause(err))
 	}
--- a/internal/executor/control.go
+++ b/internal/executor/control.go
@@ -218,6 +218,8 @@
 		c.Waiters.Deliver(e.ReplyID, e)
 	case reducer.StatusResponse:
 		c.Waiters.Deliver(e.ReplyID, e)
+	case reducer.WhereResponse:
+		c.Waiters.Deliver(e.ReplyID, e)
 	case reducer.LogEvent:
 		c.Recorder.Record(e.Number, e.Fields...)
 	case reducer.RecordLatency:
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -28,6 +28,7 @@
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /v1/status", o.status)
+	mux.HandleFunc("POST /v1/where", o.where)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	return mux
@@ -51,6 +52,26 @@
 	return resp.Status, ok
 }
 
+// maxWhereBytes bounds the body of a WhereQuery.
+const maxWhereBytes = 64 << 10
+
+// where answers where the host would send a request, as JSON.
+func (o *Operators[P, C]) where(w http.ResponseWriter, r *http.Request) {
+	var q reducer.WhereQuery
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxWhereBytes)).Decode(&q); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id := fmt.Sprintf("where-%d", o.sequence.Add(1))
+	resp, ok := postAndWait(r.Context(), o.Control, id, reducer.WhereRequested{ReplyID: id, Query: q}).(reducer.WhereResponse)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(resp.Where)
+}
+
 // publish publishes the metrics of the host as one expvar variable, once in a process. Names of durations contain the unit.
 func (o *Operators[P, C]) publish() {
 	if expvar.Get("redwingpick") != nil {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -43,6 +43,8 @@
 		applySlowStartSetting(s)
 	case StatusRequested:
 		statusRequested(s, now, e)
+	case WhereRequested:
+		whereRequested[P](s, now, e)
 	case DrainRequested:
 		drain(s, now)
 	case EffectExpired:
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -48,6 +48,9 @@
 for i in $(seq 30); do ask 0 "q$i" safe example-key-small >/dev/null; done
 row "an account over its rate" 429 "$(ask 0 over safe example-key-small)"
 
+row "where a request would go" sent "$(bin/redwingpick where calls.example/safe/x --operator "$(address 1 3)" --account large --json |
+  sed -n 's/.*"answer": "\(.*\)".*/\1/p')"
+
 echo "stopping host-0 while it serves twelve streams"
 for i in $(seq 12); do
   bin/redwingpick-standin ask "$(address 0 0)" --id "s$i" --route stream --key example-key-large --model "model/a$((i % 3))" \
