--- a/internal/reducer/demand.go
+++ b/internal/reducer/demand.go
@@ -36,7 +36,7 @@
 		part = max(part, float64(r.Tokens)/float64(engine.KVCacheTokens))
 	}
 	held := min(now.Sub(r.SentAt), occupancyTargets*r.Route.LatencyTarget)
-	if work := int(held.Seconds() * part * s.service(r.Service).PrefillRate); work > r.Work {
+	if work := int(held.Seconds() * part * s.meanPrefillRate(r.Service)); work > r.Work {
 		s.addWork(now, r, work-r.Work, 0)
 		r.Work = work
 	}
--- a/internal/reducer/pace.go
+++ b/internal/reducer/pace.go
@@ -92,6 +92,14 @@
 	return s.presentRate(now, b)
 }
 
+// meanPrefillRate returns the prompt tokens per second that an engine of a service is expected to prefill on average.
+func (s *State) meanPrefillRate(service string) float64 {
+	if !s.Limits.Adaptive.Pace {
+		return s.service(service).PrefillRate
+	}
+	return s.service(service).Pacing.Mean.Rate(estimator.Prior{Rate: initialPrefillRate, Work: priorTokens})
+}
+
 // callTime returns the expected processing time of a call at a unary server.
 func (s *State) callTime(now time.Time, b *Backend) time.Duration {
 	if !s.Limits.Adaptive.Pace {
--- a/internal/reducer/places.go
+++ b/internal/reducer/places.go
@@ -79,7 +79,7 @@
 		Share: replicaShare, FallAfter: replicaFallDelay,
 		Most: max((engines+replicaEngines-1)/replicaEngines, min(engines, maxCandidates)),
 	}
-	work, rate := p.Demands.Work(now, key), s.service(service).PrefillRate
+	work, rate := p.Demands.Work(now, key), s.meanPrefillRate(service)
 	needed := placer.Places(work, rate, limits)
 	replicas, ok := p.Replicas[key]
 	if !ok {
