--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -44,14 +44,15 @@
 	return math.Log(uniform) / weight
 }
 
-// Weights of servers are powers of the square root of 2 within bounds.
+// Weights of servers are powers of 2 within bounds.
 const (
-	leastWeight = 0.25
-	mostWeight  = 2
-	// weightSteps is the number of weights in an octave.
-	weightSteps = 2
+	leastWeight = 0.125
+	mostWeight  = 8
+	// weightPower is the power of the service rate to which the weight is in proportion. Prompts on a slow engine take longer and also stretch the
+	// gaps of the streams beside them, so faster engines rank first for more than their part of the rate; expected delays move requests on.
+	weightPower = 3
 	// weightMargin is the difference from the present weight, in octaves, from which the weight changes.
-	weightMargin = 0.35
+	weightMargin = 0.75
 )
 
 // Weight returns the weight of a server whose service rate is a multiple of the mean. The weight changes in few steps and late, so that servers
@@ -60,11 +61,11 @@
 	if rate <= 0 {
 		return present
 	}
-	target := min(max(rate, leastWeight), mostWeight)
+	target := min(max(math.Pow(rate, weightPower), leastWeight), mostWeight)
 	if present > 0 && math.Abs(math.Log2(target/present)) < weightMargin {
 		return present
 	}
-	return math.Exp2(math.Round(weightSteps*math.Log2(target)) / weightSteps)
+	return math.Exp2(math.Round(math.Log2(target)))
 }
 
 // spreadDomains reorders the ranks from plainRanks on: each takes the next server of the failure domain that has had the fewest.
