--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -52,7 +52,7 @@
 	// gaps of the streams beside them, so faster engines rank first for more than their part of the rate; expected delays move requests on.
 	weightPower = 3
 	// weightMargin is the difference from the present weight, in octaves, from which the weight changes.
-	weightMargin = 0.75
+	weightMargin = 0.9
 )
 
 // Weight returns the weight of a server whose service rate is a multiple of the mean. The weight changes in few steps and late, so that servers
