--- a/internal/dispatcher/gaps.go
+++ b/internal/dispatcher/gaps.go
@@ -13,6 +13,8 @@
 	// typicalGapDivisor selects the typical gap: the one below which that fraction of the gaps lies. Longer ones contain the prefill of other
 	// requests, and the very shortest ones follow an event that came late.
 	typicalGapDivisor = 8
+	// maxTakingTime is the time from which a caller counts as slow in taking events. A write to a socket with room takes far less.
+	maxTakingTime = 2 * time.Millisecond
 )
 
 // gapRecorder records the times between the events of a stream.
@@ -20,7 +22,8 @@
 	lastAt  time.Time
 	longest time.Duration
 	gaps    []time.Duration
-	started bool
+	// counts is set if the next gap shows how fast the server decodes.
+	counts bool
 }
 
 // start records the time of the header.
@@ -31,12 +34,14 @@
 	gap := now.Sub(g.lastAt)
 	g.lastAt = now
 	g.longest = max(g.longest, gap)
-	if g.started && len(g.gaps) < maxGaps {
+	if g.counts && len(g.gaps) < maxGaps {
 		g.gaps = append(g.gaps, gap)
 	}
-	g.started = true
 }
 
+// written records that the caller has taken the events. Until then no event is read, so the next gap is not typical if that took long.
+func (g *gapRecorder) written(now time.Time) { g.counts = now.Sub(g.lastAt) <= maxTakingTime }
+
 // typical returns the typical gap, or 0 if there are too few.
 func (g *gapRecorder) typical() time.Duration {
 	if len(g.gaps) < minGaps {
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -131,6 +131,7 @@
 				x.fail(err)
 				return
 			}
+			gaps.written(time.Now())
 			x.result.LastEventID = events.lastID
 			x.result.Events = events.count
 			x.stall.expect(x.dispatch.StreamIdleTimeout)
