Bound the delay that the largest load figures give an engine

The product of the queue and the mean stay overflowed, so that an engine with a wrong load figure was preferred to all others. The tokens that a request shares with no other are counted by one function instead of two.

--- a/internal/reducer/pace.go
+++ b/internal/reducer/pace.go
@@ -46,6 +46,8 @@
 	figureIgnoredInterval = time.Minute
 	// decodeStepShare is the part of the decode step before the first event that each running request adds.
 	decodeStepShare = 100 * time.Microsecond
+	// maxAdmissionDelay is above all deadlines. The largest load figures give a time that a time.Duration does not hold.
+	maxAdmissionDelay = time.Hour
 	// nearEqualDivisor is the divisor of the least expected delay that gives the difference up to which delays count as equal. The load figures
 	// behind them are too old to tell more.
 	nearEqualDivisor = 4
@@ -201,7 +203,7 @@
 	if b.PrefillTokens > r.PrefillTokens || s.othersPrefill(now, b) || load.Waiting > 0 || r.PrefillTokens < minPrefillSample {
 		return 0, false
 	}
-	own := ownTokens(r)
+	own := r.ownTokens()
 	if float64(r.PrefillTokens) <= certainWork*float64(own) {
 		return float64(r.PrefillTokens), true
 	}
@@ -210,16 +212,6 @@
 	return estimator.Plausible(amounts, took, s.usualRate(now, b), r.AwaitedAdapter)
 }
 
-// ownTokens returns the prompt tokens that no other request shares. The other parts may be cached without this host's knowledge, because
-// another host has sent them.
-func ownTokens(r *Request) int {
-	own := r.PromptTokens
-	for _, part := range r.Parts[:max(len(r.Parts)-1, 0)] {
-		own -= part.Tokens
-	}
-	return max(own, 0)
-}
-
 // addToMeans adds a sample of a backend server to the means of its service and failure domain.
 func (s *State) addToMeans(b *Backend, work float64, took time.Duration) {
 	prior := s.initialPrior(b)
@@ -311,7 +303,7 @@
 	}
 	admitted := max(min(load.running-load.waiting, engine.Slots), 1)
 	queued := max(load.running-engine.Slots+1, load.waiting, 0)
-	delay := stay * time.Duration(queued) / time.Duration(admitted)
+	delay := time.Duration(min(float64(stay)*float64(queued)/float64(admitted), float64(maxAdmissionDelay)))
 	if excess := load.tokens + r.Tokens - engine.KVCacheTokens; engine.KVCacheTokens > 0 && excess > 0 {
 		delay = max(delay, time.Duration(float64(stay)*float64(excess)/float64(max(load.tokens, excess))))
 	}
--- a/internal/reducer/pace_test.go
+++ b/internal/reducer/pace_test.go
@@ -199,3 +199,16 @@
 	}
 	assert.Assert(t, most[true] <= 45 && most[false] == 60, "%d of 60 hosts chose the same server, %d by the rule before", most[true], most[false])
 }
+
+// Load: a server reports the largest load figures that are accepted. Guards against an expected delay that overflows, with which the server
+// would be preferred to all others.
+func TestLargestLoadFiguresGiveNoNegativeDelay(t *testing.T) {
+	const largest = 1 << 31
+	for _, stay := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second, time.Minute} {
+		f := newPaceFixture(t, true)
+		f.serve("east0", 6000, stay, Load{Known: true, Running: largest, Waiting: largest, Slots: 64})
+		b := f.state.Backends["east0"]
+		delay := f.state.engineDelay(f.now, &Request{PromptTokens: 600, Tokens: 600}, b, f.state.engineOf(b))
+		assert.Assert(t, delay > time.Minute, "%v", delay)
+	}
+}
--- a/internal/reducer/prefix.go
+++ b/internal/reducer/prefix.go
@@ -11,7 +11,8 @@
 	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
 
-// ownTokens returns the prompt tokens of a request that it shares with no other.
+// ownTokens returns the prompt tokens of a request that it shares with no other. The other parts may be cached without this host's knowledge,
+// because another host has sent them.
 func (r *Request) ownTokens() int {
 	tokens := r.PromptTokens
 	for _, part := range r.Parts[:max(len(r.Parts)-1, 0)] {
