Bound demands by what can be requested, and keep the senders of a server in messages on demands

A single request whose caller stated more tokens than an engine holds, or one wrong figure of another host, gave an adapter the most replicas for minutes. A message on demands made hosts count all active hosts as senders to the server that it is about.

--- a/internal/placer/demands.go
+++ b/internal/placer/demands.go
@@ -20,6 +20,9 @@
 	forgetAfter = 30 * time.Second
 )
 
+// maxWork is above any work that the backend servers of a service can do in a second.
+const maxWork = 1e9
+
 // Demand is the work per second that requests for one key need.
 type Demand struct {
 	Slow limiter.DecayingRate
@@ -40,8 +43,11 @@
 	Hosts int
 }
 
-// Record adds work that was requested at the time now, and the number of requests that it is for.
+// Record adds work that was requested at the time now, and the number of requests that it is for. Work that can't be requested is ignored.
 func (d *Demands[K]) Record(now time.Time, key K, work float64, requests int) {
+	if !valid(work) {
+		return
+	}
 	e := d.entry(now, key)
 	e.Slow.Add(now, work, slowHalfLife)
 	e.Fast.Add(now, work, fastHalfLife)
@@ -49,8 +55,11 @@
 	e.FastRequests.Add(now, float64(requests), fastHalfLife)
 }
 
-// Merge sets the work per second at all hosts, as reported at the time now.
+// Merge sets the work per second at all hosts, as reported at the time now. A figure that no hosts can have summed is ignored.
 func (d *Demands[K]) Merge(now time.Time, key K, work float64) {
+	if !valid(work) {
+		return
+	}
 	e := d.entry(now, key)
 	e.Merged, e.MergedAt = work, now
 }
@@ -92,6 +101,9 @@
 	}
 }
 
+// valid reports whether work can be requested; it is false for what is no number.
+func valid(work float64) bool { return work >= 0 && work <= maxWork }
+
 func (d *Demands[K]) entry(now time.Time, key K) *Demand {
 	if d.ByKey == nil {
 		d.ByKey = map[K]*Demand{}
--- a/internal/reducer/demand.go
+++ b/internal/reducer/demand.go
@@ -8,7 +8,8 @@
 
 // recordDemand adds a request that has just arrived to the demand for its adapter; candidates are the engines that may take it.
 //
-// The work is the prompt tokens that the engine with the most of the prompt in its cache has to prefill.
+// The work is the prompt tokens that the engine with the most of the prompt in its cache has to prefill, and no more than an engine can hold: a
+// larger request is refused by all of them, whatever its caller states.
 func (s *State) recordDemand(now time.Time, r *Request, candidates []selector.Candidate) {
 	if r.DemandRecorded || len(candidates) == 0 {
 		return
@@ -18,6 +19,9 @@
 	for _, c := range candidates {
 		r.Work = min(r.Work, s.uncachedTokens(now, r, s.Backends[c.Backend]))
 	}
+	if engine := s.Documents.Services[r.Service].Engine; engine != nil && engine.KVCacheTokens > 0 {
+		r.Work = min(r.Work, engine.KVCacheTokens)
+	}
 	s.addWork(now, r, r.Work, 1)
 	if hash, ok := r.sharedPrefix(); ok {
 		s.Places.Prefixes.Record(now, r.Adapter, hash)
@@ -33,7 +37,7 @@
 	}
 	part := 1 / float64(max(engine.Slots, 1))
 	if engine.KVCacheTokens > 0 {
-		part = max(part, float64(r.Tokens)/float64(engine.KVCacheTokens))
+		part = min(max(part, float64(r.Tokens)/float64(engine.KVCacheTokens)), 1)
 	}
 	held := min(now.Sub(r.SentAt), occupancyTargets*r.Route.LatencyTarget)
 	if work := int(held.Seconds() * part * s.meanPrefillRate(r.Service)); work > r.Work {
@@ -123,6 +127,7 @@
 		if host != except && host != s.Self.HostID {
 			load := inv.loadFor(s, now, backend, host)
 			load.Demands = demands
+			s.reportSlowStart(now, host, inv, &load)
 			s.send(host, load)
 		}
 	}
