Forget adapters that backend servers lack and no request needs

Each request that waited in vain, each report of a full engine and each skipped load ahead left an entry for its adapter and engine, which stayed until the engine left and which each usage report sorted.

--- a/internal/reducer/places.go
+++ b/internal/reducer/places.go
@@ -156,6 +156,7 @@
 		return
 	}
 	s.Places.PrunedAt = now
+	s.pruneResidencies(now)
 	if s.Limits.Adaptive.Places && s.Limits.Adaptive.Pace {
 		s.updatePlaceWeights(now)
 	}
--- a/internal/reducer/residency.go
+++ b/internal/reducer/residency.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -113,6 +114,23 @@
 	}
 }
 
+// pruneResidencies drops the adapters that backend servers lack and that no request has needed for residencyTTL.
+func (s *State) pruneResidencies(now time.Time) {
+	for _, b := range s.Backends {
+		maps.DeleteFunc(b.Adapters, func(_ AdapterKey, r *Residency) bool { return r.forgettable(now) })
+	}
+}
+
+// forgettable reports whether an absent adapter is not in use and its times no longer count.
+func (r *Residency) forgettable(now time.Time) bool {
+	used := r.Running > 0 || len(r.Waiting) > 0 || r.DispatchCount > 0 || r.UsageUnreported || r.VerificationUnreported || r.Overdue
+	if used || r.Stage != StageAbsent {
+		return false
+	}
+	latest := later(later(r.UpdatedAt, r.RequestedAt), later(r.NoSlotReportedAt, r.ReadyAt))
+	return now.Sub(latest) >= residencyTTL
+}
+
 // residencyTTL is how long the last known residency of an adapter counts without an update.
 const residencyTTL = 10 * time.Second
 
