--- a/internal/dispatcher/gaps.go
+++ b/internal/dispatcher/gaps.go
@@ -10,8 +10,8 @@
 	maxGaps = 64
 	// minGaps is the number of gaps from which the typical one is known.
 	minGaps = 4
-	// typicalGapDivisor selects the typical gap: the one below which that fraction of the gaps lies. Longer ones contain the prefill of other
-	// requests, and the very shortest ones follow an event that came late.
+	// typicalGapDivisor selects the typical gap: the one below which that fraction of the gaps lies, but never the shortest.
+	// Longer ones contain the prefill of other requests, and the very shortest ones follow an event that came late.
 	typicalGapDivisor = 8
 	// maxTakingTime is the time from which a caller counts as slow in taking events. A write to a socket with room takes far less.
 	maxTakingTime = 2 * time.Millisecond
@@ -48,5 +48,5 @@
 		return 0
 	}
 	slices.Sort(g.gaps)
-	return g.gaps[len(g.gaps)/typicalGapDivisor]
+	return g.gaps[max(len(g.gaps)/typicalGapDivisor, 1)]
 }
--- a/internal/dispatcher/gaps_test.go
+++ b/internal/dispatcher/gaps_test.go
@@ -40,6 +40,8 @@
 	const usual = 30 * time.Millisecond
 	g := recordGaps(0, usual, usual, usual, 2*usual, time.Microsecond, usual, usual, usual, usual)
 	assert.Equal(t, g.typical(), usual)
+	g = recordGaps(0, usual, usual, 2*usual, time.Microsecond, usual)
+	assert.Equal(t, g.typical(), usual, "a stream of five events")
 }
 
 // Guards against a typical gap of a stream with hardly any event, or with none.
