--- a/internal/reducer/delay.go
+++ b/internal/reducer/delay.go
@@ -36,7 +36,7 @@
 func (s *State) engineDelay(now time.Time, r *Request, b *Backend, engine *cataloguer.Engine) time.Duration {
 	load := b.loadOf(now)
 	load.prefill += s.uncachedTokens(now, r, b)
-	delay := time.Duration(float64(load.prefill) / s.prefillRate(now, b) * float64(time.Second))
+	delay := prefillTime(load.prefill, s.prefillRate(now, b))
 	if s.Limits.Adaptive.Pace {
 		delay += s.admissionDelay(b, r, engine, load) + s.decodeDelay(now, b, engine, load)
 	} else {
--- a/internal/reducer/demand.go
+++ b/internal/reducer/demand.go
@@ -123,16 +123,33 @@
 // sendDemands sends demands, with the load of a backend server that such messages carry, to all active hosts but the one that gets a reply.
 func (s *State) sendDemands(now time.Time, except, backend string, inv *Inventory, demands []AdapterDemand) {
 	s.Counters.DemandsSent++
+	all := inv.loadFor(s, now, backend, "")
+	all.Demands = demands
+	s.reportSlowStart(now, "", inv, &all)
 	for _, host := range s.activeHosts(now) {
 		if host != except && host != s.Self.HostID {
-			load := inv.loadFor(s, now, backend, host)
-			load.Demands = demands
-			s.reportSlowStart(now, host, inv, &load)
-			s.send(host, load)
+			s.send(host, all.without(inv.recentUsage(s, now, host)))
 		}
 	}
 }
 
+// without returns the load of the other hosts, from that of all hosts and the usage of one of them.
+func (m BackendLoad) without(u HostUsage) BackendLoad {
+	m.Running -= u.Running
+	m.Tokens -= u.Tokens
+	m.PrefillTokens -= u.PrefillTokens
+	return m
+}
+
+// recentUsage returns the usage of a host if it counts in the load, and otherwise that of a host without requests.
+func (inv *Inventory) recentUsage(s *State, now time.Time, host string) HostUsage {
+	u, ok := inv.Usage[host]
+	if !ok || now.Sub(u.ReceivedAt) >= 3*s.usageInterval() {
+		return HostUsage{}
+	}
+	return *u
+}
+
 // receiveDemands records the demand at all hosts that a lease holder has returned.
 func (s *State) receiveDemands(now time.Time, m BackendLoad) {
 	if !s.Limits.Adaptive.Places {
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -35,13 +35,13 @@
 
 // Adaptive selects the parts of the load handling that adapt to what the host observes; what is not selected follows fixed rules.
 type Adaptive struct {
-	// Pace learns the pace of each backend server.
+	// Pace estimates the service rate of each backend server.
 	Pace bool
-	// Places gives each adapter as many places as its demand asks for.
+	// Places gives each adapter as many replicas as its demand needs.
 	Places bool
 	// Admission orders and refuses requests by what can be served in time, and schedules the return of refused callers.
 	Admission bool
-	// Start finds the pace at which a backend server that has just started or recovered can take requests.
+	// Start limits the concurrent requests of a backend server that has just started or recovered, by how it answers.
 	Start bool
 }
 
--- a/internal/reducer/places_test.go
+++ b/internal/reducer/places_test.go
@@ -67,6 +67,27 @@
 	assert.Equal(t, sent[0].(BackendLoad).Senders, 2)
 }
 
+// Load: a large fleet. Guards against messages on demands, whose load is summed once for all hosts, giving a host its own load as that of the
+// others.
+func TestDemandsCarryTheLoadOfTheOtherHosts(t *testing.T) {
+	f := newPlacesFixture(t)
+	f.addFiveHosts()
+	inv := newInventory()
+	for i := range 4 {
+		inv.Usage["host-"+strconv.Itoa(i)] = &HostUsage{Running: 1 << i, Tokens: 10 << i, PrefillTokens: 100 << i, ReceivedAt: f.now}
+	}
+	inv.Usage["host-3"].ReceivedAt = f.now.Add(-time.Minute)
+	f.state.outbox, f.state.outboxOrder = map[string][]Message{}, nil
+	demands := []AdapterDemand{{Adapter: AdapterKey{Model: "m", Adapter: "a"}, Work: 1}}
+	f.state.sendDemands(f.now, "host-0", "e0", &inv, demands)
+	assert.Equal(t, len(f.state.outbox), 4)
+	for host, messages := range f.state.outbox {
+		expected := inv.loadFor(f.state, f.now, "e0", host)
+		expected.Demands = demands
+		assert.DeepEqual(t, messages, []Message{expected})
+	}
+}
+
 // Guards against Adaptive.Places changing what engines are expected to do, or which ones a request may go to, while it is off.
 func TestPlacementKeepsNothingWhileItIsOff(t *testing.T) {
 	for _, pace := range []bool{false, true} {
--- a/internal/reducer/prefix.go
+++ b/internal/reducer/prefix.go
@@ -7,6 +7,7 @@
 	"github.com/redwingpick/redwingpick/internal/placer"
 )
 
+// prefillTime returns the time that an engine takes for prompt tokens, at a rate in tokens per second.
 func prefillTime(tokens int, rate float64) time.Duration {
 	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
