--- a/internal/reducer/demand.go
+++ b/internal/reducer/demand.go
@@ -8,7 +8,8 @@
 
 // recordDemand adds a request that has just arrived to the demand for its adapter; candidates are the engines that may take it.
 //
-// The work is the prompt tokens that the engine with the most of the prompt in its cache has to prefill.
+// The work is the prompt tokens that the engine with the most of the prompt in its cache has to prefill, and no more than an engine can hold: a
+// larger request is refused by all of them, whatever its caller states.
 func (s *State) recordDemand(now time.Time, r *Request, candidates []selector.Candidate) {
 	if r.DemandRecorded || len(candidates) == 0 {
 		return
@@ -18,6 +19,9 @@
 	for _, c := range candidates {
 		r.Work = min(r.Work, s.uncachedTokens(now, r, s.Backends[c.Backend]))
 	}
+	if engine := s.Documents.Services[r.Service].Engine; engine != nil && engine.KVCacheTokens > 0 {
+		r.Work = min(r.Work, engine.KVCacheTokens)
+	}
 	s.addWork(now, r, r.Work, 1)
 	if hash, ok := r.sharedPrefix(); ok {
 		s.Places.Prefixes.Record(now, r.Adapter, hash)
@@ -33,7 +37,7 @@
 	}
 	part := 1 / float64(max(engine.Slots, 1))
 	if engine.KVCacheTokens > 0 {
-		part = max(part, float64(r.Tokens)/float64(engine.KVCacheTokens))
+		part = min(max(part, float64(r.Tokens)/float64(engine.KVCacheTokens)), 1)
 	}
 	held := min(now.Sub(r.SentAt), occupancyTargets*r.Route.LatencyTarget)
 	if work := int(held.Seconds() * part * s.meanPrefillRate(r.Service)); work > r.Work {
@@ -119,15 +123,33 @@
 // sendDemands sends demands, with the load of a backend server that such messages carry, to all active hosts but the one that gets a reply.
 func (s *State) sendDemands(now time.Time, except, backend string, inv *Inventory, demands []AdapterDemand) {
 	s.Counters.DemandsSent++
+	all := inv.loadFor(s, now, backend, "")
+	all.Demands = demands
+	s.reportSlowStart(now, "", inv, &all)
 	for _, host := range s.activeHosts(now) {
 		if host != except && host != s.Self.HostID {
-			load := inv.loadFor(s, now, backend, host)
-			load.Demands = demands
-			s.send(host, load)
+			s.send(host, all.without(inv.recentUsage(s, now, host)))
 		}
 	}
 }
 
+// without returns the load of the other hosts, from that of all hosts and the usage of one of them.
+func (m BackendLoad) without(u HostUsage) BackendLoad {
+	m.Running -= u.Running
+	m.Tokens -= u.Tokens
+	m.PrefillTokens -= u.PrefillTokens
+	return m
+}
+
+// recentUsage returns the usage of a host if it counts in the load, and otherwise that of a host without requests.
+func (inv *Inventory) recentUsage(s *State, now time.Time, host string) HostUsage {
+	u, ok := inv.Usage[host]
+	if !ok || now.Sub(u.ReceivedAt) >= 3*s.usageInterval() {
+		return HostUsage{}
+	}
+	return *u
+}
+
 // receiveDemands records the demand at all hosts that a lease holder has returned.
 func (s *State) receiveDemands(now time.Time, m BackendLoad) {
 	if !s.Limits.Adaptive.Places {
