Keep where queries from ending the process and from taking return slots

The copy of the state lacked the cache of adapter rankings, so that a question about an adapter ended the process while places was on. The slots of returning callers were unexported and therefore shared with the copy. The service rate shown is now that of the engine.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -163,7 +163,7 @@
 	for i := range 3 * maxReturns {
 		r.Promise(start.Add(time.Second), 1000+i, Return{}, time.Second, 2*time.Second)
 	}
-	assert.Check(t, len(r.Promises) <= maxReturns && len(r.oldest) <= maxReturns)
+	assert.Check(t, len(r.Promises) <= maxReturns && len(r.Oldest) <= maxReturns)
 	_, _, ok = r.Due(start.Add(time.Second), 0)
 	assert.Check(t, !ok, "the oldest promise is dropped first")
 }
--- a/internal/admitter/returns.go
+++ b/internal/admitter/returns.go
@@ -18,15 +18,15 @@
 // Returns records when refused callers were told to return.
 type Returns[K comparable] struct {
 	Promises map[K]*Return
-
-	slots  map[int64]bool
-	oldest []promiseRef[K]
+	// Slots holds the slots of the promises, and Oldest the promises in the order in which they were made.
+	Slots  map[int64]bool
+	Oldest []PromiseRef[K]
 }
 
-// promiseRef identifies one promise in the order in which promises were made.
-type promiseRef[K comparable] struct {
-	key K
-	at  time.Time
+// PromiseRef identifies one promise.
+type PromiseRef[K comparable] struct {
+	Key K
+	At  time.Time
 }
 
 const (
@@ -53,23 +53,23 @@
 	refused.DueAt = now.Add(min(time.Duration(slot*int64(returnSlot)-now.UnixNano()), latest))
 	refused.Refusals++
 	if r.Promises == nil {
-		r.Promises, r.slots = map[K]*Return{}, map[int64]bool{}
+		r.Promises, r.Slots = map[K]*Return{}, map[int64]bool{}
 	}
 	r.Promises[key] = &refused
-	r.slots[slot] = true
-	r.oldest = append(r.oldest, promiseRef[K]{key, now})
+	r.Slots[slot] = true
+	r.Oldest = append(r.Oldest, PromiseRef[K]{key, now})
 	return refused.DueAt.Sub(now)
 }
 
 // freeSlot returns the first free slot from first to last, or else the last one before that is still to come.
 func (r *Returns[K]) freeSlot(now time.Time, first, last int64) int64 {
 	for slot := first; slot <= last; slot++ {
-		if !r.slots[slot] {
+		if !r.Slots[slot] {
 			return slot
 		}
 	}
 	for slot := min(first, last); slot > now.UnixNano()/int64(returnSlot); slot-- {
-		if !r.slots[slot] {
+		if !r.Slots[slot] {
 			return slot
 		}
 	}
@@ -104,23 +104,23 @@
 
 func (r *Returns[K]) forget(key K) {
 	if p, ok := r.Promises[key]; ok {
-		delete(r.slots, p.slot)
+		delete(r.Slots, p.slot)
 		delete(r.Promises, key)
 	}
 }
 
 // prune drops the promises whose callers have not returned, and the oldest ones beyond the bound of the record.
 func (r *Returns[K]) prune(now time.Time) {
-	for len(r.oldest) > 0 {
-		ref := r.oldest[0]
-		p, ok := r.Promises[ref.key]
-		current := ok && p.PromisedAt.Equal(ref.at)
-		if current && len(r.oldest) < maxReturns && now.Sub(p.DueAt) <= overdueAfter {
+	for len(r.Oldest) > 0 {
+		ref := r.Oldest[0]
+		p, ok := r.Promises[ref.Key]
+		current := ok && p.PromisedAt.Equal(ref.At)
+		if current && len(r.Oldest) < maxReturns && now.Sub(p.DueAt) <= overdueAfter {
 			return
 		}
 		if current {
-			r.forget(ref.key)
+			r.forget(ref.Key)
 		}
-		r.oldest = r.oldest[1:]
+		r.Oldest = r.Oldest[1:]
 	}
 }
--- a/internal/reducer/where.go
+++ b/internal/reducer/where.go
@@ -154,7 +154,9 @@
 	rest.effects, rest.outbox, rest.outboxOrder = nil, nil, nil
 	trial := cloner.Clone(rest)
 	trial.Documents, trial.Hosts = s.Documents, s.Hosts
-	trial.Index = Index{Holders: s.Index.Holders, Incarnations: s.Index.Incarnations, Ranks: map[rankKey][]string{}}
+	trial.Index = Index{
+		Holders: s.Index.Holders, Incarnations: s.Index.Incarnations, Ranks: map[rankKey][]string{}, AdapterRanks: map[rankedAdapter]adapterRank{},
+	}
 	trial.outbox = map[string][]Message{}
 	return &trial
 }
@@ -248,7 +250,7 @@
 		out.OthersRunning = b.OtherHosts.Running
 	}
 	if service.Engine != nil {
-		out.ServiceRate = s.service(r.Service).PrefillRate
+		out.ServiceRate = s.prefillRate(now, b)
 		out.UncachedTokens = s.uncachedTokens(now, r, b)
 	}
 	if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
--- a/internal/reducer/where_test.go
+++ b/internal/reducer/where_test.go
@@ -61,3 +61,38 @@
 	assert.Equal(t, f.where(WhereQuery{HostName: "h", Path: "/none/", Account: "acme"}).Reason, ReasonNoRoute.String())
 	assert.Assert(t, f.where(WhereQuery{HostName: "h", Path: "/safe/x", Account: "nobody"}).Fault != "")
 }
+
+// Guards against a refusal of the request that is asked about which takes a slot of the returning callers.
+func TestWhereTakesNoReturnSlot(t *testing.T) {
+	f := newFixture(t)
+	f.state.Limits.Adaptive.Admission = true
+	for _, b := range f.state.Backends {
+		f.state.recordNotice(f.now, b, BackendNotice{Backoff: 500 * time.Millisecond})
+	}
+	must[Refuse](t, f.arrive("1", "/once/x", "secret"))
+	w := f.where(WhereQuery{HostName: "h", Path: "/once/x", Account: "acme", TimeLeftMs: 3000})
+	assert.Equal(t, w.Answer, WhereRefused)
+	assert.Equal(t, must[Refuse](t, f.arrive("2", "/once/x", "secret")).RetryAfter.Milliseconds(), w.RetryAfterMs)
+}
+
+// Guards against a process that ends by a question about an adapter whose replicas follow the demand.
+func TestWhereRanksTheReplicasOfAnAdapter(t *testing.T) {
+	f := newEngineFixture(t, 4)
+	f.state.Limits.Adaptive.Places = true
+	w := f.where(WhereQuery{HostName: "h", Path: "/gen/x", Account: "acme", Model: "m", Adapter: "a1", PromptTokens: 1000})
+	assert.Equal(t, w.Answer, WhereWaitsForAdapter)
+	assert.Equal(t, len(w.Candidates), maxCandidates)
+}
+
+// Guards against a rate that is not the one which the host decides with.
+func TestWhereShowsTheRateOfEachEngine(t *testing.T) {
+	f := newEngineFixture(t, 2)
+	f.state.Limits.Adaptive.Pace = true
+	for i := range 40 {
+		f.serve("e0", 6000, 500*time.Millisecond+time.Duration(i), Load{})
+	}
+	w := f.where(WhereQuery{HostName: "h", Path: "/gen/x", Account: "acme", Model: "m", PromptTokens: 1000})
+	for _, c := range w.Candidates {
+		assert.Equal(t, c.ServiceRate, f.state.prefillRate(f.now, f.state.Backends[c.Backend]), c.Backend)
+	}
+}
