Keep a waiting request listed at its own engine alone

Comparing candidates changed the engine of a request that waited for its adapter, so that the request was listed several times, and stayed listed after its end. The slow start of an engine counts the listed requests.

--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -155,7 +155,7 @@
 	if !s.admits() || r.Attempt > 0 || len(candidates) == 0 {
 		return candidates, false
 	}
-	best, reason := time.Duration(math.MaxInt64), ReasonNone
+	best, first := time.Duration(math.MaxInt64), s.Backends[candidates[0].Backend]
 	share := s.aheadShare(now, r)
 	r.Admission.Late = true
 	for _, c := range candidates {
@@ -163,8 +163,7 @@
 		expected, ahead := s.expectedResponse(now, b, c.Delay, share)
 		late := s.wouldMissTarget(now, r, b, expected)
 		if expected < best {
-			best, reason = expected, s.missingOn(now, r, b)
-			r.Admission.Expected = expected
+			best, first = expected, b
 		}
 		if now.Add(expected).After(r.lastStart()) || late && s.yields(now, r, b, expected, ahead) {
 			continue
@@ -172,11 +171,16 @@
 		r.Admission.Late = r.Admission.Late && late
 		left = append(left, c)
 	}
+	r.Admission.Expected = best
 	if len(left) > 0 {
 		return left, false
 	}
 	s.stopWaiting(r)
 	r.Phase = PhaseQueued
+	reason := ReasonFull
+	if s.lacksAdapter(now, r, first) {
+		r.Backend, reason = first.Info.ID, ReasonNotLoaded
+	}
 	s.refuseUnplaced(now, r, reason)
 	return nil, true
 }
@@ -186,15 +190,6 @@
 	return r.Deadline.Add(-r.Deadline.Sub(r.ArrivedAt) / answerDivisor)
 }
 
-// missingOn returns the reason for refusing a request that a server can not take in time.
-func (s *State) missingOn(now time.Time, r *Request, b *Backend) Reason {
-	if s.lacksAdapter(now, r, b) {
-		r.Backend = b.Info.ID
-		return ReasonNotLoaded
-	}
-	return ReasonFull
-}
-
 // lacksAdapter reports whether a request's adapter must be loaded on a server first.
 func (s *State) lacksAdapter(now time.Time, r *Request, b *Backend) bool {
 	engine := s.engineOf(b)
--- a/internal/reducer/admission_test.go
+++ b/internal/reducer/admission_test.go
@@ -115,3 +115,27 @@
 	}
 	assert.Check(t, len(waits) > 45)
 }
+
+// Load: a request waits for its adapter while another engine is expected to respond a little earlier. Guards against a request that is listed as
+// waiting more than once, or where it no longer waits: that would count against the engine's slow start for ever.
+func TestWaitingRequestIsListedAtItsEngineAlone(t *testing.T) {
+	f := newAdmissionFixture(t, 2)
+	f.generate("r", "a1")
+	r := f.state.Requests["r"]
+	assert.Equal(t, r.Phase, PhaseAwaitingAdapter)
+	chosen := f.state.Backends[r.Backend]
+	chosen.PrefillTokens += 500
+	listed := func() (count int) {
+		for _, b := range f.state.Backends {
+			for _, adapter := range b.Adapters {
+				count += len(adapter.Waiting)
+			}
+		}
+		return count
+	}
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, f.state.Requests["r"], r)
+	assert.Equal(t, listed(), 1)
+	f.reduce(RequestAbandoned{ID: "r"})
+	assert.Equal(t, listed(), 0)
+}
