Promise a return to callers that a slow start refuses, and load elsewhere if it opens too late

With the admission control on, such a refusal told callers up to 5 s and recorded no return. A request was also refused for a server in slow start that opens too late, although another one could load its adapter in time.

--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if s.admits() {
-		s.refuseWithPromise(now, r, reason)
+		s.refuseWithPromise(now, r, reason, 0)
 		return
 	}
 	wait := time.Duration(0)
--- a/internal/reducer/ramp_test.go
+++ b/internal/reducer/ramp_test.go
@@ -110,3 +110,46 @@
 	assert.Assert(t, second.StartLimit >= first.StartLimit+4)
 	assert.Assert(t, report("host-x", Usage{Answers: 2, SlowAnswers: 1}).StartLimit <= second.StartLimit/2)
 }
+
+// Load: servers in slow start that take turns among many hosts, with the admission control on. Guards against a retry time that callers do not
+// follow, and against refused callers that return together and count as new.
+func TestCallersRefusedBySlowStartArePromisedATime(t *testing.T) {
+	f := newFixture(t)
+	f.state.Limits.Adaptive.Start, f.state.Limits.Adaptive.Admission = true, true
+	f.state.Carriers = Carriers{Count: 100, CountedAt: f.now}
+	for _, b := range f.state.Backends {
+		f.state.beginSlowStart(f.now, f.now, b, ramper.ReasonSilent)
+		b.SlowStart.Ramp.Sent(f.now)
+	}
+	waits := map[time.Duration]bool{}
+	for i := range 20 {
+		refusal := must[Refuse](t, f.arrive(strconv.Itoa(i), "/once/x", "secret"))
+		assert.Check(t, refusal.Reason == ReasonNoBackend && refusal.RetryAfter <= time.Second/3, "%v", refusal)
+		waits[refusal.RetryAfter] = true
+	}
+	assert.Equal(t, len(waits), 20)
+	assert.Equal(t, f.state.Counters.ReturnsPromised, uint64(20))
+}
+
+// Load: an engine in slow start holds an adapter and opens later than a request may wait for it. Guards against a refusal while another engine
+// could load the adapter in time.
+func TestAdapterIsLoadedElsewhereIfASlowStartOpensTooLate(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	f.publishBackend(engine("e1"))
+	f.publishBackend(engine("e2"))
+	f.advance(3 * time.Second)
+	assert.Assert(t, f.state.holdsLease(f.now, "e1") && f.state.holdsLease(f.now, "e2"))
+	f.state.Limits.Adaptive.Start = true
+	f.state.Carriers = Carriers{Count: 10, CountedAt: f.now}
+	key := AdapterKey{Model: "m", Adapter: "a1"}
+	held := f.state.Backends["e1"]
+	*held.residency(key) = Residency{Stage: StageReady, UpdatedAt: f.now}
+	f.state.beginSlowStart(f.now, f.now, held, ramper.ReasonSilent)
+	held.SlowStart.Ramp.Sent(f.now)
+	f.state.Backends["e2"].residency(key).NoSlotReportedAt = f.now
+	f.generate("r", "a1")
+	r := f.state.Requests["r"]
+	assert.Assert(t, r != nil)
+	assert.Equal(t, r.Backend, "e2")
+}
--- a/internal/reducer/ramphold.go
+++ b/internal/reducer/ramphold.go
@@ -36,13 +36,18 @@
 // prefersHeldServer reports whether a request that does not wait yet should wait for a server in slow start, since the adapter would be loaded
 // later on the best other one, or too late.
 func (s *State) prefersHeldServer(now time.Time, r *Request, b *Backend, held heldRequest, delay time.Duration) bool {
-	if held.Servers == 0 || r.Phase == PhaseAwaitingAdapter {
+	if held.Servers == 0 || r.Phase == PhaseAwaitingAdapter || !s.mayWaitForSlowStart(now, r, held) {
 		return false
 	}
 	waits := now.Sub(r.WaitSince) >= r.Route.LatencyTarget/queueWaitDivisor
 	return !waits && held.ReadyIn < s.adapterDelay(now, r, b) || s.loadIsUseless(now, r, b, delay)
 }
 
+// mayWaitForSlowStart reports whether a server in slow start opens in the time that a request may wait for a slot.
+func (s *State) mayWaitForSlowStart(now time.Time, r *Request, held heldRequest) bool {
+	return now.Sub(r.WaitSince)+held.OpensIn <= s.queueLimit(r, r.Route.LatencyTarget/slotWaitDivisor)
+}
+
 // readyDelay returns the expected time until a backend server has the request's adapter, if it needs one.
 func (s *State) readyDelay(now time.Time, r *Request, b *Backend) time.Duration {
 	if r.Adapter.Adapter == "" || !s.isEngine(b) {
@@ -65,7 +70,7 @@
 	}
 	r.Phase = PhaseQueued
 	r.Backend = ""
-	if now.Sub(r.WaitSince)+held.OpensIn <= r.Route.LatencyTarget/slotWaitDivisor {
+	if s.mayWaitForSlowStart(now, r, held) {
 		if r.WaitSince.Equal(now) {
 			s.Counters.SlowStartHeld++
 		}
@@ -77,6 +82,10 @@
 		refuse(s, now, r, ReasonBroken, 0)
 		return
 	}
+	if s.admits() {
+		s.refuseWithPromise(now, r, ReasonNoBackend, held.OpensIn)
+		return
+	}
 	refuse(s, now, r, ReasonNoBackend, min(max(held.OpensIn, defaultRetryAfter), maxRetryAfter))
 }
 
--- a/internal/reducer/retrytime.go
+++ b/internal/reducer/retrytime.go
@@ -24,15 +24,16 @@
 	headroom = 1.7
 )
 
-// refuseWithPromise refuses a request that has not run, and tells its caller to return when capacity is expected.
-func (s *State) refuseWithPromise(now time.Time, r *Request, reason Reason) {
+// refuseWithPromise refuses a request that has not run, and tells its caller to return when capacity is expected, after the given time at the
+// earliest.
+func (s *State) refuseWithPromise(now time.Time, r *Request, reason Reason, earliest time.Duration) {
 	latest := r.Deadline.Sub(now)/returnDivisor - returnMargin
 	if latest <= 0 || r.Route.Name == "" {
 		refuse(s, now, r, reason, defaultRetryAfter)
 		return
 	}
 	a := &s.service(r.Service).Admission
-	expected := s.capacityIn(now, r, reason, latest)
+	expected := max(s.capacityIn(now, r, reason, latest), min(earliest, latest))
 	if r.Admission.Returned {
 		s.Counters.ReturnsRefused++
 	}
