--- a/internal/reducer/account.go
+++ b/internal/reducer/account.go
@@ -157,7 +157,7 @@
 		}
 		if a.trySpend(now, r) {
 			r.Phase = PhaseQueued
-			placeRequest[P](s, now, r)
+			placeArrived[P](s, now, r)
 			continue
 		}
 		if wait <= 0 {
--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -317,9 +317,9 @@
 	return max(usual, r.Deadline.Sub(r.ArrivedAt)/returnDivisor)
 }
 
-// placeArrived places a request that has just arrived, after those that wait for the same service and go before it.
+// placeArrived places a request that has just arrived or got tokens, after those that wait for the same service and go before it.
 func placeArrived[P selector.Policy](s *State, now time.Time, r *Request) {
-	if s.admits() && s.queuedBefore(r) > 0 {
+	if s.holdsOlderRequests(now, r) || s.admits() && s.queuedBefore(r) > 0 {
 		placeQueued[P](s, now)
 		return
 	}
--- a/internal/reducer/admission_test.go
+++ b/internal/reducer/admission_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/selector"
 )
 
 // newAdmissionFixture returns a fixture with engines and the admission control on.
@@ -139,3 +141,30 @@
 	f.reduce(RequestAbandoned{ID: "r"})
 	assert.Equal(t, listed(), 0)
 }
+
+// Load: an account whose request has waited for tokens, while a more urgent one waits for the servers. Guards against a request that goes before
+// others because its account had no tokens at first.
+func TestRequestWithGrantedTokensGoesAfterMoreUrgentOnes(t *testing.T) {
+	f := newFixture(t)
+	f.state.Limits.Adaptive.Admission = true
+	for _, b := range f.state.Backends {
+		f.state.recordNotice(f.now, b, BackendNotice{Backoff: 5 * time.Millisecond})
+	}
+	f.arrive("urgent", "/once/x", "secret")
+	assert.Equal(t, f.state.Requests["urgent"].Phase, PhaseQueued)
+	f.state.Requests["urgent"].Priority = 0
+	granted := *f.state.Requests["urgent"]
+	granted.ID, granted.Priority, granted.Phase, granted.QuotaCost = "granted", 1, PhaseAwaitingTokens, 1
+	f.state.Requests[granted.ID] = &granted
+	f.now = f.now.Add(6 * time.Millisecond)
+	account := f.state.account(f.now, "acme")
+	account.Level, account.Waiting = 5, []string{granted.ID}
+	admitWaiting[selector.LeastDelay](f.state, f.now, account, 0)
+	var sent []string
+	for _, e := range f.state.flush(f.now) {
+		if d, ok := e.(Dispatch); ok {
+			sent = append(sent, d.ID)
+		}
+	}
+	assert.DeepEqual(t, sent, []string{"urgent", "granted"})
+}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -50,10 +50,6 @@
 		r.Phase = PhaseAwaitingTokens
 		return
 	}
-	if s.holdsOlderRequests(now, r) {
-		placeQueued[P](s, now)
-		return
-	}
 	placeArrived[P](s, now, r)
 }
 
--- a/internal/reducer/where.go
+++ b/internal/reducer/where.go
@@ -140,7 +140,7 @@
 	if r, ok := trial.Requests[whereRequest]; ok && r.Phase == PhaseAwaitingTokens {
 		w.WaitsForTokens = true
 		r.Phase = PhaseQueued
-		placeRequest[P](trial, now, r)
+		placeArrived[P](trial, now, r)
 	}
 	w.decide(trial)
 	s.emit(WhereResponse{ReplyID: e.ReplyID, Where: w})
