--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -1,6 +1,8 @@
 package admitter
 
 import (
+	"math"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -184,3 +186,25 @@
 		}
 	}
 }
+
+// Load: many requests of all kinds wait at once. Guards against two orders for the same requests: one by one, and all together, which has to stay
+// cheap with thousands.
+func TestAllHasTheOrderOfNext(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var one, all Queue[int, Fair]
+	for i := range 300 {
+		w := Waiting[int]{
+			Key: i, Priority: random.IntN(3), Returned: random.IntN(4) == 0, InTime: random.IntN(2) == 0, Deficit: 2 - float64(random.IntN(5)),
+			Cost: float64(1 + random.IntN(5)), FirstAt: start.Add(-time.Duration(random.IntN(5)) * 100 * time.Millisecond), Target: time.Second,
+			Deadline: start.Add(5 * time.Second),
+		}
+		one.Push(w)
+		all.Push(w)
+	}
+	for _, key := range all.All(start) {
+		next, ok := one.Next(start, math.Inf(1))
+		assert.Assert(t, ok)
+		assert.Equal(t, key, next)
+	}
+	assert.Equal(t, len(one.Items)+len(all.Items), 0)
+}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -62,6 +63,18 @@
 	return key, true
 }
 
+// All removes and returns all requests in the order in which Next returns those that fit.
+func (q *Queue[K, P]) All(now time.Time) []K {
+	var policy P
+	slices.SortStableFunc(q.Items, func(a, b Waiting[K]) int { return policy.Compare(now, a.terms(), b.terms()) })
+	keys := make([]K, len(q.Items))
+	for i := range q.Items {
+		keys[i] = q.Items[i].Key
+	}
+	q.Items = nil
+	return keys
+}
+
 func (w Waiting[K]) terms() Terms {
 	return Terms{
 		Priority: w.Priority, Returned: w.Returned, InTime: w.InTime, Deficit: w.Deficit, Cost: w.Cost, FirstAt: w.FirstAt, Target: w.Target,
--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -237,10 +237,15 @@
 	if !s.lacksAdapter(now, r, b) {
 		return false
 	}
-	for _, other := range s.Requests {
-		if other.Phase == PhaseAwaitingAdapter && other.Backend == b.Info.ID && other.Adapter != r.Adapter && other.Priority <= r.Priority &&
-			!other.Admission.Late && now.Sub(other.ArrivedAt) < other.Route.LatencyTarget {
-			return true
+	for key, adapter := range b.Adapters {
+		if key == r.Adapter {
+			continue
+		}
+		for _, id := range adapter.Waiting {
+			other, ok := s.Requests[id]
+			if ok && other.Priority <= r.Priority && !other.Admission.Late && now.Sub(other.ArrivedAt) < other.Route.LatencyTarget {
+				return true
+			}
 		}
 	}
 	return false
@@ -339,22 +344,26 @@
 
 // orderQueued returns the waiting requests in the order in which they get capacity.
 func (s *State) orderQueued(now time.Time, queued []*Request) []*Request {
-	var queue admitter.Queue[*Request, admitter.Fair]
+	queue := admitter.Queue[*Request, admitter.Fair]{Items: make([]admitter.Waiting[*Request], 0, len(queued))}
+	deficits := map[serviceShare]float64{}
 	for _, r := range queued {
-		shares := &s.service(r.Service).Admission.Shares
+		share := serviceShare{r.Service, admitter.ShareKey{Account: r.Account, Priority: r.Priority}}
+		deficit, known := deficits[share]
+		if !known {
+			deficit = s.service(r.Service).Admission.Shares.Deficit(now, r.Account, r.Priority)
+			deficits[share] = deficit
+		}
 		queue.Push(admitter.Waiting[*Request]{
 			Key: r, Priority: s.raisedPriority(now, r), Returned: r.Admission.Returned,
 			InTime:  now.Sub(r.Admission.FirstAt) < r.Route.LatencyTarget,
-			Deficit: shares.Deficit(now, r.Account, r.Priority), Cost: r.cost(), FirstAt: r.Admission.FirstAt, Target: r.Route.LatencyTarget,
-			Deadline: r.Deadline,
+			Deficit: deficit, Cost: r.cost(), FirstAt: r.Admission.FirstAt, Target: r.Route.LatencyTarget, Deadline: r.Deadline,
 		})
 	}
-	ordered := make([]*Request, 0, len(queued))
-	for {
-		r, ok := queue.Next(now, math.Inf(1))
-		if !ok {
-			return ordered
-		}
-		ordered = append(ordered, r)
-	}
+	return queue.All(now)
+}
+
+// serviceShare is an account at one priority of a service.
+type serviceShare struct {
+	Service string
+	Share   admitter.ShareKey
 }
