--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -208,3 +208,14 @@
 	}
 	assert.Equal(t, len(one.Items)+len(all.Items), 0)
 }
+
+// Load: callers with a few milliseconds left. Guards against a time of return in the past.
+func TestReturnIsNeverInThePast(t *testing.T) {
+	for offset := range time.Duration(8) {
+		var r Returns[int]
+		for i := range 4 {
+			wait := r.Promise(start.Add(offset*time.Millisecond), i, Return{}, time.Second, time.Millisecond)
+			assert.Check(t, wait >= 0 && wait <= time.Millisecond, "%v", wait)
+		}
+	}
+}
--- a/internal/admitter/deadlines.go
+++ b/internal/admitter/deadlines.go
@@ -1,7 +1,9 @@
 package admitter
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -43,14 +45,14 @@
 		return
 	}
 	d.Total = 0
-	for class, count := range d.Counts {
-		if count /= 2; count < unknownCount {
+	// Rounding depends on the order of the sum, which must be the same for the same counts.
+	for _, class := range slices.Sorted(maps.Keys(d.Counts)) {
+		count := d.Counts[class] / 2
+		if count < unknownCount {
 			delete(d.Counts, class)
 			continue
 		}
 		d.Counts[class] = count
-	}
-	for _, count := range d.Counts {
 		d.Total += count
 	}
 }
--- a/internal/admitter/returns.go
+++ b/internal/admitter/returns.go
@@ -50,7 +50,7 @@
 	slot := r.freeSlot(now, first, last)
 	refused.slot = slot
 	refused.PromisedAt = now
-	refused.DueAt = now.Add(min(time.Duration(slot*int64(returnSlot)-now.UnixNano()), latest))
+	refused.DueAt = now.Add(min(max(time.Duration(slot*int64(returnSlot)-now.UnixNano()), 0), latest))
 	refused.Refusals++
 	if r.Promises == nil {
 		r.Promises, r.Slots = map[K]*Return{}, map[int64]bool{}
