--- a/internal/reducer/ramp_test.go
+++ b/internal/reducer/ramp_test.go
@@ -153,3 +153,18 @@
 	assert.Assert(t, r != nil)
 	assert.Equal(t, r.Backend, "e2")
 }
+
+// Load: the setting selects the slow start while requests run. Guards against their answers, for which no expected time is known, counting as late
+// at the lease holder.
+func TestAnswersToRequestsOfBeforeTheSettingAreNotLate(t *testing.T) {
+	f := newFixture(t)
+	answered := must[Dispatch](t, f.arrive("1", "/safe/x", "secret"))
+	unanswered := must[Dispatch](t, f.arrive("2", "/safe/x", "secret"))
+	f.state.Limits.Adaptive.Start = true
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.reduce(ResponseStarted{ID: "1", Attempt: answered.Attempt, Latency: 10 * time.Millisecond})
+	f.reduce(RequestAbandoned{ID: "2"})
+	for _, d := range []Dispatch{answered, unanswered} {
+		assert.Equal(t, f.state.Backends[d.Backend].SlowStart.SlowAnswers, 0)
+	}
+}
--- a/internal/reducer/rampanswer.go
+++ b/internal/reducer/rampanswer.go
@@ -46,7 +46,7 @@
 	}
 	b.SlowStart.Awaiting--
 	b.SlowStart.AnsweredAt = now
-	if !s.Limits.Adaptive.Start {
+	if !s.Limits.Adaptive.Start || r.LateAfter == 0 {
 		return
 	}
 	b.SlowStart.Answers++
@@ -84,7 +84,7 @@
 // recordUnanswered records the end of an attempt whose first response has not come.
 func (s *State) recordUnanswered(now time.Time, b *Backend, r *Request) {
 	b.SlowStart.Awaiting--
-	if s.Limits.Adaptive.Start && now.Sub(r.SentAt) > r.LateAfter {
+	if s.Limits.Adaptive.Start && r.LateAfter > 0 && now.Sub(r.SentAt) > r.LateAfter {
 		b.SlowStart.Answers++
 		s.recordLate(now, b, r)
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -299,7 +299,7 @@
 	// TriedBackends holds the backend servers at which an attempt failed for another reason than an absent adapter.
 	TriedBackends []string
 	SentAt        time.Time
-	// LateAfter is the time after SentAt from which the first response counts as late.
+	// LateAfter is the time after SentAt from which the first response counts as late; 0 if the request was sent without the slow start.
 	LateAfter time.Duration
 	// RespondedAt is when the response of the present attempt began; zero before.
 	RespondedAt time.Time
