--- a/internal/reducer/where_test.go
+++ b/internal/reducer/where_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -96,3 +97,38 @@
 		assert.Equal(t, c.ServiceRate, f.state.prefillRate(f.now, f.state.Backends[c.Backend]), c.Backend)
 	}
 }
+
+// Guards against state that a trial on a copy would change in the original, since the copy shares what is behind unexported fields.
+func TestCopyOfTheStateSharesNoUnexportedField(t *testing.T) {
+	seen := map[reflect.Type]bool{reflect.TypeFor[time.Time](): true}
+	var check func(typ reflect.Type, path string)
+	check = func(typ reflect.Type, path string) {
+		if seen[typ] {
+			return
+		}
+		seen[typ] = true
+		switch typ.Kind() {
+		case reflect.Pointer, reflect.Slice, reflect.Array:
+			check(typ.Elem(), path)
+		case reflect.Map:
+			check(typ.Elem(), path)
+		case reflect.Struct:
+			for i := range typ.NumField() {
+				field := typ.Field(i)
+				name := path + "." + field.Name
+				switch kind := field.Type.Kind(); kind {
+				case reflect.Pointer, reflect.Slice, reflect.Map, reflect.Struct:
+					assert.Check(t, field.IsExported() || kind == reflect.Struct && field.Type.Comparable(), name)
+				}
+				check(field.Type, name)
+			}
+		}
+	}
+	// trialState replaces the unexported fields of the state itself.
+	state := reflect.TypeFor[State]()
+	for i := range state.NumField() {
+		if field := state.Field(i); field.IsExported() {
+			check(field.Type, field.Name)
+		}
+	}
+}
