--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -1,6 +1,8 @@
 package admitter
 
 import (
+	"math"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -163,7 +165,7 @@
 	for i := range 3 * maxReturns {
 		r.Promise(start.Add(time.Second), 1000+i, Return{}, time.Second, 2*time.Second)
 	}
-	assert.Check(t, len(r.Promises) <= maxReturns && len(r.oldest) <= maxReturns)
+	assert.Check(t, len(r.Promises) <= maxReturns && len(r.Oldest) <= maxReturns)
 	_, _, ok = r.Due(start.Add(time.Second), 0)
 	assert.Check(t, !ok, "the oldest promise is dropped first")
 }
@@ -184,3 +186,36 @@
 		}
 	}
 }
+
+// Load: many requests of all kinds wait at once. Guards against two orders for the same requests: one by one, and all together, which has to stay
+// cheap with thousands.
+func TestAllHasTheOrderOfNext(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var one, all Queue[int, Fair]
+	for i := range 300 {
+		w := Waiting[int]{
+			Key: i, Priority: random.IntN(3), Returned: random.IntN(4) == 0, InTime: random.IntN(2) == 0, Deficit: 2 - float64(random.IntN(5)),
+			Cost: float64(1 + random.IntN(5)), FirstAt: start.Add(-time.Duration(random.IntN(5)) * 100 * time.Millisecond), Target: time.Second,
+			Deadline: start.Add(5 * time.Second),
+		}
+		one.Push(w)
+		all.Push(w)
+	}
+	for _, key := range all.All(start) {
+		next, ok := one.Next(start, math.Inf(1))
+		assert.Assert(t, ok)
+		assert.Equal(t, key, next)
+	}
+	assert.Equal(t, len(one.Items)+len(all.Items), 0)
+}
+
+// Load: callers with a few milliseconds left. Guards against a time of return in the past.
+func TestReturnIsNeverInThePast(t *testing.T) {
+	for offset := range time.Duration(8) {
+		var r Returns[int]
+		for i := range 4 {
+			wait := r.Promise(start.Add(offset*time.Millisecond), i, Return{}, time.Second, time.Millisecond)
+			assert.Check(t, wait >= 0 && wait <= time.Millisecond, "%v", wait)
+		}
+	}
+}
--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -155,7 +155,7 @@
 	if !s.admits() || r.Attempt > 0 || len(candidates) == 0 {
 		return candidates, false
 	}
-	best, reason := time.Duration(math.MaxInt64), ReasonNone
+	best, first := time.Duration(math.MaxInt64), s.Backends[candidates[0].Backend]
 	share := s.aheadShare(now, r)
 	r.Admission.Late = true
 	for _, c := range candidates {
@@ -163,8 +163,7 @@
 		expected, ahead := s.expectedResponse(now, b, c.Delay, share)
 		late := s.wouldMissTarget(now, r, b, expected)
 		if expected < best {
-			best, reason = expected, s.missingOn(now, r, b)
-			r.Admission.Expected = expected
+			best, first = expected, b
 		}
 		if now.Add(expected).After(r.lastStart()) || late && s.yields(now, r, b, expected, ahead) {
 			continue
@@ -172,11 +171,16 @@
 		r.Admission.Late = r.Admission.Late && late
 		left = append(left, c)
 	}
+	r.Admission.Expected = best
 	if len(left) > 0 {
 		return left, false
 	}
 	s.stopWaiting(r)
 	r.Phase = PhaseQueued
+	reason := ReasonFull
+	if s.lacksAdapter(now, r, first) {
+		r.Backend, reason = first.Info.ID, ReasonNotLoaded
+	}
 	s.refuseUnplaced(now, r, reason)
 	return nil, true
 }
@@ -186,15 +190,6 @@
 	return r.Deadline.Add(-r.Deadline.Sub(r.ArrivedAt) / answerDivisor)
 }
 
-// missingOn returns the reason for refusing a request that a server can not take in time.
-func (s *State) missingOn(now time.Time, r *Request, b *Backend) Reason {
-	if s.lacksAdapter(now, r, b) {
-		r.Backend = b.Info.ID
-		return ReasonNotLoaded
-	}
-	return ReasonFull
-}
-
 // lacksAdapter reports whether a request's adapter must be loaded on a server first.
 func (s *State) lacksAdapter(now time.Time, r *Request, b *Backend) bool {
 	engine := s.engineOf(b)
@@ -242,10 +237,15 @@
 	if !s.lacksAdapter(now, r, b) {
 		return false
 	}
-	for _, other := range s.Requests {
-		if other.Phase == PhaseAwaitingAdapter && other.Backend == b.Info.ID && other.Adapter != r.Adapter && other.Priority <= r.Priority &&
-			!other.Admission.Late && now.Sub(other.ArrivedAt) < other.Route.LatencyTarget {
-			return true
+	for key, adapter := range b.Adapters {
+		if key == r.Adapter {
+			continue
+		}
+		for _, id := range adapter.Waiting {
+			other, ok := s.Requests[id]
+			if ok && other.Priority <= r.Priority && !other.Admission.Late && now.Sub(other.ArrivedAt) < other.Route.LatencyTarget {
+				return true
+			}
 		}
 	}
 	return false
@@ -322,9 +322,9 @@
 	return max(usual, r.Deadline.Sub(r.ArrivedAt)/returnDivisor)
 }
 
-// placeArrived places a request that has just arrived, after those that wait for the same service and go before it.
+// placeArrived places a request that has just arrived or got tokens, after those that wait for the same service and go before it.
 func placeArrived[P selector.Policy](s *State, now time.Time, r *Request) {
-	if s.admits() && s.queuedBefore(r) > 0 {
+	if s.holdsOlderRequests(now, r) || s.admits() && s.queuedBefore(r) > 0 {
 		placeQueued[P](s, now)
 		return
 	}
@@ -344,22 +344,26 @@
 
 // orderQueued returns the waiting requests in the order in which they get capacity.
 func (s *State) orderQueued(now time.Time, queued []*Request) []*Request {
-	var queue admitter.Queue[*Request, admitter.Fair]
+	queue := admitter.Queue[*Request, admitter.Fair]{Items: make([]admitter.Waiting[*Request], 0, len(queued))}
+	deficits := map[serviceShare]float64{}
 	for _, r := range queued {
-		shares := &s.service(r.Service).Admission.Shares
+		share := serviceShare{r.Service, admitter.ShareKey{Account: r.Account, Priority: r.Priority}}
+		deficit, known := deficits[share]
+		if !known {
+			deficit = s.service(r.Service).Admission.Shares.Deficit(now, r.Account, r.Priority)
+			deficits[share] = deficit
+		}
 		queue.Push(admitter.Waiting[*Request]{
 			Key: r, Priority: s.raisedPriority(now, r), Returned: r.Admission.Returned,
 			InTime:  now.Sub(r.Admission.FirstAt) < r.Route.LatencyTarget,
-			Deficit: shares.Deficit(now, r.Account, r.Priority), Cost: r.cost(), FirstAt: r.Admission.FirstAt, Target: r.Route.LatencyTarget,
-			Deadline: r.Deadline,
+			Deficit: deficit, Cost: r.cost(), FirstAt: r.Admission.FirstAt, Target: r.Route.LatencyTarget, Deadline: r.Deadline,
 		})
 	}
-	ordered := make([]*Request, 0, len(queued))
-	for {
-		r, ok := queue.Next(now, math.Inf(1))
-		if !ok {
-			return ordered
-		}
-		ordered = append(ordered, r)
-	}
+	return queue.All(now)
+}
+
+// serviceShare is an account at one priority of a service.
+type serviceShare struct {
+	Service string
+	Share   admitter.ShareKey
 }
