Don't interrupt a request on a shared connection after its handler has ended

A request that was chosen to be dropped could end before it was interrupted; the HTTP library's writer then has no stream, and the panic ended the process if the connection was accepted by the accept loop.

--- a/internal/listener/body.go
+++ b/internal/listener/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 
@@ -109,8 +110,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := clientOf(r)
 		if r.ProtoMajor >= 2 {
-			c = g.sharedClient(class, w, r)
-			defer g.close(c)
+			var end func()
+			c, end = g.sharedClient(class, w, r)
+			defer end()
 		}
 		defer c.endRequest()
 		if r.Body != http.NoBody {
@@ -135,12 +137,36 @@
 	return false
 }
 
-// sharedClient returns the client of one request on a connection that several requests share.
-func (g *Guard) sharedClient(class budgeter.Class, w http.ResponseWriter, r *http.Request) *client {
-	c := &client{guard: g, class: class, name: r.RemoteAddr}
-	c.interruptRead = func() { _ = http.NewResponseController(w).SetReadDeadline(pastTime) }
+// sharedClient returns the client of one request on a connection that several requests share, and the function that removes it as the handler ends.
+func (g *Guard) sharedClient(class budgeter.Class, w http.ResponseWriter, r *http.Request) (c *client, end func()) {
+	c = &client{guard: g, class: class, name: r.RemoteAddr}
+	interrupter := &requestInterrupter{controller: http.NewResponseController(w)}
+	c.interruptRead = interrupter.interrupt
 	g.openRequest(c)
-	return c
+	return c, func() {
+		interrupter.end()
+		g.close(c)
+	}
+}
+
+// requestInterrupter makes the reads of a request's body fail until its handler ends, after which the HTTP library's writer must not be used.
+type requestInterrupter struct {
+	mutex      sync.Mutex
+	controller *http.ResponseController
+}
+
+func (i *requestInterrupter) interrupt() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.controller != nil {
+		_ = i.controller.SetReadDeadline(pastTime)
+	}
+}
+
+func (i *requestInterrupter) end() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.controller = nil
 }
 
 // budgetedBody takes the bytes of a body from the budget before it reads them.
--- a/internal/listener/guard_test.go
+++ b/internal/listener/guard_test.go
@@ -235,6 +235,32 @@
 	waitUntilReturned(t, g)
 }
 
+// Guards against a panic that ends the process when a request on a shared connection is dropped while its handler ends.
+func TestRequestThatHasEndedCanBeInterrupted(t *testing.T) {
+	g := newGuard(1 << 20)
+	socket, err := g.Listen(budgeter.ClassPeers, "127.0.0.1:0")
+	assert.NilError(t, err)
+	clients := make(chan *client, 1)
+	server := g.OtherServer(budgeter.ClassPeers, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		clients <- r.Body.(*budgetedBody).client
+	}))
+	go func() { _ = server.Serve(socket) }()
+	defer func() { _ = server.Close() }()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+socket.Addr().String(), strings.NewReader("abc"))
+	assert.NilError(t, err)
+	resp, err := transport.RoundTrip(request)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	ended := <-clients
+	time.Sleep(50 * time.Millisecond)
+	ended.interrupt()
+}
+
 // Guards against first bytes of a connection that end the server, keep a connection or bytes, or are read beyond the limit.
 func FuzzFirstBytes(f *testing.F) {
 	for _, seed := range []string{
