Bound the rest of a refused body, and charge heads for what has arrived

After a refusal before the end of a body the HTTP library waits for up to 256 KiB of the rest without a time limit. The connection counted as running or as closing meanwhile, so neither the bound on connections nor the budget could end it. A head that arrived in small parts was charged three times the library's buffer for each part, up to 12 KiB, so a legal head of some hundred parts was dropped.

--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -128,6 +128,7 @@
 		refusal.RetryAfter = callerMemoryRetryAfter
 		sink.writer.Header().Set("Connection", "close")
 	}
+	sink.client.limitRest()
 	sink.Refuse(refusal)
 	if !c.Control.Post(shed) {
 		c.Control.Shed(clocker.Now(), shed)
--- a/internal/listener/client.go
+++ b/internal/listener/client.go
@@ -27,7 +27,8 @@
 	headSlack = 4 << 10
 	// writePieceSize is the size in bytes of the pieces in which responses are written, after each of which progress is counted.
 	writePieceSize = 64 << 10
-	// lingerTime and maxLingerBytes bound what is read of a head that is too long after it was answered.
+	// lingerTime and maxLingerBytes bound what is read of a head that is too long after it was answered; lingerTime also bounds the reading of a body
+	// whose request was refused.
 	lingerTime     = 500 * time.Millisecond
 	maxLingerBytes = 256 << 10
 )
@@ -113,6 +114,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.headBytes += n
+	c.guard.give(c, int64(len(p)-n)*headFactor)
 	c.guard.moved(c, n)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.guard.rejectHead(c, "too_slow")
@@ -225,6 +227,13 @@
 	}
 }
 
+// limitRest bounds the time for which the HTTP library reads what the handler has left of the body: the connection cannot be dropped meanwhile.
+func (c *client) limitRest() {
+	if c != nil {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	}
+}
+
 // pastTime is a deadline that makes reads fail at once.
 var pastTime = time.Unix(1, 0)
 
--- /dev/null
+++ b/internal/listener/client_test.go
@@ -0,0 +1,65 @@
+package listener
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/internal/reducer"
+)
+
+// Guards against connections that stay open, and cannot be dropped, since the HTTP library waits for the rest of a body that the handler did not read.
+func TestRefusedRequestDoesNotKeepItsConnection(t *testing.T) {
+	callers := callersWithFullMailbox(&bytes.Buffer{})
+	for _, c := range []struct {
+		framing, status string
+		reason          reducer.Reason
+	}{
+		{"Content-Length: 1000\r\n\r\nabc", "400", reducer.ReasonBadRequest},
+		{"Transfer-Encoding: chunked\r\n\r\n3\r\nabc", "503", reducer.ReasonCallerMemory},
+	} {
+		g := newGuard(1 << 20)
+		address := serveCallers(t, g, func(w http.ResponseWriter, r *http.Request) {
+			defer clientOf(r).endRequest()
+			callers.shed(&Sink{writer: w, client: clientOf(r)}, reducer.RequestShed{Reason: c.reason})
+		})
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\n"+c.framing)
+		assert.NilError(t, err)
+		buffer := make([]byte, 12)
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err = io.ReadFull(conn, buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buffer), "HTTP/1.1 "+c.status)
+		waitUntilReturned(t, g)
+		assert.NilError(t, conn.Close())
+	}
+}
+
+// Guards against a head that is charged for the HTTP library's whole buffer each time some bytes of it arrive.
+func TestHeadInSmallPartsHoldsItsOwnSize(t *testing.T) {
+	g := newGuard(1 << 20)
+	held := make(chan int64, 1)
+	address := serveCallers(t, g, func(http.ResponseWriter, *http.Request) { held <- g.Status().HeldBytes })
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	head := "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX: " + strings.Repeat("x", 150) + "\r\n\r\n"
+	for i := range head {
+		_, err := io.WriteString(conn, head[i:i+1])
+		assert.NilError(t, err)
+		time.Sleep(200 * time.Microsecond)
+	}
+	_, err = io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, len(held) == 1, "the connection was closed before its head had arrived")
+	assert.Assert(t, <-held <= int64(connectionBytes+headFactor*len(head)))
+	assert.NilError(t, conn.Close())
+	waitUntilReturned(t, g)
+}
