Don't drop other hosts and operators for the bodies of callers

With many accounts the hosts' connections together hold more than an equal share, and each holds more than a small body, so idle ones went first. They stay now while they hold less than a quarter of the budget.

--- a/internal/budgeter/budget.go
+++ b/internal/budgeter/budget.go
@@ -16,6 +16,8 @@
 	// that there is no memory.
 	requestNumerator   = 7
 	requestDenominator = 8
+	// keptDenominator gives the part of the budget that operators, and as much that other hosts, may hold without being dropped for others.
+	keptDenominator = 4
 	// maxClosing is the number of connections of a class that may be closing beyond its bound.
 	maxClosing = 32
 )
--- a/internal/budgeter/client.go
+++ b/internal/budgeter/client.go
@@ -9,7 +9,7 @@
 // Class is the kind of clients that one address of a host serves.
 type Class uint8
 
-// Classes of clients; ClassCount is their number.
+// Classes of clients; ClassCount is their number. Those from ClassOperators on belong to the operators' own machines.
 const (
 	ClassCallers Class = iota
 	ClassDirectory
--- a/internal/budgeter/victim.go
+++ b/internal/budgeter/victim.go
@@ -47,11 +47,18 @@
 // The client with the given key counts with the bytes that it asks for.
 func (b *Budget[K]) weakest(now time.Time, key K, size int64, group string) (victim K, ok bool) {
 	share := b.Limits.Bytes / int64(max(len(b.Groups), 1))
-	above := func(c *Client) bool { return inScope(c, group) && c.CanBeDropped() && b.Groups[c.Group] >= share }
+	class := b.Clients[key].Class
+	candidate := func(c *Client) bool { return inScope(c, group) && c.CanBeDropped() && !b.isKeptFrom(class, c) }
+	above := func(c *Client) bool { return candidate(c) && b.Groups[c.Group] >= share }
 	if victim, ok = b.weakestOf(now, key, size, above); ok {
 		return victim, true
 	}
-	return b.weakestOf(now, key, size, func(c *Client) bool { return inScope(c, group) && c.CanBeDropped() })
+	return b.weakestOf(now, key, size, candidate)
+}
+
+// isKeptFrom reports whether a client does not pay for a class: callers do not make the host drop operators and other hosts that hold little together.
+func (b *Budget[K]) isKeptFrom(class Class, c *Client) bool {
+	return class < ClassOperators && c.Class >= ClassOperators && b.Groups[c.Group] < b.Limits.Bytes/keptDenominator
 }
 
 func (b *Budget[K]) weakestOf(now time.Time, key K, size int64, isCandidate func(c *Client) bool) (victim K, ok bool) {
