--- a/internal/listener/body.go
+++ b/internal/listener/body.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// bodyStepSize is the size in bytes of the parts in which a body is read and kept; a body of unknown length begins with firstStepSize.
+	// bodyStepSize is the size in bytes of the parts in which a body is read and kept; a body of unknown length begins with firstStepSize, and its parts
+	// double, so that a small one does not hold a whole part.
 	bodyStepSize  = 64 << 10
 	firstStepSize = 4 << 10
 	// peerBodyFactor is the number of bytes that are held for each byte of a call, whose buffers double as they grow.
@@ -76,7 +77,7 @@
 		if err != nil {
 			return nil, err
 		}
-		size = bodyStepSize
+		size = min(2*size, bodyStepSize)
 	}
 }
 
--- a/internal/listener/client_test.go
+++ b/internal/listener/client_test.go
@@ -63,3 +63,22 @@
 	assert.NilError(t, conn.Close())
 	waitUntilReturned(t, g)
 }
+
+// Guards against a chunked body of the usual size that is charged for a whole part, so that some hundred of them use up the memory of a small host.
+func TestSmallChunkedBodyHoldsLittle(t *testing.T) {
+	const size = 9000
+	g := newGuard(1 << 20)
+	held := make(chan int64, 1)
+	address := serveCallers(t, g, func(w http.ResponseWriter, r *http.Request) {
+		defer clientOf(r).endRequest()
+		_, reason := readSegments(clientOf(r), w, r, 1<<20)
+		assert.Check(t, reason == reducer.ReasonNone)
+		held <- g.Status().HeldBytes
+	})
+	resp, err := http.Post("http://"+address, "text/plain", io.MultiReader(strings.NewReader(strings.Repeat("x", size))))
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Assert(t, <-held <= connectionBytes+2*size)
+	http.DefaultClient.CloseIdleConnections()
+	waitUntilReturned(t, g)
+}
