--- a/internal/budgeter/budget.go
+++ b/internal/budgeter/budget.go
@@ -37,13 +37,16 @@
 	// Held is the number of bytes that all clients hold, and Groups those by group.
 	Held   int64
 	Groups map[string]int64
+	// Ending is the part of Held of the dropped clients, and EndingGroups that by group.
+	Ending       int64
+	EndingGroups map[string]int64
 	// Connections is the number of open connections by class, and Closing that of the dropped ones among them.
 	Connections, Closing [ClassCount]int
 }
 
 // New returns an empty budget.
 func New[K comparable](limits Limits) *Budget[K] {
-	return &Budget[K]{Limits: limits, Clients: map[K]*Client{}, Groups: map[string]int64{}}
+	return &Budget[K]{Limits: limits, Clients: map[K]*Client{}, Groups: map[string]int64{}, EndingGroups: map[string]int64{}}
 }
 
 // Answer is the decision on bytes that a client needs.
@@ -222,15 +225,29 @@
 func (b *Budget[K]) hold(c *Client, size int64) {
 	c.Held += size
 	b.Held += size
-	b.Groups[c.Group] += size
-	if b.Groups[c.Group] == 0 {
-		delete(b.Groups, c.Group)
+	addTo(b.Groups, c.Group, size)
+	if c.Dropped {
+		b.addEnding(c.Group, size)
+	}
+}
+
+func (b *Budget[K]) addEnding(group string, size int64) {
+	b.Ending += size
+	addTo(b.EndingGroups, group, size)
+}
+
+// addTo adds bytes to a group, which is removed once it has none.
+func addTo(groups map[string]int64, group string, size int64) {
+	groups[group] += size
+	if groups[group] == 0 {
+		delete(groups, group)
 	}
 }
 
 func (b *Budget[K]) drop(key K) {
 	c := b.Clients[key]
 	c.Dropped = true
+	b.addEnding(c.Group, c.Held)
 	if c.Connection {
 		b.Closing[c.Class]++
 	}
--- a/internal/budgeter/budget_test.go
+++ b/internal/budgeter/budget_test.go
@@ -189,6 +189,7 @@
 		}
 		assert.Equal(t, b.Held, int64(0))
 		assert.Equal(t, len(b.Groups), 0)
+		assert.Equal(t, len(b.EndingGroups), 0)
 		assert.Equal(t, b.Connections, [ClassCount]int{})
 		assert.Equal(t, b.Closing, [ClassCount]int{})
 	}
@@ -225,15 +226,25 @@
 
 func checkSums(t *testing.T, b *Budget[string]) {
 	t.Helper()
-	var held int64
+	var held, ending int64
 	groups, connections := map[string]int64{}, [ClassCount]int{}
 	for _, c := range b.Clients {
 		assert.Assert(t, c.Held >= c.Base)
 		held += c.Held
+		if c.Dropped {
+			ending += c.Held
+		}
 		groups[c.Group] += c.Held
 		connections[c.Class]++
 	}
 	assert.Equal(t, b.Held, held)
+	assert.Equal(t, b.Ending, ending)
+	var endingGroups int64
+	for _, size := range b.EndingGroups {
+		assert.Assert(t, size > 0)
+		endingGroups += size
+	}
+	assert.Equal(t, endingGroups, ending)
 	assert.Assert(t, held <= testLimit+clientsOfStep*baseOfStep)
 	assert.DeepEqual(t, b.Groups, groups)
 	assert.Equal(t, b.Connections, connections)
--- a/internal/budgeter/victim.go
+++ b/internal/budgeter/victim.go
@@ -16,13 +16,11 @@
 // dropFor drops clients until those that are ending give back the missing bytes. It reports enough as false if the client itself is the weakest, or
 // no client can be dropped.
 func (b *Budget[K]) dropFor(now time.Time, key K, size, missing int64, group string) (victims []K, enough bool) {
-	ending := b.ending(group)
-	for ending < missing {
+	for b.ending(group) < missing {
 		victim, ok := b.weakest(now, key, size, group)
 		if !ok || victim == key {
 			return victims, false
 		}
-		ending += b.Clients[victim].Held
 		b.drop(victim)
 		victims = append(victims, victim)
 	}
@@ -31,13 +29,10 @@
 
 // ending returns the bytes that dropped clients of a group still hold.
 func (b *Budget[K]) ending(group string) int64 {
-	var held int64
-	for _, c := range b.Clients {
-		if c.Dropped && inScope(c, group) {
-			held += c.Held
-		}
+	if group == anyGroup {
+		return b.Ending
 	}
-	return held
+	return b.EndingGroups[group]
 }
 
 func inScope(c *Client, group string) bool { return group == anyGroup || c.Group == group }
