--- a/internal/listener/client_test.go
+++ b/internal/listener/client_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // Guards against connections that stay open, and cannot be dropped, since the HTTP library waits for the rest of a body that the handler did not read.
@@ -82,3 +83,14 @@
 	http.DefaultClient.CloseIdleConnections()
 	waitUntilReturned(t, g)
 }
+
+// Guards against a published limit on heads that does not take effect, since the HTTP library has a lower one.
+func TestPublishedLimitOnHeadsMayExceedTheDefault(t *testing.T) {
+	g := newGuard(4 << 20)
+	g.Published = func() cataloguer.CallerLimits { return cataloguer.CallerLimits{MaxHeaderBytes: 2 * maxHeaderBytes} }
+	address := serveCallers(t, g, func(http.ResponseWriter, *http.Request) {})
+	head := "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX: " + strings.Repeat("x", 3*maxHeaderBytes/2) + "\r\n\r\n"
+	response := exchange(t, address, []byte(head))
+	assert.Assert(t, strings.HasPrefix(response, "HTTP/1.1 200"), "%.40q", response)
+	waitUntilReturned(t, g)
+}
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -12,10 +12,12 @@
 // Bounds on the clients of a host until a catalogue is known, and on those of the addresses for which none are published.
 const (
 	// defaultMaxBody is the limit in bytes on request bodies until a catalogue is applied.
-	defaultMaxBody    = 4 << 20
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
-	callerIdleTimeout = 2 * time.Minute
+	defaultMaxBody = 4 << 20
+	maxHeaderBytes = 64 << 10
+	// maxPublishedHeaderBytes is the largest published limit on heads that takes effect.
+	maxPublishedHeaderBytes = 1 << 20
+	readHeaderTimeout       = 10 * time.Second
+	callerIdleTimeout       = 2 * time.Minute
 	// maxOtherHeaderBytes is the limit on heads at the other addresses.
 	maxOtherHeaderBytes = 16 << 10
 	otherReadTimeout    = 5 * time.Second
@@ -78,7 +80,7 @@
 // CallerServer returns the server of the callers; limits that are published later take effect without a restart.
 func (g *Guard) CallerServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: handler, MaxHeaderBytes: maxPublishedHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		ConnState: g.connState, ConnContext: withClient,
 	}
 }
