--- a/internal/listener/client_test.go
+++ b/internal/listener/client_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingpick/redwingpick/internal/budgeter"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
@@ -94,3 +95,23 @@
 	assert.Assert(t, strings.HasPrefix(response, "HTTP/1.1 200"), "%.40q", response)
 	waitUntilReturned(t, g)
 }
+
+// Guards against connections that stay open beyond the bound: one whose request was dropped does not count, and cannot be dropped again.
+func TestConnectionOfDroppedRequestIsClosed(t *testing.T) {
+	g := newGuard(1 << 20)
+	socket, err := g.Listen(budgeter.ClassPeers, "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := g.OtherServer(budgeter.ClassPeers, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = server.Serve(socket) }()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", socket.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc")
+	assert.NilError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := io.ReadAll(conn)
+	assert.NilError(t, err, "the connection stays open")
+	assert.Assert(t, strings.HasPrefix(string(response), "HTTP/1.1 503"), "%q", response)
+	waitUntilReturned(t, g)
+	assert.NilError(t, conn.Close())
+}
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -263,7 +263,10 @@
 		c.beginRequest()
 	case http.StateIdle:
 		c.headBytes = 0
-		g.enter(c, budgeter.PhaseIdle)
+		if !g.enter(c, budgeter.PhaseIdle) {
+			// A dropped client does not count at the bound on connections, so it must not stay until its idle timeout.
+			c.abort()
+		}
 	case http.StateClosed, http.StateHijacked:
 		g.close(c)
 	}
