--- a/internal/budgeter/budget.go
+++ b/internal/budgeter/budget.go
@@ -70,10 +70,13 @@
 
 // Open adds a connection that holds base bytes, or refuses it if neither room nor a client is there that could be dropped for it.
 func (b *Budget[K]) Open(now time.Time, key K, class Class, base int64) Decision[K] {
+	if b.Connections[class] >= b.Limits.Connections[class]+maxClosing {
+		return Decision[K]{Answer: Refused}
+	}
 	var victims []K
 	if open := b.Connections[class] - b.Closing[class]; open >= b.Limits.Connections[class] {
 		victim, ok := b.weakestConnection(now, class)
-		if !ok || b.Closing[class] >= maxClosing {
+		if !ok {
 			return Decision[K]{Answer: Refused}
 		}
 		b.drop(victim)
--- a/internal/budgeter/victim_test.go
+++ b/internal/budgeter/victim_test.go
@@ -37,3 +37,19 @@
 	assert.Equal(t, decision.Answer, Wait)
 	assert.Assert(t, len(decision.Victims) > 0)
 }
+
+// Guards against more connections than there are descriptors, when many requests are refused whose connections have not ended yet.
+func TestClosingConnectionsAreBounded(t *testing.T) {
+	b := newBudget(8)
+	for i := range 100 {
+		key := fmt.Sprint(i)
+		if b.Open(start, key, ClassCallers, 0).Answer != Granted {
+			continue
+		}
+		assert.Assert(t, b.Enter(start, key, PhaseBody))
+		assert.Equal(t, b.Take(start, key, 2*testLimit).Answer, Refused)
+	}
+	assert.Equal(t, b.Connections[ClassCallers], 8+maxClosing)
+	b.Close("0")
+	assert.Equal(t, b.Open(start, "new", ClassCallers, 0).Answer, Granted)
+}
