--- a/internal/listener/client.go
+++ b/internal/listener/client.go
@@ -88,7 +88,8 @@
 	}
 	if bytes.HasPrefix(p[:n], []byte(sharedPreface)) && c.bounds.mayShare {
 		c.shared = true
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		// The HTTP library lifts the deadline once the preface is complete.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.bounds.headTimeout()))
 		return n, err
 	}
 	if !c.guard.enter(c, budgeter.PhaseHead) {
--- a/internal/listener/guard_test.go
+++ b/internal/listener/guard_test.go
@@ -261,6 +261,43 @@
 	ended.interrupt()
 }
 
+// Guards against the begin of an HTTP/2 connection that keeps it open without end, and against a time limit that ends a whole one.
+func TestSharedConnectionMustBegin(t *testing.T) {
+	g := newGuard(1 << 20)
+	socket, err := g.Listen(budgeter.ClassPeers, "127.0.0.1:0")
+	assert.NilError(t, err)
+	socket.(*guardedListener).bounds.headTimeout = func() time.Duration { return testLimits.HeaderTimeout }
+	server := g.OtherServer(budgeter.ClassPeers, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = server.Serve(socket) }()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", socket.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, sharedPreface)
+	assert.NilError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = io.ReadAll(conn)
+	assert.NilError(t, err, "the connection stays open")
+	assert.NilError(t, conn.Close())
+
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	dials := 0
+	transport := &http.Transport{Protocols: protocols, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		return net.Dial("tcp", socket.Addr().String())
+	}}
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		request, err := http.NewRequest(http.MethodGet, "http://"+socket.Addr().String(), nil)
+		assert.NilError(t, err)
+		resp, err := transport.RoundTrip(request)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		time.Sleep(2 * testLimits.HeaderTimeout)
+	}
+	assert.Equal(t, dials, 1)
+}
+
 // Guards against first bytes of a connection that end the server, keep a connection or bytes, or are read beyond the limit.
 func FuzzFirstBytes(f *testing.F) {
 	for _, seed := range []string{
