--- a/e2e/untrusted_clients_test.go
+++ b/e2e/untrusted_clients_test.go
@@ -305,6 +305,16 @@
 	f.checkSurvives(h, startGroup(t, untrustedDescriptors+*untrustedClients, h.address, func(int, net.Conn) error { return nil }))
 }
 
+// Guards against a host that has no connections left for ordinary callers, since others do not end the bodies of requests that were refused by their heads.
+func TestRefusedRequestsLeaveDescriptors(t *testing.T) {
+	f, h := untrustedFleet(t)
+	head := fmt.Sprintf("POST /safe/x HTTP/1.1\r\nHost: %s\r\nContent-Length: 1000\r\n\r\n", standin.HostName)
+	f.checkSurvives(h, startGroup(t, untrustedDescriptors+*untrustedClients, h.address, func(_ int, conn net.Conn) error {
+		_, err := io.WriteString(conn, head)
+		return err
+	}))
+}
+
 // Guards against a host that survives each kind of client but not all of them at once, beside ordinary streams.
 func TestAllUntrustedClientsBesideStreamsStayWithinMemory(t *testing.T) {
 	f, h := untrustedFleet(t)
