--- a/internal/budgeter/budget.go
+++ b/internal/budgeter/budget.go
@@ -16,6 +16,8 @@
 	// that there is no memory.
 	requestNumerator   = 7
 	requestDenominator = 8
+	// keptDenominator gives the part of the budget that operators, and as much that other hosts, may hold without being dropped for others.
+	keptDenominator = 4
 	// maxClosing is the number of connections of a class that may be closing beyond its bound.
 	maxClosing = 32
 )
@@ -35,13 +37,16 @@
 	// Held is the number of bytes that all clients hold, and Groups those by group.
 	Held   int64
 	Groups map[string]int64
+	// Ending is the part of Held of the dropped clients, and EndingGroups that by group.
+	Ending       int64
+	EndingGroups map[string]int64
 	// Connections is the number of open connections by class, and Closing that of the dropped ones among them.
 	Connections, Closing [ClassCount]int
 }
 
 // New returns an empty budget.
 func New[K comparable](limits Limits) *Budget[K] {
-	return &Budget[K]{Limits: limits, Clients: map[K]*Client{}, Groups: map[string]int64{}}
+	return &Budget[K]{Limits: limits, Clients: map[K]*Client{}, Groups: map[string]int64{}, EndingGroups: map[string]int64{}}
 }
 
 // Answer is the decision on bytes that a client needs.
@@ -65,10 +70,13 @@
 
 // Open adds a connection that holds base bytes, or refuses it if neither room nor a client is there that could be dropped for it.
 func (b *Budget[K]) Open(now time.Time, key K, class Class, base int64) Decision[K] {
+	if b.Connections[class] >= b.Limits.Connections[class]+maxClosing {
+		return Decision[K]{Answer: Refused}
+	}
 	var victims []K
 	if open := b.Connections[class] - b.Closing[class]; open >= b.Limits.Connections[class] {
 		victim, ok := b.weakestConnection(now, class)
-		if !ok || b.Closing[class] >= maxClosing {
+		if !ok {
 			return Decision[K]{Answer: Refused}
 		}
 		b.drop(victim)
@@ -220,15 +228,29 @@
 func (b *Budget[K]) hold(c *Client, size int64) {
 	c.Held += size
 	b.Held += size
-	b.Groups[c.Group] += size
-	if b.Groups[c.Group] == 0 {
-		delete(b.Groups, c.Group)
+	addTo(b.Groups, c.Group, size)
+	if c.Dropped {
+		b.addEnding(c.Group, size)
+	}
+}
+
+func (b *Budget[K]) addEnding(group string, size int64) {
+	b.Ending += size
+	addTo(b.EndingGroups, group, size)
+}
+
+// addTo adds bytes to a group, which is removed once it has none.
+func addTo(groups map[string]int64, group string, size int64) {
+	groups[group] += size
+	if groups[group] == 0 {
+		delete(groups, group)
 	}
 }
 
 func (b *Budget[K]) drop(key K) {
 	c := b.Clients[key]
 	c.Dropped = true
+	b.addEnding(c.Group, c.Held)
 	if c.Connection {
 		b.Closing[c.Class]++
 	}
--- a/internal/budgeter/victim.go
+++ b/internal/budgeter/victim.go
@@ -16,13 +16,11 @@
 // dropFor drops clients until those that are ending give back the missing bytes. It reports enough as false if the client itself is the weakest, or
 // no client can be dropped.
 func (b *Budget[K]) dropFor(now time.Time, key K, size, missing int64, group string) (victims []K, enough bool) {
-	ending := b.ending(group)
-	for ending < missing {
+	for b.ending(group) < missing {
 		victim, ok := b.weakest(now, key, size, group)
 		if !ok || victim == key {
 			return victims, false
 		}
-		ending += b.Clients[victim].Held
 		b.drop(victim)
 		victims = append(victims, victim)
 	}
@@ -31,13 +29,10 @@
 
 // ending returns the bytes that dropped clients of a group still hold.
 func (b *Budget[K]) ending(group string) int64 {
-	var held int64
-	for _, c := range b.Clients {
-		if c.Dropped && inScope(c, group) {
-			held += c.Held
-		}
+	if group == anyGroup {
+		return b.Ending
 	}
-	return held
+	return b.EndingGroups[group]
 }
 
 func inScope(c *Client, group string) bool { return group == anyGroup || c.Group == group }
@@ -47,11 +42,18 @@
 // The client with the given key counts with the bytes that it asks for.
 func (b *Budget[K]) weakest(now time.Time, key K, size int64, group string) (victim K, ok bool) {
 	share := b.Limits.Bytes / int64(max(len(b.Groups), 1))
-	above := func(c *Client) bool { return inScope(c, group) && c.CanBeDropped() && b.Groups[c.Group] >= share }
+	class := b.Clients[key].Class
+	candidate := func(c *Client) bool { return inScope(c, group) && c.CanBeDropped() && !b.isKeptFrom(class, c) }
+	above := func(c *Client) bool { return candidate(c) && b.Groups[c.Group] >= share }
 	if victim, ok = b.weakestOf(now, key, size, above); ok {
 		return victim, true
 	}
-	return b.weakestOf(now, key, size, func(c *Client) bool { return inScope(c, group) && c.CanBeDropped() })
+	return b.weakestOf(now, key, size, candidate)
+}
+
+// isKeptFrom reports whether a client does not pay for a class: callers do not make the host drop operators and other hosts that hold little together.
+func (b *Budget[K]) isKeptFrom(class Class, c *Client) bool {
+	return class < ClassOperators && c.Class >= ClassOperators && b.Groups[c.Group] < b.Limits.Bytes/keptDenominator
 }
 
 func (b *Budget[K]) weakestOf(now time.Time, key K, size int64, isCandidate func(c *Client) bool) (victim K, ok bool) {
