--- a/internal/reducer/loadpace.go
+++ b/internal/reducer/loadpace.go
@@ -1,6 +1,9 @@
 package reducer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // recoveringLoadRatio is the ratio of the expected load time to the lowest one above which the expected time falls quickly.
 const recoveringLoadRatio = 1.3
@@ -16,7 +19,7 @@
 		return inv.Pending[0], true
 	}
 	for _, p := range inv.Pending {
-		if _, cached := inv.UnloadedAt[p.Adapter]; cached {
+		if s.cachedAfterUnload(now, inv, p.Adapter) {
 			return p, true
 		}
 	}
@@ -62,3 +65,18 @@
 			msField("usual_ms", usual), floatField("loads_per_s", service.LoadPace.Bucket.Rate), intField("leases", held))
 	}
 }
+
+// cachedAfterUnload reports whether a backend server is expected to have an adapter cached since it was unloaded. Servers drop what they have
+// not held for long, so with placement an adapter counts as cached for heldTTL only.
+func (s *State) cachedAfterUnload(now time.Time, inv *Inventory, key AdapterKey) bool {
+	unloadedAt, ok := inv.UnloadedAt[key]
+	return ok && (!s.Limits.Adaptive.Places || now.Sub(unloadedAt) < heldTTL)
+}
+
+// pruneUnloaded forgets when adapters were unloaded that no longer count as cached, so that the map does not grow with the adapters ever held.
+func (s *State) pruneUnloaded(now time.Time, inv *Inventory) {
+	if !s.Limits.Adaptive.Places || len(inv.UnloadedAt) <= heldKept {
+		return
+	}
+	maps.DeleteFunc(inv.UnloadedAt, func(_ AdapterKey, at time.Time) bool { return now.Sub(at) >= heldTTL })
+}
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -10,7 +10,7 @@
 // orderLoad orders a backend server to load an adapter and records the load in the inventory.
 func orderLoad(s *State, now time.Time, b *Backend, l *Lease, load PendingLoad) {
 	inv := &l.Inventory
-	_, cached := inv.UnloadedAt[load.Adapter]
+	cached := s.cachedAfterUnload(now, inv, load.Adapter)
 	expected := s.loadTime(b, cached)
 	previous := inv.Entries[load.Adapter]
 	entry := &InventoryEntry{
@@ -42,6 +42,7 @@
 	e.Stage = StageUnloading
 	e.OrderedAt = now
 	l.Inventory.OrderPending = true
+	s.pruneUnloaded(now, &l.Inventory)
 	s.Counters.Unloads++
 	for _, host := range sortedKeys(e.Requesters) {
 		if host != s.Self.HostID {
