--- a/internal/reducer/pace.go
+++ b/internal/reducer/pace.go
@@ -5,7 +5,6 @@
 
 	"github.com/redwingpick/redwingpick/internal/estimator"
 	"github.com/redwingpick/redwingpick/internal/selector"
-	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // Pacing is what this host knows of the service rate of one incarnation of a backend server; it is used with Adaptive.Pace.
@@ -249,73 +248,12 @@
 }
 
 // takeUnreported returns this host's samples of a backend server since the last report and forgets them.
-func (s *State) takeUnreported(now time.Time, b *Backend) estimator.Sums {
-	samples := b.Pacing.Unreported.At(now)
-	b.Pacing.Unreported = estimator.Sums{}
-	return samples
-}
-
 // receivePace adds a host's samples to those that the lease holder keeps of a backend server, and returns the samples of all other hosts.
-func (s *State) receivePace(now time.Time, inv *Inventory, u *HostUsage, m Usage) estimator.Sums {
-	if !s.Limits.Adaptive.Pace {
-		return estimator.Sums{}
-	}
-	if estimator.Valid(m.PaceWork, m.PaceBusy) {
-		inv.Samples.Add(now, m.PaceWork, m.PaceBusy)
-		u.Samples.Add(now, m.PaceWork, m.PaceBusy)
-	}
-	return inv.Samples.Minus(now, u.Samples)
-}
-
 // mergePace records the samples of all other hosts, as the lease holder of a backend server reports them.
-func (s *State) mergePace(now time.Time, b *Backend, m BackendLoad) {
-	if !s.Limits.Adaptive.Pace {
-		return
-	}
-	added := b.Pacing.Estimate.Merge(now, m.PaceWork, m.PaceBusy)
-	if estimator.Valid(added.Work, added.Busy) {
-		if !s.ratedByDecode(b) {
-			s.addToMeans(b, added.Work, added.Busy)
-		}
-		s.logRate(now, b)
-	}
-}
-
 // recordStay adds a complete response of an engine to the mean time that a request spends there.
-func (s *State) recordStay(b *Backend, took time.Duration) {
-	if !s.Limits.Adaptive.Pace || !s.isEngine(b) {
-		return
-	}
-	pacing := &s.service(b.Info.Service).Pacing
-	if pacing.MeanStay == 0 {
-		pacing.MeanStay = took
-		return
-	}
-	pacing.MeanStay += time.Duration(sampleWeight * float64(took-pacing.MeanStay))
-}
-
 // admissionDelay returns the expected time until an engine has a batch slot and cache for a request, from the rate at which its requests
 // complete: as many as it runs in the mean time that one spends there.
-func (s *State) admissionDelay(b *Backend, r *Request, engine *cataloguer.Engine, load engineLoad) time.Duration {
-	stay := s.service(b.Info.Service).Pacing.MeanStay
-	if stay == 0 {
-		return fixedAdmissionDelay(r, engine, load)
-	}
-	admitted := max(min(load.running-load.waiting, engine.Slots), 1)
-	queued := max(load.running-engine.Slots+1, load.waiting, 0)
-	delay := time.Duration(min(float64(stay)*float64(queued)/float64(admitted), float64(maxAdmissionDelay)))
-	if excess := load.tokens + r.Tokens - engine.KVCacheTokens; engine.KVCacheTokens > 0 && excess > 0 {
-		delay = max(delay, time.Duration(float64(stay)*float64(excess)/float64(max(load.tokens, excess))))
-	}
-	return delay
-}
-
 // decodeDelay returns how much the requests that an engine runs prolong the step that gives the first event of another one.
-func (s *State) decodeDelay(now time.Time, b *Backend, engine *cataloguer.Engine, load engineLoad) time.Duration {
-	service, _ := s.meanRates(b)
-	return time.Duration(float64(min(load.running, engine.Slots)) * float64(decodeStepShare) * service / s.presentRate(now, b))
-}
-
 // deferMost defers all but two random ones of the unary servers with about the least expected delay, and all others. Hosts that know the
 // same load would otherwise all choose the same server.
 func (s *State) deferMost(candidates []selector.Candidate) {
