--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -251,11 +251,6 @@
 	return false
 }
 
-// expectedResponse returns the expected time to the first response of a request, without the penalties that only rank candidates and without
-// the work that the server does after this request, and the part of it that is the backlog ahead.
-// backlog returns the time that a server needs for the requests that wait there, as far as known.
-// backlogAhead returns the part of the backlog that a server works off before a request; engines serve the more urgent requests first.
-// aheadShare returns the share of a service's work that is as urgent as a request or more, by what this host sent.
 // queueLimit returns how long after WaitSince a request may wait for any usable server, which is usually the given limit. A returned caller does
 // not return again, so its request waits as long as it can be answered.
 func (s *State) queueLimit(r *Request, usual time.Duration) time.Duration {
--- a/internal/reducer/backlog.go
+++ b/internal/reducer/backlog.go
@@ -2,6 +2,8 @@
 
 import "time"
 
+// expectedResponse returns the expected time to the first response of a request, without the penalties that only rank candidates and without
+// the work that the server does after this request, and the part of it that is the backlog ahead.
 func (s *State) expectedResponse(now time.Time, b *Backend, delay time.Duration, share float64) (expected, ahead time.Duration) {
 	backlog := s.backlog(now, b)
 	ahead = s.backlogAhead(now, b, share)
@@ -9,6 +11,7 @@
 	return max(delay-penalty-backlog+ahead, 0), ahead
 }
 
+// backlog returns the time that a server needs for the requests that wait there, as far as known.
 func (s *State) backlog(now time.Time, b *Backend) time.Duration {
 	if !s.isEngine(b) {
 		waiting := b.Running - max(b.Info.Slots, 1)
@@ -24,6 +27,7 @@
 	return time.Duration(float64(tokens) / s.prefillRate(now, b) * float64(time.Second))
 }
 
+// backlogAhead returns the part of the backlog that a server works off before a request; engines serve the more urgent requests first.
 func (s *State) backlogAhead(now time.Time, b *Backend, share float64) time.Duration {
 	backlog := s.backlog(now, b)
 	if !s.isEngine(b) {
@@ -32,6 +36,7 @@
 	return time.Duration(float64(backlog) * share)
 }
 
+// aheadShare returns the share of a service's work that is as urgent as a request or more, by what this host sent.
 func (s *State) aheadShare(now time.Time, r *Request) float64 {
 	work := &s.service(r.Service).Admission.Work
 	ahead, total := 0.0, 0.0
--- a/internal/reducer/enginewait.go
+++ b/internal/reducer/enginewait.go
@@ -6,6 +6,7 @@
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
+// recordStay adds a complete response of an engine to the mean time that a request spends there.
 func (s *State) recordStay(b *Backend, took time.Duration) {
 	if !s.Limits.Adaptive.Pace || !s.isEngine(b) {
 		return
@@ -18,6 +19,8 @@
 	pacing.MeanStay += time.Duration(sampleWeight * float64(took-pacing.MeanStay))
 }
 
+// admissionDelay returns the expected time until an engine has a batch slot and cache for a request, from the rate at which its requests
+// complete: as many as it runs in the mean time that one spends there.
 func (s *State) admissionDelay(b *Backend, r *Request, engine *cataloguer.Engine, load engineLoad) time.Duration {
 	stay := s.service(b.Info.Service).Pacing.MeanStay
 	if stay == 0 {
@@ -32,6 +35,7 @@
 	return delay
 }
 
+// decodeDelay returns how much the requests that an engine runs prolong the step that gives the first event of another one.
 func (s *State) decodeDelay(now time.Time, b *Backend, engine *cataloguer.Engine, load engineLoad) time.Duration {
 	service, _ := s.meanRates(b)
 	return time.Duration(float64(min(load.running, engine.Slots)) * float64(decodeStepShare) * service / s.presentRate(now, b))
--- a/internal/reducer/pace.go
+++ b/internal/reducer/pace.go
@@ -247,13 +247,6 @@
 		msField("busy_ms", own.Busy), floatField("others_work", others.Work), msField("others_busy_ms", others.Busy))
 }
 
-// takeUnreported returns this host's samples of a backend server since the last report and forgets them.
-// receivePace adds a host's samples to those that the lease holder keeps of a backend server, and returns the samples of all other hosts.
-// mergePace records the samples of all other hosts, as the lease holder of a backend server reports them.
-// recordStay adds a complete response of an engine to the mean time that a request spends there.
-// admissionDelay returns the expected time until an engine has a batch slot and cache for a request, from the rate at which its requests
-// complete: as many as it runs in the mean time that one spends there.
-// decodeDelay returns how much the requests that an engine runs prolong the step that gives the first event of another one.
 // deferMost defers all but two random ones of the unary servers with about the least expected delay, and all others. Hosts that know the
 // same load would otherwise all choose the same server.
 func (s *State) deferMost(candidates []selector.Candidate) {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -344,12 +344,6 @@
 // maxLoadOverrun is the time after its expected end for which a load may still be running.
 const maxLoadOverrun = 1500 * time.Millisecond
 
-// retryOrFail retries a request whose last attempt failed, or ends it if the retry policy or the retry budget does not allow that.
-// mayRetry reports whether the route allows a request that may have run to run again.
-// failRequest ends a failed request with the backend server's failure response if that can be delivered, and else with a refusal.
-// refusalReason returns the refusal reason for an outcome of a request that has not run.
-// depositRetry adds the retries that one more request allows to this host's share of the service's retry budget.
-// withdrawRetry takes one retry from the service's retry budget and reports whether the budget held one.
 // tickRequests ends requests whose deadline has passed and places those that wait.
 func tickRequests[P selector.Policy](s *State, now time.Time) {
 	for _, id := range sortedKeys(s.Requests) {
--- a/internal/reducer/retry.go
+++ b/internal/reducer/retry.go
@@ -9,6 +9,7 @@
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
+// retryOrFail retries a request whose last attempt failed, or ends it if the retry policy or the retry budget does not allow that.
 func retryOrFail[P selector.Policy](s *State, now time.Time, r *Request, e DispatchEnded) {
 	if e.Delivered && !r.Route.Resumable {
 		s.Counters.RequestsFailed++
@@ -42,6 +43,7 @@
 	}
 }
 
+// mayRetry reports whether the route allows a request that may have run to run again.
 func (s *State) mayRetry(r *Request) bool {
 	if r.PossibleRuns >= r.Route.MaxAttempts {
 		return false
@@ -49,6 +51,7 @@
 	return r.Route.RetryPolicy == cataloguer.RetrySafe || r.Route.RetryPolicy == cataloguer.RetryStream && r.Route.Resumable
 }
 
+// failRequest ends a failed request with the backend server's failure response if that can be delivered, and else with a refusal.
 func (s *State) failRequest(now time.Time, r *Request, e DispatchEnded) {
 	s.Counters.RequestsFailed++
 	if e.Outcome == OutcomeFailed && !r.Delivered {
@@ -64,6 +67,7 @@
 	refuse(s, now, r, ReasonBroken, 0)
 }
 
+// refusalReason returns the refusal reason for an outcome of a request that has not run.
 func refusalReason(outcome Outcome) Reason {
 	switch outcome {
 	case OutcomeFull:
@@ -74,6 +78,7 @@
 	return ReasonNoBackend
 }
 
+// depositRetry adds the retries that one more request allows to this host's share of the service's retry budget.
 func (s *State) depositRetry(now time.Time, service string) {
 	budget := &s.service(service).RetryBudget
 	burst := max(s.Limits.RetrySlack*retrySlackFraction/float64(s.shareCount(now)), 1)
@@ -84,6 +89,7 @@
 	budget.Level = min(budget.Level+s.Limits.RetryRatio, burst)
 }
 
+// withdrawRetry takes one retry from the service's retry budget and reports whether the budget held one.
 func (s *State) withdrawRetry(service string) bool {
 	budget := &s.service(service).RetryBudget
 	if budget.Level < 1 {
