Record the timeline and the hypotheses of the flooded cold servers; log what hosts take a server for

Cause: no log line says that a host takes a backend server for cold, since when and why, nor in which state the sender of a request took its server to be, so that the hypotheses of the incident cannot be told apart. Change: event 170 when a cold start begins, with its reason, the published time and the hosts that may send; event 202 names the state of the server. The functions on cold starts stand in a file of their own. No decision changes. Result: reducer, recorder and commander tests pass.

--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/ramper"
@@ -53,9 +52,7 @@
 	}
 	b.RemovedAt = time.Time{}
 	b.Expired = false
-	if info.ColdRemaining > 0 {
-		b.ColdUntil = later(b.ColdUntil, now.Add(info.ColdRemaining))
-	}
+	s.recordColdStart(now, b)
 }
 
 // addBackend adds a backend server that this host has not seen before, or a new incarnation of one.
@@ -264,33 +261,3 @@
 	b.ConsecutiveFailures = 0
 	b.FailureRate *= failureRateDecay
 }
-
-// allowsColdRequest reports whether this host may send a request to a backend server, and spends one request of its share of the rate
-// limit if the server is in its cold start.
-//
-// Only a few hosts send to a cold backend server, so that the fleet-wide limit holds for any number of hosts. They are chosen from the
-// voter set because hosts that are starting or partitioned do not form a voter set of their own.
-func (s *State) allowsColdRequest(now time.Time, b *Backend) bool {
-	service := s.Documents.Services[b.Info.Service]
-	if service.ColdRate <= 0 || !now.Before(s.coldUntil(b, service)) {
-		return true
-	}
-	if !s.votersKnown() {
-		return false
-	}
-	senders := rankHosts("cold/"+b.Info.ID, s.voterHosts(now), coldSenders)
-	if !slices.Contains(senders, s.Self.HostID) {
-		return false
-	}
-	b.ColdBucket.Set(now, service.ColdRate/float64(len(senders)), 1)
-	return b.ColdBucket.Take(now, 1)
-}
-
-// coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host
-// first saw the server, unless that was in this host's own start.
-func (s *State) coldUntil(b *Backend, service cataloguer.Service) time.Time {
-	if b.FirstSeenAt.Sub(s.Self.StartedAt) < readyAfter*4 {
-		return b.ColdUntil
-	}
-	return later(b.ColdUntil, b.FirstSeenAt.Add(service.ColdDuration))
-}
--- /dev/null
+++ b/internal/reducer/coldstart.go
@@ -0,0 +1,69 @@
+package reducer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+)
+
+// minColdExtension is the least time by which the end of a cold start must move for it to count as another one: the entry of a server that is
+// cold is published again with the time that is left, and read with a varying delay.
+const minColdExtension = time.Second
+
+// recordColdStart applies what the published entry of a backend server says about its cold start.
+func (s *State) recordColdStart(now time.Time, b *Backend) {
+	service := s.Documents.Services[b.Info.Service]
+	former := later(b.ColdUntil, now)
+	if b.Info.ColdRemaining > 0 {
+		b.ColdUntil = later(b.ColdUntil, now.Add(b.Info.ColdRemaining))
+	}
+	until := s.coldUntil(b, service)
+	if service.ColdRate <= 0 || until.Sub(former) < minColdExtension {
+		return
+	}
+	reason := "published"
+	if b.FirstSeenAt.Equal(now) {
+		reason = "joined"
+	}
+	senders := s.coldSenders(now, b)
+	s.logEvent(EventColdStartBegan, Field{"backend_server", b.Info.ID}, Field{"failure_domain", b.Info.FailureDomain}, Field{"reason", reason},
+		msField("cold_ms", until.Sub(now)), msField("published_ms", b.Info.ColdRemaining),
+		boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
+}
+
+// coldSenders returns the hosts that may send requests to a backend server in its cold start; none while this host does not know the voter set.
+func (s *State) coldSenders(now time.Time, b *Backend) []string {
+	if !s.votersKnown() {
+		return nil
+	}
+	return rankHosts("cold/"+b.Info.ID, s.voterHosts(now), coldSenderCount)
+}
+
+// allowsColdRequest reports whether this host may send a request to a backend server, and spends one request of its share of the rate
+// limit if the server is in its cold start.
+//
+// Only a few hosts send to a cold backend server, so that the fleet-wide limit holds for any number of hosts. They are chosen from the
+// voter set because hosts that are starting or partitioned do not form a voter set of their own.
+func (s *State) allowsColdRequest(now time.Time, b *Backend) bool {
+	service := s.Documents.Services[b.Info.Service]
+	if service.ColdRate <= 0 || !now.Before(s.coldUntil(b, service)) {
+		return true
+	}
+	senders := s.coldSenders(now, b)
+	if !slices.Contains(senders, s.Self.HostID) {
+		return false
+	}
+	b.ColdBucket.Set(now, service.ColdRate/float64(len(senders)), 1)
+	return b.ColdBucket.Take(now, 1)
+}
+
+// coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host
+// first saw the server, unless that was in this host's own start.
+func (s *State) coldUntil(b *Backend, service cataloguer.Service) time.Time {
+	if b.FirstSeenAt.Sub(s.Self.StartedAt) < readyAfter*4 {
+		return b.ColdUntil
+	}
+	return later(b.ColdUntil, b.FirstSeenAt.Add(service.ColdDuration))
+}
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -55,6 +55,7 @@
 	EventSlowStartLimit           = 168
 	EventSlowStartEnded           = 169
 	EventLoadsSlowed              = 165
+	EventColdStartBegan           = 170
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -268,6 +268,7 @@
 		s.Counters.LoadStallMillis += uint64(now.Sub(r.WaitSince).Milliseconds())
 		s.stopWaiting(r)
 	}
+	state, _ := s.sendState(now, b)
 	s.recordSlowStartDispatch(now, r, b)
 	r.Phase = PhaseRunning
 	r.Backend = b.Info.ID
@@ -290,7 +291,7 @@
 		s.markUseChanged(now, b, adapter, adapter.Running == 1)
 	}
 	s.Counters.Dispatches++
-	s.logEvent(EventRequestSent, s.requestFields(now, r, intField("running", b.Running), intField("others_running", b.OtherHosts.Running),
+	s.logEvent(EventRequestSent, s.requestFields(now, r, Field{"server_state", state.String()}, intField("running", b.Running), intField("others_running", b.OtherHosts.Running),
 		intField("prefill_tokens", r.PrefillTokens), Field{"content", strings.Join(r.Content(), ",")},
 		ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))...)
 	s.emit(Dispatch{
