--- a/internal/exerciser/scheduled_faults.go
+++ b/internal/exerciser/scheduled_faults.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // The faults of this file draw from Simulation.faultRNG and leave the draws of InjectRandomFault unchanged.
@@ -196,3 +198,51 @@
 	slices.Sort(ids)
 	return ids
 }
+
+// CoolDomain withdraws a failure domain for a time and takes it back. Its engines are cold from then on, although they have not been restarted,
+// and their entries say so after publishDelay.
+func (s *Simulation[P]) CoolDomain(domain string, withdrawnFor, publishDelay time.Duration) {
+	s.logFault("%s is withdrawn for %v; its engines are cold then and publish it after %v", domain, withdrawnFor, publishDelay)
+	key := "withdrawn/" + domain
+	s.ConfigService.Put(cataloguer.Document{Key: key, Kind: cataloguer.KindWithdrawnDomain, Name: domain, Raw: []byte(domain)})
+	s.after(withdrawnFor, func() {
+		s.ConfigService.Remove(key)
+		for _, b := range s.domainEngines(domain) {
+			s.coolEngine(b, publishDelay)
+		}
+	})
+}
+
+// CoolEngine makes a running engine cold; its entry says so at once.
+func (s *Simulation[P]) CoolEngine(b *Backend) {
+	s.logFault("%s is cold", b.Info.ID)
+	s.coolEngine(b, 0)
+}
+
+// coolEngine makes a running engine cold. Its entry says so after publishDelay.
+func (s *Simulation[P]) coolEngine(b *Backend, publishDelay time.Duration) {
+	b.ColdSince, b.Arrivals = s.Now, nil
+	startedUnixMs := b.Info.StartedUnixMs
+	publish := func(remaining time.Duration) func() {
+		return func() {
+			if b.Up && b.Info.StartedUnixMs == startedUnixMs {
+				b.Info.ColdRemaining = remaining
+				s.publishBackend(b)
+			}
+		}
+	}
+	s.after(publishDelay, publish(coldDuration-publishDelay))
+	s.after(coldDuration, publish(0))
+}
+
+// domainEngines returns the running engines of a failure domain, sorted by ID.
+func (s *Simulation[P]) domainEngines(domain string) []*Backend {
+	var engines []*Backend
+	for _, b := range s.Backends {
+		if b.Up && b.Info.Service == engineService && b.Info.FailureDomain == domain {
+			engines = append(engines, b)
+		}
+	}
+	slices.SortFunc(engines, func(a, b *Backend) int { return strings.Compare(a.Info.ID, b.Info.ID) })
+	return engines
+}
