Take the servers of a returned failure domain for cold

Callers saw cold servers crash under too many requests. Cause: the end of a withdrawal takes effect at once, while the servers of the failure domain, which are cold then, publish that up to a heartbeat later. Change: the servers of a failure domain that is taken back count as cold for the service's cold duration, whatever their entries say, as new servers already did. Servers that were withdrawn and stay warm get few requests for as long, which the hosts cannot tell apart.

--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -59,6 +59,7 @@
 func addBackend(s *State, now time.Time, info cataloguer.Backend) *Backend {
 	b := &Backend{Info: info, FirstSeenAt: now, Adapters: map[AdapterKey]*Residency{}, CachedParts: map[string]time.Time{}, HeldAt: map[AdapterKey]time.Time{}}
 	s.Backends[info.ID] = b
+	s.assumeNewCold(now, b)
 	s.invalidateBackendIndex()
 	return b
 }
--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -12,21 +12,34 @@
 // cold is published again with the time that is left, and read with a varying delay.
 const minColdExtension = time.Second
 
+// Reasons in the log for which this host takes a backend server for cold.
+const (
+	coldJoined         = "joined"
+	coldPublished      = "published"
+	coldDomainReturned = "domain_returned"
+)
+
 // recordColdStart applies what the published entry of a backend server says about its cold start.
 func (s *State) recordColdStart(now time.Time, b *Backend) {
-	service := s.Documents.Services[b.Info.Service]
-	former := later(b.ColdUntil, now)
+	former, reason := b.ColdUntil, coldPublished
+	if b.FirstSeenAt.Equal(now) {
+		reason = coldJoined
+	} else {
+		former = s.coldUntil(b, s.Documents.Services[b.Info.Service])
+	}
 	if b.Info.ColdRemaining > 0 {
 		b.ColdUntil = later(b.ColdUntil, now.Add(b.Info.ColdRemaining))
 	}
+	s.logColdStart(now, b, former, reason)
+}
+
+// logColdStart logs that this host takes a backend server for cold, if that is so for longer than it did before.
+func (s *State) logColdStart(now time.Time, b *Backend, former time.Time, reason string) {
+	service := s.Documents.Services[b.Info.Service]
 	until := s.coldUntil(b, service)
-	if service.ColdRate <= 0 || until.Sub(former) < minColdExtension {
+	if service.ColdRate <= 0 || until.Sub(later(former, now)) < minColdExtension {
 		return
 	}
-	reason := "published"
-	if b.FirstSeenAt.Equal(now) {
-		reason = "joined"
-	}
 	senders := s.coldSenders(now, b)
 	s.logEvent(EventColdStartBegan, Field{"backend_server", b.Info.ID}, Field{"failure_domain", b.Info.FailureDomain}, Field{"reason", reason},
 		msField("cold_ms", until.Sub(now)), msField("published_ms", b.Info.ColdRemaining),
@@ -59,11 +72,32 @@
 	return b.ColdBucket.Take(now, 1)
 }
 
-// coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host
-// first saw the server, unless that was in this host's own start.
+// coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host had
+// to take the server for cold.
 func (s *State) coldUntil(b *Backend, service cataloguer.Service) time.Time {
-	if b.FirstSeenAt.Sub(s.Self.StartedAt) < readyAfter*4 {
+	if b.ColdAssumedAt.IsZero() {
 		return b.ColdUntil
 	}
-	return later(b.ColdUntil, b.FirstSeenAt.Add(service.ColdDuration))
+	return later(b.ColdUntil, b.ColdAssumedAt.Add(service.ColdDuration))
+}
+
+// assumeNewCold takes a backend server for cold that this host has not seen before, unless that is in this host's own start.
+func (s *State) assumeNewCold(now time.Time, b *Backend) {
+	if now.Sub(s.Self.StartedAt) >= readyAfter*4 {
+		b.ColdAssumedAt = now
+	}
+}
+
+// assumeDomainCold takes the backend servers of a failure domain that is no longer withdrawn for cold: they may have become cold while they got
+// no requests, and publish it up to a heartbeat later, while the end of the withdrawal takes effect at once.
+func assumeDomainCold(s *State, now time.Time, domain string) {
+	for _, id := range sortedKeys(s.Backends) {
+		b := s.Backends[id]
+		if b.Info.FailureDomain != domain {
+			continue
+		}
+		former := s.coldUntil(b, s.Documents.Services[b.Info.Service])
+		b.ColdAssumedAt = now
+		s.logColdStart(now, b, former, coldDomainReturned)
+	}
 }
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -158,6 +158,7 @@
 		applyBackend(s, now, *d.Backend)
 	case cataloguer.KindWithdrawnDomain:
 		if d.Deleted && s.Documents.Withdrawn[d.Name] {
+			assumeDomainCold(s, now, d.Name)
 			beginDomainSlowStart(s, now, d.Name)
 		}
 		s.Documents.Withdrawn[d.Name] = !d.Deleted
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -181,8 +181,11 @@
 	Info cataloguer.Backend
 	// FirstSeenAt is when this incarnation was first seen.
 	FirstSeenAt time.Time
-	ColdUntil   time.Time
-	ColdBucket  limiter.Bucket
+	// ColdUntil is the published end of its cold start. ColdAssumedAt is since when the server has to be taken for cold although its entry may
+	// not say so yet; zero for never.
+	ColdUntil     time.Time
+	ColdAssumedAt time.Time
+	ColdBucket    limiter.Bucket
 	// RemovedAt is when the published entry was removed; zero while it is published.
 	RemovedAt time.Time
 	// Expired is set for an entry that was removed while the configuration service was degraded: the backend server may still run and
