Pass on that a server is cold again

Callers saw cold servers crash under too many requests. Cause: whether a change of a server's entry is passed on to other hosts was decided against the entry that the passing host had read last. The steps in which a cold start passes are not passed on, so that the others keep the time that the first one named; a second cold start names the same again, and no host but those that read from a watcher learned of it. The others, among them most of those that carry traffic, took the server for warm, as the senders in the users' record did. Change: a cold start is passed on if it ends later than the one that the hosts know of.

--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -46,6 +46,17 @@
 		boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
 }
 
+// coldAgain reports whether the entry of a backend server tells of a cold start that other hosts have to learn of. It is compared with the end of
+// the cold start that all hosts know, and not with the former entry: while a cold start passes, its entry states less and less time, which is
+// not passed on.
+func (s *State) coldAgain(now time.Time, info cataloguer.Backend) bool {
+	b, ok := s.Backends[info.ID]
+	if !ok || !now.Before(b.ColdUntil) {
+		return info.ColdRemaining > 0
+	}
+	return now.Add(info.ColdRemaining).Sub(b.ColdUntil) >= minColdExtension
+}
+
 // coldSenders returns the hosts that may send requests to a backend server in its cold start; none while this host does not know the voter set.
 func (s *State) coldSenders(now time.Time, b *Backend) []string {
 	if !s.votersKnown() {
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -115,7 +115,7 @@
 	if d.Kind == cataloguer.KindOther || !known && (d.Deleted || d.Revision <= s.Documents.Revision) {
 		return
 	}
-	if known && insignificant(item.Document, d) {
+	if known && s.insignificant(now, item.Document, d) {
 		item.Document = d
 		applyBackend(s, now, *d.Backend)
 		return
@@ -129,14 +129,15 @@
 	applyItem(s, now, r, d)
 }
 
-// insignificant reports whether the entry of a backend server changed only in what other hosts do not need to know.
-func insignificant(a, b cataloguer.Document) bool {
-	if a.Backend == nil || b.Backend == nil || a.Deleted || b.Deleted {
+// insignificant reports whether the entry of a backend server changed only in what other hosts do not need to know. Such changes are not passed
+// on, so the former entry need not be the one that other hosts have.
+func (s *State) insignificant(now time.Time, former, d cataloguer.Document) bool {
+	if former.Backend == nil || d.Backend == nil || former.Deleted || d.Deleted {
 		return false
 	}
-	x, y := *a.Backend, *b.Backend
+	x, y := *former.Backend, *d.Backend
 	return x.Service == y.Service && x.Address == y.Address && x.FailureDomain == y.FailureDomain && x.StartedUnixMs == y.StartedUnixMs &&
-		x.Slots == y.Slots && x.Draining == y.Draining && y.ColdRemaining <= x.ColdRemaining && sameModels(x, y)
+		x.Slots == y.Slots && x.Draining == y.Draining && !s.coldAgain(now, y) && sameModels(x, y)
 }
 
 func sameModels(a, b cataloguer.Backend) bool {
