Bound a cold server's requests by three senders whose shares open empty, at every place that sends

Cause: five hosts shared the whole rate of a cold server, so that the bound held for seven hosts that take themselves for senders, and broke with eight: hosts that start or learn of voters at different times rank different hosts. Requests that are sent in place of stalled ones asked for the published end of the cold start alone and spent nothing. A host that may not send still asked for adapters there and waited. Change: package throttler divides the rate, and throttle.go decides with it: three senders with a quarter of the rate each. The senders are chosen among the voters that callers are directed to, so that those with requests send. Each request that is sent counts, at the one place that sends. Hosts that may not send leave the server out before they ask for adapters, and name the end of the cold start when they refuse.

--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -30,17 +30,22 @@
 	if b.Info.ColdRemaining > 0 {
 		b.ColdUntil = later(b.ColdUntil, now.Add(b.Info.ColdRemaining))
 	}
-	s.logColdStart(now, b, former, reason)
+	s.noteColdStart(now, b, former, reason)
 }
 
-// logColdStart logs that this host takes a backend server for cold, if that is so for longer than it did before.
-func (s *State) logColdStart(now time.Time, b *Backend, former time.Time, reason string) {
+// noteColdStart makes the bound of a cold backend server take effect, and logs that this host takes the server for cold, if that is so for longer
+// than it did before.
+func (s *State) noteColdStart(now time.Time, b *Backend, former time.Time, reason string) {
 	service := s.Documents.Services[b.Info.Service]
 	until := s.coldUntil(b, service)
-	if service.ColdRate <= 0 || until.Sub(later(former, now)) < minColdExtension {
+	if service.ColdRate <= 0 || !now.Before(until) {
 		return
 	}
-	senders := s.coldSenders(now, b)
+	s.Throttled[b.Info.ID] = true
+	if until.Sub(later(former, now)) < minColdExtension {
+		return
+	}
+	senders := s.senders(now, b)
 	s.logEvent(EventColdStartBegan, Field{"backend_server", b.Info.ID}, Field{"failure_domain", b.Info.FailureDomain}, Field{"reason", reason},
 		msField("cold_ms", until.Sub(now)), msField("published_ms", b.Info.ColdRemaining),
 		boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
@@ -57,32 +62,6 @@
 	return now.Add(info.ColdRemaining).Sub(b.ColdUntil) >= minColdExtension
 }
 
-// coldSenders returns the hosts that may send requests to a backend server in its cold start; none while this host does not know the voter set.
-func (s *State) coldSenders(now time.Time, b *Backend) []string {
-	if !s.votersKnown() {
-		return nil
-	}
-	return rankHosts("cold/"+b.Info.ID, s.voterHosts(now), coldSenderCount)
-}
-
-// allowsColdRequest reports whether this host may send a request to a backend server, and spends one request of its share of the rate
-// limit if the server is in its cold start.
-//
-// Only a few hosts send to a cold backend server, so that the fleet-wide limit holds for any number of hosts. They are chosen from the
-// voter set because hosts that are starting or partitioned do not form a voter set of their own.
-func (s *State) allowsColdRequest(now time.Time, b *Backend) bool {
-	service := s.Documents.Services[b.Info.Service]
-	if service.ColdRate <= 0 || !now.Before(s.coldUntil(b, service)) {
-		return true
-	}
-	senders := s.coldSenders(now, b)
-	if !slices.Contains(senders, s.Self.HostID) {
-		return false
-	}
-	b.ColdBucket.Set(now, service.ColdRate/float64(len(senders)), 1)
-	return b.ColdBucket.Take(now, 1)
-}
-
 // coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host had
 // to take the server for cold.
 func (s *State) coldUntil(b *Backend, service cataloguer.Service) time.Time {
@@ -110,6 +89,6 @@
 		}
 		former := s.coldUntil(b, s.Documents.Services[b.Info.Service])
 		b.ColdAssumedAt = now
-		s.logColdStart(now, b, former, coldDomainReturned)
+		s.noteColdStart(now, b, former, coldDomainReturned)
 	}
 }
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -28,8 +28,9 @@
 	Recent []string
 	// Reachable is the reachable hosts, whether they drain or not, and this host.
 	Reachable []string
-	// Voters are the hosts that vote on leases.
-	Voters []string
+	// Voters are the hosts that vote on leases, and Carriers those of them that callers are directed to.
+	Voters   []string
+	Carriers []string
 	// Ranks caches the results of ranked: the first hosts by rendezvous rank for each key.
 	Ranks map[rankKey][]string
 	// AdapterRanks caches the results of adapterRanking for the backend servers as indexed.
@@ -105,6 +106,7 @@
 		clear(s.Index.Ranks)
 	}
 	if !slices.Equal(voters, s.Index.Voters) {
+		s.Index.Carriers = s.carriers(voters)
 		clear(s.Index.Ranks)
 	}
 	s.Index.Active, s.Index.Reachable, s.Index.Voters, s.Index.Recent = active, reachable, voters, recent
@@ -156,10 +158,19 @@
 	return id
 }
 
-// rankKey identifies a ranking: among the voters if Voting is set, otherwise among the active hosts.
+// rankedGroup is the hosts among which a ranking is made.
+type rankedGroup uint8
+
+const (
+	rankActive rankedGroup = iota
+	rankVoters
+	rankCarriers
+)
+
+// rankKey identifies a ranking among a group of hosts.
 type rankKey struct {
-	Voting bool
-	Key    string
+	Among rankedGroup
+	Key   string
 }
 
 // ranked returns up to count hosts by their rendezvous rank for a key; count must always be the same for a key.
@@ -168,11 +179,18 @@
 	if r, ok := s.Index.Ranks[key]; ok {
 		return r
 	}
-	hosts := s.Index.Active
-	if key.Voting {
-		hosts = s.Index.Voters
-	}
-	r := rankHosts(key.Key, hosts, count)
+	r := rankHosts(key.Key, s.rankedHosts(key.Among), count)
 	s.Index.Ranks[key] = r
 	return r
 }
+
+// rankedHosts returns the hosts of a group, as indexed.
+func (s *State) rankedHosts(group rankedGroup) []string {
+	switch group {
+	case rankVoters:
+		return s.Index.Voters
+	case rankCarriers:
+		return s.Index.Carriers
+	}
+	return s.Index.Active
+}
--- a/internal/reducer/limits.go
+++ b/internal/reducer/limits.go
@@ -161,8 +161,6 @@
 	failureRateDecay = 0.8
 	// grantableFraction is the fraction of a window's quota that coordinators grant; the rest covers the reserves that hosts hold.
 	grantableFraction = 0.88
-	// coldSenderCount is the number of hosts that may send requests to a backend server in its cold start.
-	coldSenderCount = 5
 	// retrySlackFraction is the fraction of the fleet's retry slack that hosts use.
 	retrySlackFraction = 0.8
 	// defaultRetryAfter is the retry delay that a refusal suggests to the caller, and maxRetryAfter the longest one: another host may still
--- a/internal/reducer/membership_test.go
+++ b/internal/reducer/membership_test.go
@@ -307,14 +307,17 @@
 	c := testCatalogue(3)
 	c.Services[0].ColdRate = 100
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c3"), Catalogue: c})
-	cold := &Backend{Info: cataloguer.Backend{ID: "cold-1", Service: "desk"}, ColdUntil: f.now.Add(time.Second)}
-	f.state.allowsColdRequest(f.now, cold)
+	cold := &Backend{Info: cataloguer.Backend{Service: "desk"}, ColdUntil: f.now.Add(time.Second)}
+	for i := 0; !f.state.isSender(f.now, cold); i++ {
+		cold.Info.ID = strconv.Itoa(i)
+	}
+	f.state.updateThrottle(f.now, cold)
 	f.now = f.now.Add(time.Second / 2)
-	cold.ColdBucket.Level = 1
+	assert.Assert(t, f.state.throttleAllows(f.now, cold))
 	f.state.Membership = Membership{}
 	f.state.Hosts = map[string]*Host{}
 	f.state.invalidateHostIndex()
-	assert.Assert(t, !f.state.allowsColdRequest(f.now, cold))
+	assert.Assert(t, !f.state.throttleAllows(f.now, cold))
 }
 
 // Guards against votes of one voter set that make up a quorum of the set that the claimant knows by the time the votes arrive.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -42,6 +42,10 @@
 		var policy P
 		i := policy.Choose(candidates)
 		b := s.Backends[candidates[i].Backend]
+		if !s.maySend(now, b) {
+			candidates = slices.Delete(candidates, i, i+1)
+			continue
+		}
 		if opensIn := s.slowStartOpensIn(now, r, b); opensIn > 0 {
 			held.add(opensIn, s.readyDelay(now, r, b))
 			candidates = slices.Delete(candidates, i, i+1)
@@ -61,7 +65,7 @@
 				return
 			}
 		}
-		if s.allowsColdRequest(now, b) {
+		if s.throttleAllows(now, b) {
 			s.dispatch(now, r, b, service)
 			preloadReplicas[P](s, now, r, candidates)
 			return
@@ -270,6 +274,7 @@
 	}
 	state, _ := s.sendState(now, b)
 	s.recordSlowStartDispatch(now, r, b)
+	s.spendThrottle(now, b)
 	r.Phase = PhaseRunning
 	r.Backend = b.Info.ID
 	r.Attempt++
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -64,6 +64,7 @@
 	tickBackends(s, now)
 	tickPlaces(s, now)
 	tickSlowStarts(s, now)
+	tickThrottles(s, now)
 	tickLeases(s, now)
 	tickKeepAlive(s, now)
 	tickAccounts[P](s, now)
--- a/internal/reducer/sendstate.go
+++ b/internal/reducer/sendstate.go
@@ -121,7 +121,10 @@
 	soonest, found := time.Duration(0), false
 	for _, b := range s.serviceBackends(service) {
 		state, until := s.sendState(now, b)
-		if state.Usable() || state == SendSaturated {
+		if state == SendCold {
+			until = now.Add(s.throttleOpensIn(now, b))
+		}
+		if !until.After(now) && (state.Usable() || state == SendSaturated) {
 			return 0, true
 		}
 		if until.IsZero() {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -30,7 +30,9 @@
 	Removed map[string]bool
 	InUse   map[string]bool
 	// Starting holds the backend servers in slow start, and Carriers the hosts that carry traffic, as the senders to such servers.
-	Starting    map[string]bool
+	Starting map[string]bool
+	// Throttled holds the backend servers with a bound on their rate over all hosts.
+	Throttled   map[string]bool
 	Carriers    Carriers
 	Leases      map[string]*Lease
 	LeaseGrants map[string]*LeaseGrant
@@ -185,7 +187,7 @@
 	// not say so yet; zero for never.
 	ColdUntil     time.Time
 	ColdAssumedAt time.Time
-	ColdBucket    limiter.Bucket
+	Throttle      Throttle
 	// RemovedAt is when the published entry was removed; zero while it is published.
 	RemovedAt time.Time
 	// Expired is set for an entry that was removed while the configuration service was degraded: the backend server may still run and
@@ -349,6 +351,7 @@
 		Removed:     map[string]bool{},
 		InUse:       map[string]bool{},
 		Starting:    map[string]bool{},
+		Throttled:   map[string]bool{},
 		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}, AdapterRanks: map[rankedAdapter]adapterRank{}},
 		Leases:      map[string]*Lease{},
 		LeaseGrants: map[string]*LeaseGrant{},
--- /dev/null
+++ b/internal/reducer/throttle.go
@@ -0,0 +1,103 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/throttler"
+)
+
+// Throttle is this host's part in the bounds on the rate of one backend server that hold over all hosts.
+type Throttle struct {
+	Cold throttler.Gate[throttler.ColdStart]
+}
+
+// updateThrottle opens or closes this host's part in the bounds that a backend server has now.
+func (s *State) updateThrottle(now time.Time, b *Backend) {
+	service := s.Documents.Services[b.Info.Service]
+	if service.ColdRate <= 0 || !now.Before(s.coldUntil(b, service)) {
+		b.Throttle.Cold.Close()
+		return
+	}
+	b.Throttle.Cold.Update(now, service.ColdRate, s.isSender(now, b))
+}
+
+// throttled reports whether a backend server has a bound on its rate now.
+func (s *State) throttled(now time.Time, b *Backend) bool {
+	service := s.Documents.Services[b.Info.Service]
+	return service.ColdRate > 0 && now.Before(s.coldUntil(b, service))
+}
+
+// maySend reports whether this host is one of those that may send requests to a backend server now.
+func (s *State) maySend(now time.Time, b *Backend) bool { return !s.throttled(now, b) || s.isSender(now, b) }
+
+// throttleOpensIn returns the time until the bounds on the rate of a backend server allow a request of this host.
+func (s *State) throttleOpensIn(now time.Time, b *Backend) time.Duration {
+	if !s.throttled(now, b) {
+		return 0
+	}
+	s.updateThrottle(now, b)
+	if opensIn, ok := b.Throttle.Cold.OpensIn(now); ok {
+		return opensIn
+	}
+	return s.coldUntil(b, s.Documents.Services[b.Info.Service]).Sub(now)
+}
+
+// throttleAllows reports whether the bounds on the rate of a backend server allow a request of this host now.
+func (s *State) throttleAllows(now time.Time, b *Backend) bool {
+	return s.throttleOpensIn(now, b) <= 0
+}
+
+// spendThrottle counts a request that is being sent against the bounds on the rate of its backend server.
+func (s *State) spendThrottle(now time.Time, b *Backend) {
+	if s.throttled(now, b) {
+		b.Throttle.Cold.Spend(now)
+	}
+}
+
+// tickThrottles opens this host's part in the bounds of the backend servers that have any, so that it can save up a request before the first
+// one arrives.
+func tickThrottles(s *State, now time.Time) {
+	for _, id := range sortedKeys(s.Throttled) {
+		b, ok := s.Backends[id]
+		if !ok {
+			delete(s.Throttled, id)
+			continue
+		}
+		s.updateThrottle(now, b)
+		if !s.throttled(now, b) {
+			delete(s.Throttled, id)
+		}
+	}
+}
+
+// senders returns the hosts that may send requests to a backend server with a bound on its rate: the first by rank of the voters that callers
+// are directed to. It returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
+func (s *State) senders(now time.Time, b *Backend) []string {
+	if !s.votersKnown() {
+		return nil
+	}
+	return s.ranked(now, rankKey{Among: rankCarriers, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
+}
+
+// isSender reports whether this host may send requests to a backend server with a bound on its rate.
+func (s *State) isSender(now time.Time, b *Backend) bool {
+	return slices.Contains(s.senders(now, b), s.Self.HostID)
+}
+
+// carriers returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
+// at different times, and the senders would change with it.
+func (s *State) carriers(voters []string) []string {
+	if len(voters) <= smallDirectory {
+		return voters
+	}
+	var records []HostRecord
+	for _, id := range voters {
+		if id == s.Self.HostID {
+			records = append(records, HostRecord{ID: id, FailureDomain: s.Self.FailureDomain, CapacityMillicores: s.Self.CapacityMillicores})
+			continue
+		}
+		records = append(records, s.Hosts[id].Record)
+	}
+	return sortedKeys(directedHosts(records))
+}
--- a/internal/reducer/where.go
+++ b/internal/reducer/where.go
@@ -262,8 +262,7 @@
 		out.Held, out.HeldMs = SendStarting.String(), inMs(opensIn)
 		return out
 	}
-	cold := *b
-	if !s.allowsColdRequest(now, &cold) {
+	if !s.throttleAllows(now, b) {
 		out.Held = SendCold.String()
 	}
 	return out
