--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -42,6 +42,10 @@
 		var policy P
 		i := policy.Choose(candidates)
 		b := s.Backends[candidates[i].Backend]
+		if !s.maySend(now, b) {
+			candidates = slices.Delete(candidates, i, i+1)
+			continue
+		}
 		if opensIn := s.slowStartOpensIn(now, r, b); opensIn > 0 {
 			held.add(opensIn, s.readyDelay(now, r, b))
 			candidates = slices.Delete(candidates, i, i+1)
@@ -61,7 +65,7 @@
 				return
 			}
 		}
-		if s.allowsColdRequest(now, b) {
+		if s.throttleAllows(now, b) {
 			s.dispatch(now, r, b, service)
 			preloadReplicas[P](s, now, r, candidates)
 			return
@@ -268,7 +272,9 @@
 		s.Counters.LoadStallMillis += uint64(now.Sub(r.WaitSince).Milliseconds())
 		s.stopWaiting(r)
 	}
+	state, _ := s.sendState(now, b)
 	s.recordSlowStartDispatch(now, r, b)
+	s.spendThrottle(now, b)
 	r.Phase = PhaseRunning
 	r.Backend = b.Info.ID
 	r.Attempt++
@@ -290,7 +296,7 @@
 		s.markUseChanged(now, b, adapter, adapter.Running == 1)
 	}
 	s.Counters.Dispatches++
-	s.logEvent(EventRequestSent, s.requestFields(now, r, intField("running", b.Running), intField("others_running", b.OtherHosts.Running),
+	s.logEvent(EventRequestSent, s.requestFields(now, r, Field{"server_state", state.String()}, intField("running", b.Running), intField("others_running", b.OtherHosts.Running),
 		intField("prefill_tokens", r.PrefillTokens), Field{"content", strings.Join(r.Content(), ",")},
 		ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt))...)
 	s.emit(Dispatch{
