Choose the senders of a backend server by the users' bound

Three senders with three quarters of the rate break the bound of a cold start at 6.9 requests a second with six hosts that take themselves for senders: requests take up to 200 ms to the server, so those of 1.2 s count for a window of 1 s. The number of senders now follows from the bound, its window, the rate and the number of known hosts. NamedLimit is the second policy. A gate no longer opens before it has saved a whole request, stays shut where its rate is no positive number or its wait overflows, and keeps its debt while it is closed.

--- /dev/null
+++ b/internal/throttler/divide.go
@@ -0,0 +1,54 @@
+package throttler
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// MaxSenders is the largest number of senders. More senders lower the spread of their number, but each of them waits longer before it sends.
+	MaxSenders = 8
+	// fraction is the part of the server's rate that all senders together use. The users ask for at least half of the rate in a calm fleet.
+	fraction = 0.55
+	// longestTransit is the longest time from the decision to send a request until it reaches the server.
+	longestTransit = 200 * time.Millisecond
+	// partition is how many times the intended senders take themselves for senders where each host knows half of the fleet.
+	partition = 2
+	// enoughRoom is the room for further senders, in square roots of their intended number, from which more senders are better than more room. It is
+	// about four standard deviations of the number of senders in views that each lack half of the fleet.
+	enoughRoom = 2
+)
+
+// Division states how the rate of one backend server is divided among the hosts; the zero value lets none send.
+type Division struct {
+	// Senders is the number of hosts that may send to the server, the first ones by rank.
+	Senders int
+	// Share is the rate of each sender in requests per second.
+	Share float64
+}
+
+// Divide returns how the rate of a server, in requests per second, is divided where this many hosts are known. No host may send where no host
+// is known or the rate is not a positive number.
+func Divide[P Policy](rate float64, hosts int) Division {
+	if !(rate > 0) || math.IsInf(rate, 1) {
+		return Division{}
+	}
+	var policy P
+	bound := policy.Bound()
+	best, most := Division{}, math.Inf(-1)
+	for senders := 1; senders <= min(hosts, MaxSenders); senders++ {
+		d := Division{Senders: senders, Share: rate * fraction / float64(senders)}
+		if r := min(room(bound, rate, d), enoughRoom); r >= most {
+			best, most = d, r
+		}
+	}
+	return best
+}
+
+// room returns how many senders the bound bears beyond those of a divided fleet, in square roots of their intended number, with which the
+// spread of their number grows.
+func room(bound Bound, rate float64, d Division) float64 {
+	perSender := math.Floor(1 + d.Share*(bound.Window+longestTransit).Seconds())
+	borne := math.Floor((bound.Factor*rate*bound.Window.Seconds() + bound.Extra) / perSender)
+	return (borne - partition*float64(d.Senders)) / math.Sqrt(float64(d.Senders))
+}
--- a/internal/throttler/policy.go
+++ b/internal/throttler/policy.go
@@ -1,12 +1,29 @@
 package throttler
 
-// MaxSenders is the largest number of senders of any policy.
-const MaxSenders = 3
+import "time"
+
+// Bound states how many requests may reach a backend server from all hosts within any Window: Factor times its rate, and Extra more.
+type Bound struct {
+	Window time.Duration
+	Factor float64
+	Extra  float64
+}
+
+// Policy is a kind of bound on the requests of a backend server.
+type Policy interface {
+	// Bound returns the bound that the users state.
+	Bound() Bound
+}
 
 // ColdStart is the bound of a backend server in its cold start, which bears one and a half times its rate and 5 requests in any second.
 type ColdStart struct{}
 
-// Division returns how the rate of a cold server is divided.
-func (ColdStart) Division() Division {
-	return Division{Senders: MaxSenders, Fraction: 0.75, Burst: 1}
-}
+// Bound implements Policy.
+func (ColdStart) Bound() Bound { return Bound{Window: time.Second, Factor: 1.5, Extra: 5} }
+
+// NamedLimit is the bound of a backend server that names a limit in its answers, over the hosts that know the limit: one and a half times the
+// limit and 5 requests in any four seconds. The limit may change, vanish and come back.
+type NamedLimit struct{}
+
+// Bound implements Policy.
+func (NamedLimit) Bound() Bound { return Bound{Window: 4 * time.Second, Factor: 1.5, Extra: 5} }
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -1,26 +1,21 @@
 package throttler
 
 import (
+	"math"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/limiter"
 )
 
-// Division states how the rate of one backend server is divided among the hosts.
-type Division struct {
-	// Senders is the number of hosts that may send to the server.
-	Senders int
-	// Fraction is the part of the server's rate that all senders together use.
-	Fraction float64
-	// Burst is the number of requests that a sender may save up while it has none to send.
-	Burst float64
-}
-
-// Policy is a kind of bound on the rate of a backend server.
-type Policy interface {
-	// Division returns how the rate is divided.
-	Division() Division
-}
+const (
+	// burst is the number of requests that a sender may save up. All hosts may send their savings at once, so it is the least that lets a request
+	// pass; a bucket with less would let its first request pass early, and a gate that opens would add requests.
+	burst = 1
+	// roundingError is the part of a request that may be missing, so that a gate opens at the time that OpensIn has named.
+	roundingError = 1e-9
+	// longestWait limits what OpensIn returns: the wait for a very small share does not fit a time.Duration.
+	longestWait = time.Hour
+)
 
 // Gate is this host's part of the rate of one backend server; the zero value is closed.
 type Gate[P Policy] struct {
@@ -30,23 +25,23 @@
 	Bucket limiter.Bucket
 }
 
-// Update applies the rate of the server in requests per second, and whether this host is one of its senders. A gate that opens is empty.
-func (g *Gate[P]) Update(now time.Time, rate float64, sender bool) {
-	if !sender || rate <= 0 {
+// Update applies the rate of the server in requests per second, the number of known hosts, and whether this host is one of the senders that
+// Divide states for them. A gate that opens has nothing saved, and still owes what it owed when it closed.
+func (g *Gate[P]) Update(now time.Time, rate float64, hosts int, sender bool) {
+	d := Divide[P](rate, hosts)
+	if !sender || d.Senders == 0 {
 		g.Close()
 		return
 	}
+	g.Bucket.Set(now, d.Share, burst)
 	if !g.Open {
-		g.Bucket = limiter.Bucket{UpdatedAt: now}
 		g.Open = true
+		g.Bucket.Level = min(g.Bucket.Level, 0)
 	}
-	var policy P
-	d := policy.Division()
-	g.Bucket.Set(now, rate*d.Fraction/float64(max(d.Senders, 1)), d.Burst)
 }
 
 // Close closes the gate: this host sends nothing to the server, or the server has no bound.
-func (g *Gate[P]) Close() { *g = Gate[P]{} }
+func (g *Gate[P]) Close() { g.Open = false }
 
 // Allows reports whether this host may send a request now.
 func (g *Gate[P]) Allows(now time.Time) bool {
@@ -54,16 +49,25 @@
 	return ok && wait <= 0
 }
 
-// OpensIn returns the time until this host may send a request, and false if it is no sender.
+// OpensIn returns the time until this host may send a request, at most an hour, and false if it is no sender.
 func (g *Gate[P]) OpensIn(now time.Time) (time.Duration, bool) {
 	if !g.Open {
 		return 0, false
 	}
-	return g.Bucket.Wait(now, 1), true
+	g.Bucket.Refill(now)
+	missing := 1 - g.Bucket.Level
+	if missing <= roundingError {
+		return 0, true
+	}
+	wait := math.Ceil(missing / g.Bucket.Rate * float64(time.Second))
+	return time.Duration(min(wait, float64(longestWait))), true
 }
 
-// Spend takes one request, whether it is allowed or not: one that is sent all the same delays the next one.
+// Spend takes one request from an open gate, whether it is allowed or not: one that is sent all the same delays the next one.
 func (g *Gate[P]) Spend(now time.Time) {
+	if !g.Open {
+		return
+	}
 	g.Bucket.Refill(now)
 	g.Bucket.Level--
 }
