--- a/internal/throttler/divide.go
+++ b/internal/throttler/divide.go
@@ -8,14 +8,15 @@
 const (
 	// MaxSenders is the largest number of senders. More senders lower the spread of their number, but each of them waits longer before it sends.
 	MaxSenders = 8
-	// fraction is the part of the server's rate that all senders together use. The users ask for at least half of the rate in a calm fleet.
+	// fraction is the part of the server's rate that all senders together use. A calm fleet must use at least half of the rate; the rest
+	// of the bound is for hosts that wrongly take themselves for senders.
 	fraction = 0.55
 	// longestTransit is the longest time from the decision to send a request until it reaches the server.
 	longestTransit = 200 * time.Millisecond
 	// partition is how many times the intended senders take themselves for senders where each host knows half of the fleet.
 	partition = 2
 	// enoughRoom is the room for further senders, in square roots of their intended number, from which more senders are better than more room. It is
-	// about four standard deviations of the number of senders in views that each lack half of the fleet.
+	// 2.4 (one sender) to 3.8 (eight) standard deviations of their number in views that each lack half of the fleet.
 	enoughRoom = 2
 )
 
@@ -35,20 +36,28 @@
 	}
 	var policy P
 	bound := policy.Bound()
-	best, most := Division{}, math.Inf(-1)
-	for senders := 1; senders <= min(hosts, MaxSenders); senders++ {
-		d := Division{Senders: senders, Share: rate * fraction / float64(senders)}
-		if r := min(room(bound, rate, d), enoughRoom); r >= most {
-			best, most = d, r
+	best, most := 0, math.Inf(-1)
+	for senders := 1; senders <= MaxSenders; senders++ {
+		if r := min(room(bound, rate, senders), enoughRoom); r >= most {
+			best, most = senders, r
 		}
 	}
-	return best
+	// In a small fleet, the number follows that of the known hosts closely: hosts with unlike views that differ much in it would exceed the bound.
+	for senders := min(best, hosts); senders > 0; senders-- {
+		if room(bound, rate, senders) >= 0 {
+			return Division{Senders: senders, Share: share(rate, senders)}
+		}
+	}
+	return Division{}
 }
 
+// share returns the rate of each of the senders.
+func share(rate float64, senders int) float64 { return rate * fraction / float64(senders) }
+
 // room returns how many senders the bound bears beyond those of a divided fleet, in square roots of their intended number, with which the
 // spread of their number grows.
-func room(bound Bound, rate float64, d Division) float64 {
-	perSender := math.Floor(1 + d.Share*(bound.Window+longestTransit).Seconds())
+func room(bound Bound, rate float64, senders int) float64 {
+	perSender := math.Floor(1 + share(rate, senders)*(bound.Window+longestTransit).Seconds())
 	borne := math.Floor((bound.Factor*rate*bound.Window.Seconds() + bound.Extra) / perSender)
-	return (borne - partition*float64(d.Senders)) / math.Sqrt(float64(d.Senders))
+	return (borne - partition*float64(senders)) / math.Sqrt(float64(senders))
 }
--- a/internal/throttler/doc.go
+++ b/internal/throttler/doc.go
@@ -10,6 +10,7 @@
 // requests in t. Those that reach the server within the window of a Bound were sent within the window and the longest transit, which is the t
 // that counts. Divide chooses the number of senders so that the bound holds with at least twice as many of them: where two sides of the fleet
 // do not know each other, and during a change of the senders at all hosts at once. Where every host lacks a part of the fleet of its own, the
-// number of hosts that take themselves for senders varies, and Divide leaves room for that too. Three or more sides that do not know each other
-// can break the bound, and so can hosts that know almost no others: keep their gates closed until they have heard from the fleet.
+// number of hosts that take themselves for senders varies, and Divide leaves room for that, which makes an excess rare but not impossible.
+// Three or more sides that do not know each other can break the bound. Hosts that know almost no others do, each taking itself for a sender:
+// keep their gates closed until they have heard from the fleet.
 package throttler
