Take all servers of a returned failure domain for cold again

Cause: trusted an entry that tells of a cold start, although that may be an earlier one which is about to end. Found by the review.

--- a/internal/exerciser/cold_test.go
+++ b/internal/exerciser/cold_test.go
@@ -76,3 +76,21 @@
 		})
 	}
 }
+
+// Guards against the same for servers that were cold just before their failure domain was withdrawn, so that an earlier cold start is about to end
+// when it is taken back.
+func TestReturnedServersAreColdBeyondAnEarlierColdStart(t *testing.T) {
+	for _, run := range []coldRun{{6, 12, 206, 1200 * time.Millisecond}, {38, 60, 450, 1200 * time.Millisecond}, {80, 60, 450, 1200 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%d_hosts", run.hosts), func(t *testing.T) {
+			l := newColdLoad(run)
+			l.sim.after(5900*time.Millisecond, func() {
+				for _, b := range l.sim.domainEngines("domain-1") {
+					l.sim.CoolEngine(b)
+				}
+			})
+			l.sim.after(6*time.Second, func() { l.sim.CoolDomain("domain-1", 2700*time.Millisecond, run.publishDelay) })
+			l.run(14 * time.Second)
+			assert.DeepEqual(t, l.sim.Checker.Violations, []string(nil))
+		})
+	}
+}
--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -79,12 +79,11 @@
 }
 
 // assumeDomainCold takes the backend servers of a failure domain that is no longer withdrawn for cold: they may have become cold while they got
-// no requests, and publish it up to a heartbeat later, while the end of the withdrawal takes effect at once. An entry that says already that the
-// server is cold needs no such assumption.
+// no requests, and publish it up to a heartbeat later, while the end of the withdrawal takes effect at once.
 func assumeDomainCold(s *State, now time.Time, domain string) {
 	for _, id := range sortedKeys(s.Backends) {
 		b := s.Backends[id]
-		if b.Info.FailureDomain != domain || now.Before(b.ColdUntil) {
+		if b.Info.FailureDomain != domain {
 			continue
 		}
 		former := s.coldUntil(b, s.Documents.Services[b.Info.Service])
