Pass on each change that a peer has sent

Callers: a server that had returned stayed unused at some hosts, and a cold one was flooded by some. Cause: a host judged what it read from a peer against its own state, and did not pass on what changed nothing there, for example a removal and a return that it read together. The hosts behind it took over the revision without the change, and refused it from then on. Change: only what comes from the configuration service is judged; peers send nothing but what is significant. Result: TestReturnOfARemovedEntryIsPassedOn and TestColdStartIsPassedOnByHostsThatLearnedLate failed before and pass.

--- a/internal/reducer/coldstart_test.go
+++ b/internal/reducer/coldstart_test.go
@@ -51,3 +51,37 @@
 	f.advance(1200 * time.Millisecond)
 	assert.Assert(t, f.cold())
 }
+
+// Guards against a change that ends at a host which read it together with an earlier one: the server that has returned stays removed at the
+// hosts behind it.
+func TestReturnOfARemovedEntryIsPassedOn(t *testing.T) {
+	watcher, hop, end := newFixture(t), newFixture(t), newFixture(t)
+	watcher.publish(cataloguer.Document{Key: "b/desk-1", Kind: cataloguer.KindBackend, Name: "desk-1", Deleted: true})
+	passOn(t, watcher, end)
+	watcher.publishBackend(coldEntry(0))
+	passOn(t, watcher, hop)
+	passOn(t, hop, end)
+	passOn(t, watcher, end)
+	assert.Equal(t, end.state.Documents.Revision, watcher.state.Documents.Revision)
+	assert.Assert(t, end.state.Backends["desk-1"].RemovedAt.IsZero())
+}
+
+// Guards against a cold start that ends at a host which learned of an earlier one later than the hosts behind it.
+func TestColdStartIsPassedOnByHostsThatLearnedLate(t *testing.T) {
+	watcher, hop, end := newFixture(t), newFixture(t), newFixture(t)
+	for _, f := range []*fixture{watcher, hop, end} {
+		f.publish(coldCatalogue(2))
+	}
+	watcher.publishBackend(coldEntry(3 * time.Second))
+	passOn(t, watcher, end)
+	watcher.advance(700 * time.Millisecond)
+	passOn(t, watcher, hop)
+	watcher.advance(900 * time.Millisecond)
+	watcher.publishBackend(coldEntry(3 * time.Second))
+	passOn(t, watcher, hop)
+	passOn(t, hop, end)
+	watcher.advance(1500 * time.Millisecond)
+	passOn(t, watcher, end)
+	assert.Check(t, watcher.cold())
+	assert.Check(t, end.cold())
+}
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -115,7 +115,8 @@
 	if d.Kind == cataloguer.KindOther || !known && (d.Deleted || d.Revision <= s.Documents.Revision) {
 		return
 	}
-	if known && s.insignificant(now, item.Document, d) {
+	// Peers send only what is significant. To judge it again would end a change here that the hosts behind this one need.
+	if known && r.From == fromConfigService && s.insignificant(now, item.Document, d) {
 		item.Document = d
 		applyBackend(s, now, *d.Backend)
 		return
