Compare a cold start with the one that was last passed on

Cause: a cold start that ended less than a second later than the one before was not passed on, and the next one was compared with it, so that a series of them never reached the other hosts. Found by the review. Change: the item holds the end of the cold start that was last passed on; half a second more is passed on, which reading at a varying delay rarely makes. Result: TestSeriesOfColdStartsIsPassedOn failed before and passes.

--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -9,8 +9,8 @@
 )
 
 // minColdExtension is the least time by which the end of a cold start must move for it to count as another one: the entry of a server that is
-// cold is published again with the time that is left, and read with a varying delay.
-const minColdExtension = time.Second
+// cold is published again with the time that is left, and read with a delay that varies by up to a watch of the configuration service.
+const minColdExtension = 500 * time.Millisecond
 
 // Reasons in the log for which this host takes a backend server for cold.
 const (
@@ -51,15 +51,21 @@
 		boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
 }
 
-// coldAgain reports whether the entry of a backend server tells of a cold start that other hosts have to learn of. It is compared with the end of
-// the cold start that all hosts know, and not with the former entry: while a cold start passes, its entry states less and less time, which is
-// not passed on.
-func (s *State) coldAgain(now time.Time, info cataloguer.Backend) bool {
-	b, ok := s.Backends[info.ID]
-	if !ok || !now.Before(b.ColdUntil) {
+// coldEnd returns the end of the cold start that a document tells of; zero if it tells of none.
+func coldEnd(now time.Time, d cataloguer.Document) time.Time {
+	if d.Backend == nil || d.Backend.ColdRemaining <= 0 {
+		return time.Time{}
+	}
+	return now.Add(d.Backend.ColdRemaining)
+}
+
+// coldAgain reports whether the entry of a backend server tells of a cold start that other hosts have to learn of. It is compared with the one that
+// was last passed on, and not with the former entry: while a cold start passes, its entry states less and less time, which is not passed on.
+func coldAgain(now time.Time, item *Item, info cataloguer.Backend) bool {
+	if !now.Before(item.ColdUntil) {
 		return info.ColdRemaining > 0
 	}
-	return now.Add(info.ColdRemaining).Sub(b.ColdUntil) >= minColdExtension
+	return now.Add(info.ColdRemaining).Sub(item.ColdUntil) >= minColdExtension
 }
 
 // coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host had
--- a/internal/reducer/coldstart_test.go
+++ b/internal/reducer/coldstart_test.go
@@ -85,3 +85,22 @@
 	assert.Check(t, watcher.cold())
 	assert.Check(t, end.cold())
 }
+
+// Guards against cold starts that each end a little later than the one before, of which other hosts never learn.
+func TestSeriesOfColdStartsIsPassedOn(t *testing.T) {
+	watcher, end := newFixture(t), newFixture(t)
+	watcher.publish(coldCatalogue(2))
+	watcher.publishBackend(coldEntry(3 * time.Second))
+	passOn(t, watcher, end)
+	for range 20 {
+		watcher.advance(400 * time.Millisecond)
+		watcher.publishBackend(coldEntry(3 * time.Second))
+		passOn(t, watcher, end)
+	}
+	assert.Assert(t, watcher.cold())
+	assert.Assert(t, end.cold())
+	watcher.advance(2400 * time.Millisecond)
+	end.now = watcher.now
+	assert.Assert(t, watcher.cold())
+	assert.Assert(t, end.cold())
+}
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -32,6 +32,8 @@
 	LearnedAt time.Time
 	// SignificantRevision is the revision of the last change that other hosts need to know.
 	SignificantRevision int64
+	// ColdUntil is the end of the cold start that the last significant entry of a backend server tells of; zero if it tells of none.
+	ColdUntil time.Time
 }
 
 func newDocuments() Documents {
@@ -116,7 +118,7 @@
 		return
 	}
 	// Peers send only what is significant. To judge it again would end a change here that the hosts behind this one need.
-	if known && r.From == fromConfigService && s.insignificant(now, item.Document, d) {
+	if known && r.From == fromConfigService && insignificant(now, item, d) {
 		item.Document = d
 		applyBackend(s, now, *d.Backend)
 		return
@@ -125,20 +127,20 @@
 	if r.From != fromConfigService {
 		significant = min(significant, r.SignificantRevision)
 	}
-	s.Documents.Items[d.Key] = &Item{Document: d, LearnedAt: now, SignificantRevision: significant}
+	s.Documents.Items[d.Key] = &Item{Document: d, LearnedAt: now, SignificantRevision: significant, ColdUntil: coldEnd(now, d)}
 	s.Documents.SignificantRevision = max(s.Documents.SignificantRevision, significant)
 	applyItem(s, now, r, d)
 }
 
-// insignificant reports whether the entry of a backend server changed only in what other hosts do not need to know. Such changes are not passed
-// on, so the former entry need not be the one that other hosts have.
-func (s *State) insignificant(now time.Time, former, d cataloguer.Document) bool {
+// insignificant reports whether the entry of a backend server changed only in what other hosts do not need to know.
+func insignificant(now time.Time, item *Item, d cataloguer.Document) bool {
+	former := item.Document
 	if former.Backend == nil || d.Backend == nil || former.Deleted || d.Deleted {
 		return false
 	}
 	x, y := *former.Backend, *d.Backend
 	return x.Service == y.Service && x.Address == y.Address && x.FailureDomain == y.FailureDomain && x.StartedUnixMs == y.StartedUnixMs &&
-		x.Slots == y.Slots && x.Draining == y.Draining && !s.coldAgain(now, y) && sameModels(x, y)
+		x.Slots == y.Slots && x.Draining == y.Draining && !coldAgain(now, item, y) && sameModels(x, y)
 }
 
 func sameModels(a, b cataloguer.Backend) bool {
