Take the servers of a returned failure domain for cold where the withdrawal was not seen

Cause: the end of a withdrawal counted only at hosts that had read its beginning. A host that read both together, after a freeze, a cut or a slow read, took the servers for warm. Found by the review. Change: each end of a withdrawal that is new to a host counts. Result: TestEndOfAnUnseenWithdrawalCounts failed before, for a first and a second withdrawal, and passes.

--- a/internal/reducer/coldstart_test.go
+++ b/internal/reducer/coldstart_test.go
@@ -104,3 +104,26 @@
 	assert.Assert(t, watcher.cold())
 	assert.Assert(t, end.cold())
 }
+
+// Guards against a host that reads a withdrawal and its end together, as after a pause, and takes the servers for warm.
+func TestEndOfAnUnseenWithdrawalCounts(t *testing.T) {
+	for name, withdrawnBefore := range map[string]bool{"first withdrawal": false, "second withdrawal": true} {
+		t.Run(name, func(t *testing.T) {
+			watcher, end := newFixture(t), newFixture(t)
+			watcher.publish(coldCatalogue(2))
+			if withdrawnBefore {
+				watcher.publish(withdrawal(false))
+				watcher.publish(withdrawal(true))
+				passOn(t, watcher, end)
+				watcher.advance(9 * time.Second)
+			}
+			passOn(t, watcher, end)
+			watcher.publish(withdrawal(false))
+			watcher.advance(2 * time.Second)
+			watcher.publish(withdrawal(true))
+			passOn(t, watcher, end)
+			assert.Check(t, watcher.cold())
+			assert.Check(t, end.cold())
+		})
+	}
+}
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -113,8 +113,10 @@
 		s.logEvent(EventDocumentRefused, Field{"key", d.Key}, Field{"fault", d.DecodeError})
 		return
 	}
-	// An unknown item that is older than the revision that this host has read was deleted by then.
-	if d.Kind == cataloguer.KindOther || !known && (d.Deleted || d.Revision <= s.Documents.Revision) {
+	// An unknown item that is older than the revision that this host has read was deleted by then. The end of a withdrawal matters even if
+	// this host has not seen its beginning.
+	ends := d.Deleted && d.Kind != cataloguer.KindWithdrawnDomain
+	if d.Kind == cataloguer.KindOther || !known && (ends || d.Revision <= s.Documents.Revision) {
 		return
 	}
 	// Peers send only what is significant. To judge it again would end a change here that the hosts behind this one need.
@@ -161,8 +163,10 @@
 		}
 		applyBackend(s, now, *d.Backend)
 	case cataloguer.KindWithdrawnDomain:
-		if d.Deleted && s.Documents.Withdrawn[d.Name] {
+		if d.Deleted {
 			assumeDomainCold(s, now, d.Name)
+		}
+		if d.Deleted && s.Documents.Withdrawn[d.Name] {
 			beginDomainSlowStart(s, now, d.Name)
 		}
 		s.Documents.Withdrawn[d.Name] = !d.Deleted
