Rank senders by the present capacity of hosts; test what bounds cold servers

Cause: the voters that callers are directed to were kept until the set of voters changed, although they follow from the hosts' capacity and failure domains too; hosts that had them from different times ranked different senders. Change: a host that states another capacity or failure domain makes them out of date. Tests of stalled attempts, of refusals and of hosts that have records of voters but do not know the voter set.

--- a/internal/reducer/coldstart_test.go
+++ b/internal/reducer/coldstart_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -127,3 +128,46 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to a cold server, without a bound, in place of a stalled attempt.
+func TestColdServerDoesNotReplaceAStalledAttempt(t *testing.T) {
+	f := newFixture(t)
+	f.publish(coldCatalogue(2))
+	first := must[Dispatch](t, f.arrive("1", "/safe/x", "secret"))
+	other := map[string]string{"desk-1": "desk-2", "desk-2": "desk-1"}[first.Backend]
+	f.state.Backends[other].ColdAssumedAt = f.now
+	_, ended := find[EndAttempt](f.reduce(AttemptStalled{ID: "1", Attempt: 1}))
+	assert.Assert(t, !ended)
+}
+
+// Guards against requests that wait for a cold server to which this host may not send, and against a refusal that names another time than the
+// end of the cold start.
+func TestHostThatMayNotSendNamesTheEndOfTheColdStart(t *testing.T) {
+	f := newFixture(t)
+	f.publish(coldCatalogue(2))
+	f.publishBackend(coldEntry(3 * time.Second))
+	f.state.Backends["desk-2"].Info.Draining = true
+	f.state.Membership.VotersKnownAt = time.Time{}
+	refusal := must[Refuse](t, f.arrive("1", "/safe/x", "secret"))
+	assert.Equal(t, refusal.RetryAfter, 3*time.Second)
+}
+
+// Guards against hosts that rank different senders since one of them still counts with the former capacity of the others.
+func TestDirectedVotersFollowTheCapacityOfHosts(t *testing.T) {
+	f := newFixture(t)
+	restart := func(capacity func(i int) int, incarnation uint64) {
+		for i := range 30 {
+			id := "host-" + strconv.Itoa(i)
+			f.reduce(PeerReceived{From: id, Incarnation: incarnation + uint64(i), Messages: []Message{HostRecord{
+				ID: id, Incarnation: incarnation + uint64(i), Heartbeat: 1, Address: id, PeerAddress: id, FailureDomain: "east", Ready: true, Voter: true,
+				CapacityMillicores: capacity(i),
+			}}})
+		}
+		f.state.indexHosts(f.now)
+	}
+	restart(func(int) int { return 0 }, 2)
+	f.advance(time.Second)
+	restart(func(i int) int { return 100 * (i + 1) }, 102)
+	f.advance(time.Second)
+	assert.DeepEqual(t, f.state.Index.DirectedVoters, f.state.directedVoters(f.state.Index.Voters))
+}
--- a/internal/reducer/host.go
+++ b/internal/reducer/host.go
@@ -106,6 +106,9 @@
 		delete(s.Index.Incarnations, h.Record.Incarnation)
 		s.Index.Incarnations[r.Incarnation] = r.ID
 	}
+	if h.Record.FailureDomain != r.FailureDomain || h.Record.CapacityMillicores != r.CapacityMillicores {
+		s.Index.DirectedVoters = nil
+	}
 	if !h.Record.sameContent(r) {
 		h.ChangedAt = now
 	}
--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -28,9 +28,9 @@
 	Recent []string
 	// Reachable is the reachable hosts, whether they drain or not, and this host.
 	Reachable []string
-	// Voters are the hosts that vote on leases, and Carriers those of them that callers are directed to.
-	Voters   []string
-	Carriers []string
+	// Voters are the hosts that vote on leases, and DirectedVoters those of them that callers are directed to; nil if that is out of date.
+	Voters         []string
+	DirectedVoters []string
 	// Ranks caches the results of ranked: the first hosts by rendezvous rank for each key.
 	Ranks map[rankKey][]string
 	// AdapterRanks caches the results of adapterRanking for the backend servers as indexed.
@@ -105,8 +105,8 @@
 		s.Index.ActiveChangedAt = now
 		clear(s.Index.Ranks)
 	}
-	if !slices.Equal(voters, s.Index.Voters) {
-		s.Index.Carriers = s.carriers(voters)
+	if s.Index.DirectedVoters == nil || !slices.Equal(voters, s.Index.Voters) {
+		s.Index.DirectedVoters = s.directedVoters(voters)
 		clear(s.Index.Ranks)
 	}
 	s.Index.Active, s.Index.Reachable, s.Index.Voters, s.Index.Recent = active, reachable, voters, recent
@@ -164,7 +164,7 @@
 const (
 	rankActive rankedGroup = iota
 	rankVoters
-	rankCarriers
+	rankDirected
 )
 
 // rankKey identifies a ranking among a group of hosts.
@@ -189,8 +189,8 @@
 	switch group {
 	case rankVoters:
 		return s.Index.Voters
-	case rankCarriers:
-		return s.Index.Carriers
+	case rankDirected:
+		return s.Index.DirectedVoters
 	}
 	return s.Index.Active
 }
--- a/internal/reducer/membership_test.go
+++ b/internal/reducer/membership_test.go
@@ -314,8 +314,8 @@
 	f.state.updateThrottle(f.now, cold)
 	f.now = f.now.Add(time.Second / 2)
 	assert.Assert(t, f.state.throttleAllows(f.now, cold))
-	f.state.Membership = Membership{}
-	f.state.Hosts = map[string]*Host{}
+	// The records of voters alone do not make the voter set known.
+	f.state.Membership.VotersKnownAt = time.Time{}
 	f.state.invalidateHostIndex()
 	assert.Assert(t, !f.state.throttleAllows(f.now, cold))
 }
--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -19,7 +19,7 @@
 		b.Throttle.Cold.Close()
 		return
 	}
-	b.Throttle.Cold.Update(now, service.ColdRate, s.carrierVoters(now), s.isSender(now, b))
+	b.Throttle.Cold.Update(now, service.ColdRate, s.directedVoterCount(now), s.isSender(now, b))
 }
 
 // throttled reports whether a backend server has a bound on its rate now.
@@ -79,9 +79,9 @@
 	if !s.votersKnown() {
 		return nil
 	}
-	ranked := s.ranked(now, rankKey{Among: rankCarriers, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
+	ranked := s.ranked(now, rankKey{Among: rankDirected, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
 	rate := s.Documents.Services[b.Info.Service].ColdRate
-	return ranked[:throttler.Divide[throttler.ColdStart](rate, len(s.Index.Carriers)).Senders]
+	return ranked[:throttler.Divide[throttler.ColdStart](rate, len(s.Index.DirectedVoters)).Senders]
 }
 
 // isSender reports whether this host may send requests to a cold backend server.
@@ -89,15 +89,15 @@
 	return slices.Contains(s.senders(now, b), s.Self.HostID)
 }
 
-// carrierVoters returns the number of voters that callers are directed to.
-func (s *State) carrierVoters(now time.Time) int {
+// directedVoterCount returns the number of voters that callers are directed to.
+func (s *State) directedVoterCount(now time.Time) int {
 	s.indexHosts(now)
-	return len(s.Index.Carriers)
+	return len(s.Index.DirectedVoters)
 }
 
-// carriers returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
+// directedVoters returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
 // at different times, and the senders would change with it.
-func (s *State) carriers(voters []string) []string {
+func (s *State) directedVoters(voters []string) []string {
 	if len(voters) <= smallDirectory {
 		return voters
 	}
