State the age of documents that hosts send to each other

Cause: hosts that read from peers keep the entry of a server as it was when its cold start began, since the steps in which the start passes are not passed on. A host that starts later got that entry and took the server for cold, and was left out as its sender, for 3 s more. The same holds for the end of a withdrawal. Change: documents carry their age; cold starts and ends of withdrawals count from when they were read. Result: TestColdStartThatHasPassedIsNotPassedOn failed before and passes; the other tests of reducer and translator pass.

--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -56,7 +56,7 @@
 	if d.Backend == nil || d.Backend.ColdRemaining <= 0 {
 		return time.Time{}
 	}
-	return now.Add(d.Backend.ColdRemaining)
+	return now.Add(d.Backend.ColdRemaining - d.Age)
 }
 
 // coldAgain reports whether the entry of a backend server tells of a cold start that other hosts have to learn of. It is compared with the one that
@@ -84,16 +84,16 @@
 	}
 }
 
-// assumeDomainCold takes the backend servers of a failure domain that is no longer withdrawn for cold: they may have become cold while they got
+// assumeDomainCold takes the backend servers of a failure domain, whose withdrawal ended at the given time, for cold: they may have become cold while they got
 // no requests, and publish it up to a heartbeat later, while the end of the withdrawal takes effect at once.
-func assumeDomainCold(s *State, now time.Time, domain string) {
+func assumeDomainCold(s *State, now, ended time.Time, domain string) {
 	for _, id := range sortedKeys(s.Backends) {
 		b := s.Backends[id]
 		if b.Info.FailureDomain != domain {
 			continue
 		}
 		former := s.coldUntil(b, s.Documents.Services[b.Info.Service])
-		b.ColdAssumedAt = now
+		b.ColdAssumedAt = later(b.ColdAssumedAt, ended)
 		s.noteColdStart(now, b, former, coldDomainReturned)
 	}
 }
--- a/internal/reducer/coldstart_test.go
+++ b/internal/reducer/coldstart_test.go
@@ -171,3 +171,20 @@
 	f.advance(time.Second)
 	assert.DeepEqual(t, f.state.Index.DirectedVoters, f.state.directedVoters(f.state.Index.Voters))
 }
+
+// Guards against a host that has just started and takes a server for cold whose cold start has ended long ago: what a peer sends it still
+// tells of the time that was left then, and of a withdrawal that has ended.
+func TestColdStartThatHasPassedIsNotPassedOn(t *testing.T) {
+	watcher, end := newFixture(t), newFixture(t)
+	watcher.publish(coldCatalogue(2))
+	watcher.publishBackend(coldEntry(3 * time.Second))
+	watcher.publish(withdrawal(false))
+	watcher.publish(withdrawal(true))
+	passOn(t, watcher, end)
+	end.advance(10 * time.Second)
+	self := end.state.Self
+	self.HostID, self.StartedAt = "host-b", end.now
+	started := &fixture{t: t, state: NewState(self, end.state.Limits, 1), now: end.now}
+	passOn(t, end, started)
+	assert.Assert(t, !started.cold())
+}
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -30,6 +30,8 @@
 type Item struct {
 	Document  cataloguer.Document
 	LearnedAt time.Time
+	// ReadAt is when some host read the document from the configuration service.
+	ReadAt time.Time
 	// SignificantRevision is the revision of the last change that other hosts need to know.
 	SignificantRevision int64
 	// ColdUntil is the end of the cold start that the last significant entry of a backend server tells of; zero if it tells of none.
@@ -81,7 +83,7 @@
 			item := s.Documents.Items[key]
 			if !listed[key] && !item.Document.Deleted && item.Document.Revision <= r.Revision {
 				deleted := item.Document
-				deleted.Deleted, deleted.Raw, deleted.Revision = true, nil, r.Revision
+				deleted.Deleted, deleted.Raw, deleted.Revision, deleted.Age = true, nil, r.Revision, 0
 				applyDocument(s, now, r, deleted)
 			}
 		}
@@ -121,7 +123,7 @@
 	}
 	// Peers send only what is significant. To judge it again would end a change here that the hosts behind this one need.
 	if known && r.From == fromConfigService && insignificant(now, item, d) {
-		item.Document = d
+		item.Document, item.ReadAt = d, now
 		applyBackend(s, now, *d.Backend)
 		return
 	}
@@ -129,7 +131,9 @@
 	if r.From != fromConfigService {
 		significant = min(significant, r.SignificantRevision)
 	}
-	s.Documents.Items[d.Key] = &Item{Document: d, LearnedAt: now, SignificantRevision: significant, ColdUntil: coldEnd(now, d)}
+	s.Documents.Items[d.Key] = &Item{
+		Document: d, LearnedAt: now, ReadAt: now.Add(-d.Age), SignificantRevision: significant, ColdUntil: coldEnd(now, d),
+	}
 	s.Documents.SignificantRevision = max(s.Documents.SignificantRevision, significant)
 	applyItem(s, now, r, d)
 }
@@ -161,10 +165,12 @@
 			markBackendRemoved(s, now, d.Name)
 			return
 		}
-		applyBackend(s, now, *d.Backend)
+		info := *d.Backend
+		info.ColdRemaining = max(info.ColdRemaining-d.Age, 0)
+		applyBackend(s, now, info)
 	case cataloguer.KindWithdrawnDomain:
 		if d.Deleted {
-			assumeDomainCold(s, now, d.Name)
+			assumeDomainCold(s, now, now.Add(-d.Age), d.Name)
 		}
 		if d.Deleted && s.Documents.Withdrawn[d.Name] {
 			beginDomainSlowStart(s, now, d.Name)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -34,7 +34,7 @@
 	case ConfigRead:
 		configRead[P](s, now, e)
 	case UpdatesRequested:
-		updatesRequested(s, e)
+		updatesRequested(s, now, e)
 	case UpdatesRead:
 		updatesRead[P](s, now, e)
 	case SettingsRead:
--- a/internal/reducer/updates.go
+++ b/internal/reducer/updates.go
@@ -105,7 +105,7 @@
 const peerReadTimeout = 700 * time.Millisecond
 
 // updatesRequested replies to a peer with the items that changed after its revision.
-func updatesRequested(s *State, e UpdatesRequested) {
+func updatesRequested(s *State, now time.Time, e UpdatesRequested) {
 	s.Counters.UpdateResponses++
 	resp := UpdatesResponse{
 		ReplyID: e.ReplyID, Revision: s.Documents.Revision, SignificantRevision: s.Documents.SignificantRevision,
@@ -114,7 +114,9 @@
 	for _, key := range sortedKeys(s.Documents.Items) {
 		item := s.Documents.Items[key]
 		if item.SignificantRevision > e.Since || resp.Snapshot && !item.Document.Deleted {
-			resp.Documents = append(resp.Documents, item.Document)
+			d := item.Document
+			d.Age = now.Sub(item.ReadAt)
+			resp.Documents = append(resp.Documents, d)
 		}
 	}
 	s.emit(resp)
--- a/internal/translator/messages.go
+++ b/internal/translator/messages.go
@@ -165,11 +165,14 @@
 func EncodeUpdates(resp reducer.UpdatesResponse) *peerv1.UpdatesResponse {
 	w := &peerv1.UpdatesResponse{Revision: resp.Revision, Whole: resp.Snapshot, Relayed: resp.SignificantRevision}
 	for _, d := range resp.Documents {
-		w.Documents = append(w.Documents, &peerv1.Document{Key: d.Key, Revision: d.Revision, Gone: d.Deleted, Raw: d.Raw})
+		w.Documents = append(w.Documents, &peerv1.Document{Key: d.Key, Revision: d.Revision, Gone: d.Deleted, Raw: d.Raw, AgeUs: uint64(max(d.Age.Microseconds(), 0))})
 	}
 	return w
 }
 
+// maxDocumentAge is the largest age of a document in a message; a larger one counts as it.
+const maxDocumentAge = 365 * 24 * time.Hour
+
 // DocumentCodec decodes the items of the configuration service.
 type DocumentCodec interface { // type constraint
 	// DecodeDocument decodes one item; a deleted one has no content.
@@ -180,7 +183,9 @@
 func DecodeUpdates[C DocumentCodec](codec C, from string, w *peerv1.UpdatesResponse) reducer.UpdatesRead {
 	event := reducer.UpdatesRead{From: from, Snapshot: w.GetWhole(), Revision: w.GetRevision(), SignificantRevision: w.GetRelayed()}
 	for _, d := range w.GetDocuments() {
-		event.Documents = append(event.Documents, codec.DecodeDocument(d.GetKey(), d.GetRevision(), d.GetGone(), d.GetRaw()))
+		document := codec.DecodeDocument(d.GetKey(), d.GetRevision(), d.GetGone(), d.GetRaw())
+		document.Age = microseconds(int64(min(d.GetAgeUs(), uint64(maxDocumentAge.Microseconds()))))
+		event.Documents = append(event.Documents, document)
 	}
 	return event
 }
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -61,7 +61,7 @@
 }
 
 func TestDocumentsRoundTrip(t *testing.T) {
-	documents := []cataloguer.Document{{Key: "a", Revision: 3, Raw: []byte("x")}, {Key: "b", Revision: 4, Deleted: true}}
+	documents := []cataloguer.Document{{Key: "a", Revision: 3, Raw: []byte("x"), Age: 1500 * time.Microsecond}, {Key: "b", Revision: 4, Deleted: true}}
 	event := DecodeUpdates(rawCodec{}, "h", EncodeUpdates(reducer.UpdatesResponse{Revision: 9, Snapshot: true, Documents: documents}))
 	assert.DeepEqual(t, event, reducer.UpdatesRead{From: "h", Revision: 9, Snapshot: true, Documents: documents})
 }
--- a/pkg/cataloguer/catalogue.go
+++ b/pkg/cataloguer/catalogue.go
@@ -179,6 +179,8 @@
 	Name     string
 	Revision int64
 	Deleted  bool
+	// Age is the time since a host read the item from the configuration service, for one that hosts send to each other.
+	Age time.Duration
 	// Raw is the item as published, which is the form in which hosts send it to each other; nil if the item is deleted.
 	Raw []byte
 	// DecodeError describes why the item could not be decoded; empty for a valid item.
