--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -19,7 +19,7 @@
 		b.Throttle.Cold.Close()
 		return
 	}
-	b.Throttle.Cold.Update(now, service.ColdRate, s.isSender(now, b))
+	b.Throttle.Cold.Update(now, service.ColdRate, s.directedVoterCount(now), s.isSender(now, b))
 }
 
 // throttled reports whether a backend server has a bound on its rate now.
@@ -29,7 +29,9 @@
 }
 
 // maySend reports whether this host is one of those that may send requests to a backend server now.
-func (s *State) maySend(now time.Time, b *Backend) bool { return !s.throttled(now, b) || s.isSender(now, b) }
+func (s *State) maySend(now time.Time, b *Backend) bool {
+	return !s.throttled(now, b) || s.isSender(now, b)
+}
 
 // throttleOpensIn returns the time until the bounds on the rate of a backend server allow a request of this host.
 func (s *State) throttleOpensIn(now time.Time, b *Backend) time.Duration {
@@ -71,23 +73,31 @@
 	}
 }
 
-// senders returns the hosts that may send requests to a backend server with a bound on its rate: the first by rank of the voters that callers
-// are directed to. It returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
+// senders returns the hosts that may send requests to a cold backend server: the first by rank of the voters that callers are directed to. It
+// returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
 func (s *State) senders(now time.Time, b *Backend) []string {
 	if !s.votersKnown() {
 		return nil
 	}
-	return s.ranked(now, rankKey{Among: rankCarriers, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
+	ranked := s.ranked(now, rankKey{Among: rankDirected, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
+	rate := s.Documents.Services[b.Info.Service].ColdRate
+	return ranked[:throttler.Divide[throttler.ColdStart](rate, len(s.Index.DirectedVoters)).Senders]
 }
 
-// isSender reports whether this host may send requests to a backend server with a bound on its rate.
+// isSender reports whether this host may send requests to a cold backend server.
 func (s *State) isSender(now time.Time, b *Backend) bool {
 	return slices.Contains(s.senders(now, b), s.Self.HostID)
 }
 
-// carriers returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
+// directedVoterCount returns the number of voters that callers are directed to.
+func (s *State) directedVoterCount(now time.Time) int {
+	s.indexHosts(now)
+	return len(s.Index.DirectedVoters)
+}
+
+// directedVoters returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
 // at different times, and the senders would change with it.
-func (s *State) carriers(voters []string) []string {
+func (s *State) directedVoters(voters []string) []string {
 	if len(voters) <= smallDirectory {
 		return voters
 	}
