Add the rate limit of a backend server to what a response says and to the messages between hosts

Change: the fields of BackendNotice and the message RateLimits, which the decoding, the model and the reducer build on. Nothing sets or reads them yet.

--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -235,6 +235,21 @@
 	AnswerBegun bool
 }
 
+// RateLimits tells which rate limits backend servers have named, and which they name no longer.
+type RateLimits struct {
+	Servers []ServerRateLimit
+}
+
+// ServerRateLimit is the rate limit of one incarnation of a backend server, as its latest response to some host states it.
+type ServerRateLimit struct {
+	Backend       string
+	StartedUnixMs int64
+	// PerSecond is the number of requests per second that the server takes from all hosts together; 0 if it names no limit any more.
+	PerSecond float64
+	// Age is the time since the response began.
+	Age time.Duration
+}
+
 // TokenGrant replies to the TokenRequest with the same Sequence. If the coordinator could not grant all needed tokens, Wait is the time
 // until it has them; otherwise Wait is 0.
 type TokenGrant struct {
--- a/internal/reducer/sendstate.go
+++ b/internal/reducer/sendstate.go
@@ -86,6 +86,12 @@
 	Leaving bool
 	// Backoff is how long the server wants nothing from this host; 0 if it does not say.
 	Backoff time.Duration
+	// Answered is set for a response to a request: only such a response shows, by naming none, that the server has no rate limit any more.
+	Answered bool
+	// RateLimit is the number of requests per second that the server takes from all hosts together; 0 if the response names no valid limit.
+	RateLimit float64
+	// RateLimitFault is why a limit that the response names is not valid; empty if it is, or if the response names none.
+	RateLimitFault string
 }
 
 // recordNotice applies what a response says about the backend server. A server that restarts under its ID loses this state, because its new
