--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -59,6 +59,7 @@
 func addBackend(s *State, now time.Time, info cataloguer.Backend) *Backend {
 	b := &Backend{Info: info, FirstSeenAt: now, Adapters: map[AdapterKey]*Residency{}, CachedParts: map[string]time.Time{}, HeldAt: map[AdapterKey]time.Time{}}
 	s.Backends[info.ID] = b
+	s.assumeNewCold(now, b)
 	s.invalidateBackendIndex()
 	return b
 }
@@ -74,6 +75,7 @@
 func dropBackend(s *State, b *Backend) {
 	delete(s.Backends, b.Info.ID)
 	delete(s.Starting, b.Info.ID)
+	delete(s.Throttled, b.Info.ID)
 	s.invalidateBackendIndex()
 	if l, ok := s.Leases[b.Info.ID]; ok {
 		l.Inventory = newInventory()
--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -12,58 +12,83 @@
 // cold is published again with the time that is left, and read with a varying delay.
 const minColdExtension = time.Second
 
+// Reasons in the log for which this host takes a backend server for cold.
+const (
+	coldJoined         = "joined"
+	coldPublished      = "published"
+	coldDomainReturned = "domain_returned"
+)
+
 // recordColdStart applies what the published entry of a backend server says about its cold start.
 func (s *State) recordColdStart(now time.Time, b *Backend) {
-	service := s.Documents.Services[b.Info.Service]
-	former := later(b.ColdUntil, now)
+	former, reason := b.ColdUntil, coldPublished
+	if b.FirstSeenAt.Equal(now) {
+		reason = coldJoined
+	} else {
+		former = s.coldUntil(b, s.Documents.Services[b.Info.Service])
+	}
 	if b.Info.ColdRemaining > 0 {
 		b.ColdUntil = later(b.ColdUntil, now.Add(b.Info.ColdRemaining))
 	}
+	s.noteColdStart(now, b, former, reason)
+}
+
+// noteColdStart makes the bound of a cold backend server take effect, and logs that this host takes the server for cold, if that is so for longer
+// than it did before.
+func (s *State) noteColdStart(now time.Time, b *Backend, former time.Time, reason string) {
+	service := s.Documents.Services[b.Info.Service]
 	until := s.coldUntil(b, service)
-	if service.ColdRate <= 0 || until.Sub(former) < minColdExtension {
+	if service.ColdRate <= 0 || !now.Before(until) {
 		return
 	}
-	reason := "published"
-	if b.FirstSeenAt.Equal(now) {
-		reason = "joined"
+	s.Throttled[b.Info.ID] = true
+	if until.Sub(later(former, now)) < minColdExtension {
+		return
 	}
-	senders := s.coldSenders(now, b)
+	senders := s.senders(now, b)
 	s.logEvent(EventColdStartBegan, Field{"backend_server", b.Info.ID}, Field{"failure_domain", b.Info.FailureDomain}, Field{"reason", reason},
 		msField("cold_ms", until.Sub(now)), msField("published_ms", b.Info.ColdRemaining),
 		boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
 }
 
-// coldSenders returns the hosts that may send requests to a backend server in its cold start; none while this host does not know the voter set.
-func (s *State) coldSenders(now time.Time, b *Backend) []string {
-	if !s.votersKnown() {
-		return nil
+// coldAgain reports whether the entry of a backend server tells of a cold start that other hosts have to learn of. It is compared with the end of
+// the cold start that all hosts know, and not with the former entry: while a cold start passes, its entry states less and less time, which is
+// not passed on.
+func (s *State) coldAgain(now time.Time, info cataloguer.Backend) bool {
+	b, ok := s.Backends[info.ID]
+	if !ok || !now.Before(b.ColdUntil) {
+		return info.ColdRemaining > 0
 	}
-	return rankHosts("cold/"+b.Info.ID, s.voterHosts(now), coldSenderCount)
+	return now.Add(info.ColdRemaining).Sub(b.ColdUntil) >= minColdExtension
 }
 
-// allowsColdRequest reports whether this host may send a request to a backend server, and spends one request of its share of the rate
-// limit if the server is in its cold start.
-//
-// Only a few hosts send to a cold backend server, so that the fleet-wide limit holds for any number of hosts. They are chosen from the
-// voter set because hosts that are starting or partitioned do not form a voter set of their own.
-func (s *State) allowsColdRequest(now time.Time, b *Backend) bool {
-	service := s.Documents.Services[b.Info.Service]
-	if service.ColdRate <= 0 || !now.Before(s.coldUntil(b, service)) {
-		return true
+// coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host had
+// to take the server for cold.
+func (s *State) coldUntil(b *Backend, service cataloguer.Service) time.Time {
+	if b.ColdAssumedAt.IsZero() {
+		return b.ColdUntil
 	}
-	senders := s.coldSenders(now, b)
-	if !slices.Contains(senders, s.Self.HostID) {
-		return false
+	return later(b.ColdUntil, b.ColdAssumedAt.Add(service.ColdDuration))
+}
+
+// assumeNewCold takes a backend server for cold that this host has not seen before, unless that is in this host's own start.
+func (s *State) assumeNewCold(now time.Time, b *Backend) {
+	if now.Sub(s.Self.StartedAt) >= readyAfter*4 {
+		b.ColdAssumedAt = now
 	}
-	b.ColdBucket.Set(now, service.ColdRate/float64(len(senders)), 1)
-	return b.ColdBucket.Take(now, 1)
 }
 
-// coldUntil returns the end of a backend server's cold start: the published end, and at least the service's cold duration after this host
-// first saw the server, unless that was in this host's own start.
-func (s *State) coldUntil(b *Backend, service cataloguer.Service) time.Time {
-	if b.FirstSeenAt.Sub(s.Self.StartedAt) < readyAfter*4 {
-		return b.ColdUntil
+// assumeDomainCold takes the backend servers of a failure domain that is no longer withdrawn for cold: they may have become cold while they got
+// no requests, and publish it up to a heartbeat later, while the end of the withdrawal takes effect at once. An entry that says already that the
+// server is cold needs no such assumption.
+func assumeDomainCold(s *State, now time.Time, domain string) {
+	for _, id := range sortedKeys(s.Backends) {
+		b := s.Backends[id]
+		if b.Info.FailureDomain != domain || now.Before(b.ColdUntil) {
+			continue
+		}
+		former := s.coldUntil(b, s.Documents.Services[b.Info.Service])
+		b.ColdAssumedAt = now
+		s.noteColdStart(now, b, former, coldDomainReturned)
 	}
-	return later(b.ColdUntil, b.FirstSeenAt.Add(service.ColdDuration))
 }
