Hold the limit that a backend server names, over all hosts

Cause: the limit was read nowhere, so that hosts sent by expected delay alone. Change: a host takes over the limit of a response from its header, and tells other hosts of changes in gossip, which the number of changes puts in order. Three senders with a quarter of three quarters of the limit each send to the server, with gates that open empty, as to a cold one; the other hosts place requests elsewhere. The limit ends with a response that names none, with the incarnation, or a minute after the last statement. Requests that no server can take in time are refused at once with the time until one can. Invalid limits are logged and change nothing. Events 171 and 172, two counters, the state limited.

--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -76,6 +76,7 @@
 	delete(s.Backends, b.Info.ID)
 	delete(s.Starting, b.Info.ID)
 	delete(s.Throttled, b.Info.ID)
+	delete(s.Limited, b.Info.ID)
 	s.invalidateBackendIndex()
 	if l, ok := s.Leases[b.Info.ID]; ok {
 		l.Inventory = newInventory()
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -42,6 +42,9 @@
 	UpdateResponses     uint64 `json:"updates_answered_total"`
 	StaleConfigurations uint64 `json:"confirmations_old_total"`
 	Ejections           uint64 `json:"ejections_total"`
+	// RateLimitChanges counts the changes of limits that backend servers name, and RateLimitFaults the responses that named one that is not valid.
+	RateLimitChanges uint64 `json:"rate_limit_changes_total"`
+	RateLimitFaults  uint64 `json:"rate_limit_faults_total"`
 	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
 	LeavingNotices uint64 `json:"leaving_notices_total"`
 	Backoffs       uint64 `json:"backoffs_total"`
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -29,6 +29,7 @@
 			s.send(id, MembershipRequest{})
 		}
 		s.sendSuspects(now, id)
+		s.sendRateLimits(now, id)
 	}
 	contactSeeds(s, now, records)
 }
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -56,6 +56,8 @@
 	EventSlowStartEnded           = 169
 	EventLoadsSlowed              = 165
 	EventColdStartBegan           = 170
+	EventRateLimitChanged         = 171
+	EventRateLimitIgnored         = 172
 	EventRequestSent              = 202
 	EventRequestEnded             = 203
 	EventRequestRefused           = 204
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -235,7 +235,7 @@
 	AnswerBegun bool
 }
 
-// RateLimits tells which rate limits backend servers have named, and which they name no longer.
+// RateLimits tells which rate limits backend servers name, and which of them name none any more.
 type RateLimits struct {
 	Servers []ServerRateLimit
 }
@@ -246,7 +246,9 @@
 	StartedUnixMs int64
 	// PerSecond is the number of requests per second that the server takes from all hosts together; 0 if it names no limit any more.
 	PerSecond float64
-	// Age is the time since the response began.
+	// Sequence counts the changes of the limit. A host that a response tells of a change takes the next number, and the highest one holds.
+	Sequence uint64
+	// Age is the time since a response last stated the limit, as far as the sender knows.
 	Age time.Duration
 }
 
--- a/internal/reducer/ratelimit_test.go
+++ b/internal/reducer/ratelimit_test.go
@@ -9,7 +9,9 @@
 )
 
 // limited is what a response says whose server names a limit.
-func limited(perSecond float64) BackendNotice { return BackendNotice{Answered: true, RateLimit: perSecond} }
+func limited(perSecond float64) BackendNotice {
+	return BackendNotice{Answered: true, RateLimit: perSecond}
+}
 
 // nameLimit ends a request to a backend server with a response that names a limit; 0 for none.
 func (f *fixture) nameLimit(backend string, notice BackendNotice) {
@@ -47,3 +49,103 @@
 	assert.Assert(t, sent["desk-1"] <= 11, "%d requests in 4 s", sent["desk-1"])
 	assert.Assert(t, sent["desk-2"] > 380, "the server without a limit got %d requests", sent["desk-2"])
 }
+
+// Guards against a limit that stays in force after the server has stopped naming one, and against one that is lifted by what is no answer of
+// the server, names an invalid limit, or began before the limit was named.
+func TestOnlyALaterAnswerLiftsTheLimit(t *testing.T) {
+	f := newFixture(t)
+	f.nameLimit("desk-1", limited(1))
+	b := f.state.Backends["desk-1"]
+	r := &Request{SentAt: f.now}
+	for _, notice := range []BackendNotice{{}, {Leaving: false, Backoff: 0}, {Answered: true, RateLimitFault: "is no number"}} {
+		f.state.recordRateLimit(f.now, b, r, notice)
+		assert.Equal(t, b.RateLimit.PerSecond, 1.0)
+	}
+	f.state.recordRateLimit(f.now, b, &Request{SentAt: b.FirstSeenAt.Add(-time.Second)}, BackendNotice{Answered: true})
+	assert.Equal(t, b.RateLimit.PerSecond, 1.0)
+	f.state.recordRateLimit(f.now, b, r, limited(0.5))
+	assert.Equal(t, b.RateLimit.PerSecond, 0.5)
+	f.state.recordRateLimit(f.now, b, r, BackendNotice{Answered: true})
+	assert.Equal(t, f.sendStateOf("desk-1"), SendAllowed)
+	sent := f.sendFor(time.Second, map[string]BackendNotice{"desk-1": {Answered: true}, "desk-2": {Answered: true}})
+	assert.Assert(t, sent["desk-1"] > 30, "%d requests after the limit was lifted", sent["desk-1"])
+}
+
+// Guards against the end of a long stream that undoes what later responses have said about the limit.
+func TestEndOfAStreamSaysNothingAboutTheLimit(t *testing.T) {
+	f := newFixture(t)
+	stream := must[Dispatch](t, f.arrive("stream", "/once/x", "secret"))
+	f.reduce(ResponseStarted{ID: stream.ID, Attempt: 1, Notice: BackendNotice{Answered: true}})
+	f.nameLimit(stream.Backend, limited(1))
+	f.end(stream, OutcomeDone, BackendNotice{Answered: true})
+	assert.Equal(t, f.state.Backends[stream.Backend].RateLimit.PerSecond, 1.0)
+}
+
+// Guards against log lines for each response of a server that names an invalid limit.
+func TestInvalidLimitIsLoggedOnceAMinute(t *testing.T) {
+	f := newFixture(t)
+	f.nameLimit("desk-1", limited(2))
+	lines := 0
+	for range 10 {
+		f.state.recordRateLimit(f.now, f.state.Backends["desk-1"], &Request{SentAt: f.now}, BackendNotice{Answered: true, RateLimitFault: "is negative"})
+		for _, e := range f.advance(time.Second) {
+			if l, ok := e.(LogEvent); ok && l.Number == EventRateLimitIgnored {
+				lines++
+			}
+		}
+	}
+	assert.Equal(t, lines, 1)
+	assert.Equal(t, f.state.Counters.RateLimitFaults, uint64(10))
+	assert.Equal(t, f.state.Backends["desk-1"].RateLimit.PerSecond, 2.0)
+}
+
+// Guards against hosts that keep an outdated limit, or take an older one for a newer one, when they tell each other.
+func TestNewestLimitHoldsBetweenHosts(t *testing.T) {
+	f := newFleetFixture(t)
+	tell := func(perSecond float64, sequence uint64, incarnation int64) float64 {
+		f.reduce(PeerReceived{From: "host-1", Incarnation: 3, Messages: []Message{RateLimits{Servers: []ServerRateLimit{
+			{Backend: "e1", StartedUnixMs: incarnation, PerSecond: perSecond, Sequence: sequence}, {Backend: "unknown", PerSecond: 1, Sequence: 9},
+		}}}})
+		return f.state.Backends["e1"].RateLimit.PerSecond
+	}
+	started := f.state.Backends["e1"].Info.StartedUnixMs
+	assert.Equal(t, tell(5, 1, started+1), 0.0)
+	assert.Equal(t, tell(3, 4, started), 3.0)
+	assert.Equal(t, tell(8, 2, started), 3.0)
+	assert.Equal(t, tell(2, 4, started), 2.0)
+	assert.Equal(t, tell(0, 4, started), 2.0)
+	assert.Equal(t, tell(0, 5, started), 0.0)
+	f.state.recordRateLimit(f.now, f.state.Backends["e1"], &Request{SentAt: f.now}, limited(7))
+	assert.Equal(t, f.state.Backends["e1"].RateLimit.Sequence, uint64(6))
+	found := false
+	for _, e := range f.advance(gossipInterval) {
+		if p, ok := e.(SendPeer); ok {
+			for _, m := range p.Messages {
+				_, isLimits := m.(RateLimits)
+				found = found || isLimits
+			}
+		}
+	}
+	assert.Assert(t, found, "no host is told of the limit")
+}
+
+// Guards against a limit that nobody hears of any more and that keeps a server from getting requests for ever.
+func TestLimitIsGivenUpAfterAMinuteWithoutNews(t *testing.T) {
+	f := newFixture(t)
+	f.nameLimit("desk-1", limited(1))
+	f.pollConfigService(rateLimitTTL - time.Second)
+	assert.Equal(t, f.sendStateOf("desk-1"), SendLimited)
+	f.pollConfigService(2 * time.Second)
+	assert.Equal(t, f.sendStateOf("desk-1"), SendAllowed)
+}
+
+// Guards against requests that wait although all servers have reached their limits for longer than the requests may wait.
+func TestRequestIsRefusedAtOnceWhereAllServersAreAtTheirLimits(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"desk-1", "desk-2"} {
+		f.state.recordRateLimit(f.now, f.state.Backends[id], &Request{SentAt: f.now}, limited(0.5))
+	}
+	refusal := must[Refuse](t, f.arrive("1", "/safe/x", "secret"))
+	assert.Equal(t, refusal.Reason, ReasonNoBackend)
+	assert.Assert(t, !refusal.MayHaveRun && refusal.RetryAfter > time.Second, "%v", refusal.RetryAfter)
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -64,6 +64,7 @@
 	tickBackends(s, now)
 	tickPlaces(s, now)
 	tickSlowStarts(s, now)
+	tickRateLimits(s, now)
 	tickThrottles(s, now)
 	tickLeases(s, now)
 	tickKeepAlive(s, now)
@@ -120,6 +121,8 @@
 		receiveTokenRequest(s, now, e.From, m)
 	case TokenGrant:
 		receiveTokenGrant[P](s, now, m)
+	case RateLimits:
+		receiveRateLimits(s, now, e.From, m)
 	case Suspects:
 		receiveSuspects(s, now, e.From, m)
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -176,6 +176,7 @@
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
+	s.recordRateLimit(now, b, r, e.Notice)
 	s.recordAnswer(now, b, r, e.Latency)
 	if adapter, ok := b.Adapters[r.Adapter]; ok && adapter.Stage != StageAbsent {
 		adapter.Stage = StageReady
@@ -295,6 +296,10 @@
 // recordOutcome updates the state of the backend server from the outcome of an attempt.
 func (s *State) recordOutcome(now time.Time, b *Backend, r *Request, e DispatchEnded) {
 	s.recordNotice(now, b, e.Notice)
+	if r.RespondedAt.IsZero() {
+		// The header of a response that has begun was recorded then: at its end it is old.
+		s.recordRateLimit(now, b, r, e.Notice)
+	}
 	if !s.Limits.Adaptive.Pace || r.RespondedAt.IsZero() {
 		s.recordLoad(now, b, e.Load)
 	}
--- a/internal/reducer/sendstate.go
+++ b/internal/reducer/sendstate.go
@@ -29,20 +29,24 @@
 	SendSaturated
 	// SendCold means that the server is in its cold start and gets few requests.
 	SendCold
+	// SendLimited means that the server has named a limit on its requests from all hosts together.
+	SendLimited
 	// SendStarting means that the server is in slow start and gets as many requests as it answers in time.
 	SendStarting
 )
 
 var sendStateNames = [...]string{
-	"allowed", "removed", "draining", "leaving", "withdrawn", "backoff", "ejected", "saturated", "cold", "starting",
+	"allowed", "removed", "draining", "leaving", "withdrawn", "backoff", "ejected", "saturated", "cold", "limited", "starting",
 }
 
 // String returns the state's name in logs and the status.
 func (s SendState) String() string { return sendStateNames[s] }
 
-// Usable reports whether new requests may be sent; a cold server gets those that its rate limit allows, and one in slow start those that its
-// limit allows.
-func (s SendState) Usable() bool { return s == SendAllowed || s == SendCold || s == SendStarting }
+// Usable reports whether new requests may be sent; a server that is cold, has named a limit or is in slow start gets those that its bounds
+// allow.
+func (s SendState) Usable() bool {
+	return s == SendAllowed || s == SendCold || s == SendLimited || s == SendStarting
+}
 
 // sendState returns whether this host may send new requests to a backend server. The time is when the state ends by itself; it is zero for
 // a state that only a change elsewhere ends.
@@ -65,8 +69,11 @@
 	if limit := s.connectionLimit(now, service); limit > 0 && b.Running >= limit {
 		return SendSaturated, time.Time{}
 	}
-	if until := s.coldUntil(b, service); service.ColdRate > 0 && now.Before(until) {
-		return SendCold, until
+	if s.isCold(now, b) {
+		return SendCold, s.coldUntil(b, service)
+	}
+	if b.RateLimit.PerSecond > 0 {
+		return SendLimited, time.Time{}
 	}
 	if b.SlowStart.Ramp.Active() {
 		return SendStarting, time.Time{}
@@ -74,10 +81,11 @@
 	return SendAllowed, time.Time{}
 }
 
-// usable reports whether new requests may go to a backend server.
+// usable reports whether new requests may go to a backend server. A server that has named a limit is left to its senders, so that other hosts place
+// requests elsewhere for as long as the limit holds.
 func (s *State) usable(now time.Time, b *Backend) bool {
 	state, _ := s.sendState(now, b)
-	return state.Usable()
+	return state.Usable() && (state != SendLimited || s.isSender(now, b))
 }
 
 // BackendNotice is what a response says about the backend server itself.
@@ -127,7 +135,7 @@
 	soonest, found := time.Duration(0), false
 	for _, b := range s.serviceBackends(service) {
 		state, until := s.sendState(now, b)
-		if state == SendCold {
+		if state == SendCold || state == SendLimited {
 			until = now.Add(s.throttleOpensIn(now, b))
 		}
 		if !until.After(now) && (state.Usable() || state == SendSaturated) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -32,22 +32,26 @@
 	// Starting holds the backend servers in slow start, and Carriers the hosts that carry traffic, as the senders to such servers.
 	Starting map[string]bool
 	// Throttled holds the backend servers with a bound on their rate over all hosts.
-	Throttled   map[string]bool
-	Carriers    Carriers
-	Leases      map[string]*Lease
-	LeaseGrants map[string]*LeaseGrant
-	Requests    map[string]*Request
-	Watch       Watch
-	Gossip      Gossip
-	Membership  Membership
-	Observation Observation
-	KeepAlive   KeepAlive
-	Isolation   Isolation
-	Places      Places
-	Ready       bool
-	Draining    Draining
-	Counters    Counters
-	Index       Index
+	Throttled map[string]bool
+	// Limited holds the backend servers that name a limit or have lifted one lately, and LimitsSharedAt is when changes were last sent to other hosts
+	// between two rounds of gossip.
+	Limited        map[string]bool
+	LimitsSharedAt time.Time
+	Carriers       Carriers
+	Leases         map[string]*Lease
+	LeaseGrants    map[string]*LeaseGrant
+	Requests       map[string]*Request
+	Watch          Watch
+	Gossip         Gossip
+	Membership     Membership
+	Observation    Observation
+	KeepAlive      KeepAlive
+	Isolation      Isolation
+	Places         Places
+	Ready          bool
+	Draining       Draining
+	Counters       Counters
+	Index          Index
 
 	effects     []Effect
 	outbox      map[string][]Message
@@ -188,6 +192,7 @@
 	ColdUntil     time.Time
 	ColdAssumedAt time.Time
 	Throttle      Throttle
+	RateLimit     RateLimit
 	// RemovedAt is when the published entry was removed; zero while it is published.
 	RemovedAt time.Time
 	// Expired is set for an entry that was removed while the configuration service was degraded: the backend server may still run and
@@ -352,6 +357,7 @@
 		InUse:       map[string]bool{},
 		Starting:    map[string]bool{},
 		Throttled:   map[string]bool{},
+		Limited:     map[string]bool{},
 		Index:       Index{Holders: map[string]string{}, Incarnations: map[uint64]string{}, Ranks: map[rankKey][]string{}, AdapterRanks: map[rankedAdapter]adapterRank{}},
 		Leases:      map[string]*Lease{},
 		LeaseGrants: map[string]*LeaseGrant{},
--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -9,49 +9,71 @@
 
 // Throttle is this host's part in the bounds on the rate of one backend server that hold over all hosts.
 type Throttle struct {
-	Cold throttler.Gate[throttler.ColdStart]
+	Cold  throttler.Gate[throttler.ColdStart]
+	Named throttler.Gate[throttler.NamedLimit]
 }
 
-// updateThrottle opens or closes this host's part in the bounds that a backend server has now.
-func (s *State) updateThrottle(now time.Time, b *Backend) {
+// isCold reports whether this host takes a backend server for cold and the service bounds the requests to cold servers.
+func (s *State) isCold(now time.Time, b *Backend) bool {
 	service := s.Documents.Services[b.Info.Service]
-	if service.ColdRate <= 0 || !now.Before(s.coldUntil(b, service)) {
-		b.Throttle.Cold.Close()
-		return
-	}
-	b.Throttle.Cold.Update(now, service.ColdRate, s.isSender(now, b))
+	return service.ColdRate > 0 && now.Before(s.coldUntil(b, service))
 }
 
 // throttled reports whether a backend server has a bound on its rate now.
 func (s *State) throttled(now time.Time, b *Backend) bool {
-	service := s.Documents.Services[b.Info.Service]
-	return service.ColdRate > 0 && now.Before(s.coldUntil(b, service))
+	return b.RateLimit.PerSecond > 0 || s.isCold(now, b)
+}
+
+// updateThrottle opens or closes this host's part in the bounds that a backend server has now.
+func (s *State) updateThrottle(now time.Time, b *Backend) {
+	coldRate := 0.0
+	if s.isCold(now, b) {
+		coldRate = s.Documents.Services[b.Info.Service].ColdRate
+	}
+	sender := s.throttled(now, b) && s.isSender(now, b)
+	b.Throttle.Cold.Update(now, coldRate, sender)
+	b.Throttle.Named.Update(now, b.RateLimit.PerSecond, sender)
 }
 
 // maySend reports whether this host is one of those that may send requests to a backend server now.
-func (s *State) maySend(now time.Time, b *Backend) bool { return !s.throttled(now, b) || s.isSender(now, b) }
+func (s *State) maySend(now time.Time, b *Backend) bool {
+	return !s.throttled(now, b) || s.isSender(now, b)
+}
 
-// throttleOpensIn returns the time until the bounds on the rate of a backend server allow a request of this host.
+// throttleOpensIn returns the time until the bounds on the rate of a backend server allow a request of this host; for a host that may not send,
+// until the server is not cold any more, or is expected to take another request of the senders.
 func (s *State) throttleOpensIn(now time.Time, b *Backend) time.Duration {
 	if !s.throttled(now, b) {
 		return 0
 	}
 	s.updateThrottle(now, b)
-	if opensIn, ok := b.Throttle.Cold.OpensIn(now); ok {
-		return opensIn
+	wait := time.Duration(0)
+	if s.isCold(now, b) {
+		opensIn, ok := b.Throttle.Cold.OpensIn(now)
+		if !ok {
+			opensIn = s.coldUntil(b, s.Documents.Services[b.Info.Service]).Sub(now)
+		}
+		wait = opensIn
 	}
-	return s.coldUntil(b, s.Documents.Services[b.Info.Service]).Sub(now)
+	if limit := b.RateLimit.PerSecond; limit > 0 {
+		opensIn, ok := b.Throttle.Named.OpensIn(now)
+		if !ok {
+			opensIn = time.Duration(float64(time.Second) / limit)
+		}
+		wait = max(wait, opensIn)
+	}
+	return wait
 }
 
 // throttleAllows reports whether the bounds on the rate of a backend server allow a request of this host now.
-func (s *State) throttleAllows(now time.Time, b *Backend) bool {
-	return s.throttleOpensIn(now, b) <= 0
-}
+func (s *State) throttleAllows(now time.Time, b *Backend) bool { return s.throttleOpensIn(now, b) <= 0 }
 
 // spendThrottle counts a request that is being sent against the bounds on the rate of its backend server.
 func (s *State) spendThrottle(now time.Time, b *Backend) {
 	if s.throttled(now, b) {
+		s.updateThrottle(now, b)
 		b.Throttle.Cold.Spend(now)
+		b.Throttle.Named.Spend(now)
 	}
 }
 
--- a/internal/throttler/policy.go
+++ b/internal/throttler/policy.go
@@ -10,3 +10,11 @@
 func (ColdStart) Division() Division {
 	return Division{Senders: MaxSenders, Fraction: 0.75, Burst: 1}
 }
+
+// NamedLimit is the bound of a backend server that names a limit in its responses, which bears one and a half times that and 5 requests in any 4 s.
+type NamedLimit struct{}
+
+// Division returns how the limit that a server names is divided.
+func (NamedLimit) Division() Division {
+	return Division{Senders: MaxSenders, Fraction: 0.75, Burst: 1}
+}
