Send rate limits of backend servers between hosts

Cause: reducer.RateLimits had no wire form, so a host could not tell others which limits backend servers name. A receiver drops a server whose limit is not a number, negative or above reducer.MaxRateLimit, bounds ages, and takes at most reducer.MaxRateLimitsTold servers of one message. Ages are unsigned on the wire, so a negative one cannot be stated. Nothing sends the message yet.

--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -250,6 +250,14 @@
 	Age time.Duration
 }
 
+const (
+	// MaxRateLimit is the highest number of requests per second that counts as a rate limit. It is far above what one backend server answers,
+	// so a higher number is a fault of the server, and it can be added and multiplied without overflow.
+	MaxRateLimit = 1e6
+	// MaxRateLimitsTold is the largest number of servers in one RateLimits; a receiver ignores the rest.
+	MaxRateLimitsTold = 1024
+)
+
 // TokenGrant replies to the TokenRequest with the same Sequence. If the coordinator could not grant all needed tokens, Wait is the time
 // until it has them; otherwise Wait is 0.
 type TokenGrant struct {
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -76,6 +76,8 @@
 		}}}
 	case reducer.Suspects:
 		return &peerv1.Message{Kind: &peerv1.Message_Suspects{Suspects: encodeSuspects(v)}}
+	case reducer.RateLimits:
+		return &peerv1.Message{Kind: &peerv1.Message_RateLimits{RateLimits: encodeRateLimits(v)}}
 	case reducer.TokenGrant:
 		return &peerv1.Message{Kind: &peerv1.Message_TokenGrant{TokenGrant: &peerv1.TokenGrant{
 			Account: v.Account, Sequence: v.Sequence, Tokens: v.Tokens, WaitUs: v.Wait.Microseconds(),
@@ -130,6 +132,8 @@
 		}
 	case *peerv1.Message_Suspects:
 		return decodeSuspects(v.Suspects)
+	case *peerv1.Message_RateLimits:
+		return decodeRateLimits(v.RateLimits)
 	case *peerv1.Message_TokenGrant:
 		return reducer.TokenGrant{
 			Account: v.TokenGrant.GetAccount(), Sequence: v.TokenGrant.GetSequence(), Tokens: v.TokenGrant.GetTokens(),
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -41,6 +41,11 @@
 			{Content: "q"},
 		}},
 		reducer.TokenGrant{Account: "a", Sequence: 5, Tokens: 1.5, Wait: time.Second},
+		reducer.RateLimits{Servers: []reducer.ServerRateLimit{
+			{Backend: "b", StartedUnixMs: 1700000000000, PerSecond: 6.9, Age: 1500 * time.Microsecond},
+			{Backend: "c", StartedUnixMs: 1700000000001, PerSecond: 0, Age: 2 * time.Second},
+			{Backend: "d", PerSecond: reducer.MaxRateLimit},
+		}},
 	}
 	data, err := proto.Marshal(EncodeEnvelope("h", 7, messages))
 	assert.NilError(t, err)
