Decode the rate limit that a backend server names in its responses

A 421 response of another server, or the report of another incarnation, was also taken for a statement of the server that was asked that it drains. Change: DecodeNotice decodes the header for all responses. Classify alone sets Answered, for a response that names the request and comes from the server; one that is misdirected, mismatched, unidentified or lacks the seal does not end a limit, and neither does the response to an order or a report. DecodeNotice takes the ID of the server that was asked, and returns nothing for a 421 of another one; ReadReport drops the notice of another incarnation.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 FUZZTIME ?= 1m
 
 fuzz:
-	for target in FuzzDocument FuzzPage FuzzReport FuzzResponse FuzzCallerRequest; do \
+	for target in FuzzDocument FuzzPage FuzzReport FuzzResponse FuzzCallerRequest FuzzServerLimit; do \
 		go test ./platform -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) || exit 1; done
 	go test ./internal/messenger -run '^$$' -fuzz FuzzDatagram -fuzztime $(FUZZTIME)
 	go test ./internal/listener -run '^$$' -fuzz FuzzFirstBytes -fuzztime $(FUZZTIME)
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -85,7 +85,8 @@
 	// Unidentified is set for a response that does not name the request to which it belongs.
 	Unidentified bool
 	// Load is the load that the backend server reports in the header.
-	Load   reducer.Load
+	Load reducer.Load
+	// Notice has Answered set if the response is one of the backend server to the request.
 	Notice reducer.BackendNotice
 }
 
@@ -97,8 +98,9 @@
 	Classify(resp *http.Response, callerID, backend string) Classification
 	// EncodeOrder encodes an order to load or unload an adapter.
 	EncodeOrder(order reducer.OrderAdapter) (path string, header http.Header, body []byte)
-	// DecodeNotice returns what the header of any response says about the backend server itself.
-	DecodeNotice(resp *http.Response) reducer.BackendNotice
+	// DecodeNotice returns what the header of any response says about the backend server itself. It leaves Answered false, since the response
+	// may be one to an order or a report; only Classify sets it.
+	DecodeNotice(resp *http.Response, backend string) reducer.BackendNotice
 	// DecodeOrderStatus decodes the status of the response to an order.
 	DecodeOrderStatus(status int) reducer.OrderResult
 	// EncodeReportCall encodes the call for a backend server's report.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -33,7 +33,8 @@
 
 func (codec) Classify(resp *http.Response, callerID, _ string) Classification {
 	id := resp.Header.Get("Id")
-	class := Classification{Mismatched: id != "" && id != callerID, Unidentified: id == ""}
+	class := Classification{Mismatched: id != "" && id != callerID, Unidentified: id == "", Notice: codec{}.DecodeNotice(resp, "")}
+	class.Notice.Answered = true
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		class.Outcome = reducer.OutcomeFull
 	}
@@ -43,9 +44,12 @@
 func (codec) EncodeOrder(reducer.OrderAdapter) (string, http.Header, []byte) {
 	return "/order", http.Header{}, []byte("{}")
 }
-func (codec) DecodeNotice(*http.Response) reducer.BackendNotice { return reducer.BackendNotice{} }
-func (codec) DecodeOrderStatus(int) reducer.OrderResult         { return reducer.OrderAccepted }
-func (codec) EncodeReportCall(string) (string, http.Header)     { return "/report", http.Header{} }
+func (codec) DecodeNotice(resp *http.Response, _ string) reducer.BackendNotice {
+	limit, _ := strconv.ParseFloat(resp.Header.Get("Limit"), 64)
+	return reducer.BackendNotice{Leaving: resp.Header.Get("Leaving") != "", RateLimit: limit}
+}
+func (codec) DecodeOrderStatus(int) reducer.OrderResult     { return reducer.OrderAccepted }
+func (codec) EncodeReportCall(string) (string, http.Header) { return "/report", http.Header{} }
 func (codec) DecodeReport(body []byte) (reducer.BackendReport, error) {
 	started, err := strconv.ParseInt(string(body), 10, 64)
 	return reducer.BackendReport{StartedUnixMs: started}, err
--- a/internal/dispatcher/orders.go
+++ b/internal/dispatcher/orders.go
@@ -66,7 +66,7 @@
 		return event, !errors.Is(err, ErrOrderExpired)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	event.Notice = c.Codec.DecodeNotice(resp)
+	event.Notice = c.Codec.DecodeNotice(resp, order.Backend)
 	event.Result = c.Codec.DecodeOrderStatus(resp.StatusCode)
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxReportSize)); err != nil {
 		event.Result = reducer.OrderUnknown
@@ -86,8 +86,11 @@
 	report, err := c.Codec.DecodeReport(body)
 	event.Adapters, event.AcceptedOrders = report.Adapters, report.AcceptedOrders
 	// A report of another incarnation says nothing about the one that was asked.
-	bothKnown := report.StartedUnixMs != 0 && effect.StartedUnixMs != 0
-	event.Failed = err != nil || bothKnown && report.StartedUnixMs != effect.StartedUnixMs
+	otherIncarnation := report.StartedUnixMs != 0 && effect.StartedUnixMs != 0 && report.StartedUnixMs != effect.StartedUnixMs
+	if otherIncarnation {
+		event.Notice = reducer.BackendNotice{}
+	}
+	event.Failed = err != nil || otherIncarnation
 	return event
 }
 
@@ -106,7 +109,7 @@
 		return nil, notice, merry.Wrap(ErrBackend, merry.WithCause(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	notice = c.Codec.DecodeNotice(resp)
+	notice = c.Codec.DecodeNotice(resp, effect.Backend)
 	if resp.StatusCode != http.StatusOK {
 		return nil, notice, merry.Wrap(ErrBackend, merry.WithMessagef("backend server's report has status %d", resp.StatusCode))
 	}
--- a/internal/reducer/sendstate.go
+++ b/internal/reducer/sendstate.go
@@ -90,7 +90,8 @@
 	Answered bool
 	// RateLimit is the number of requests per second that the server takes from all hosts together; 0 if the response names no valid limit.
 	RateLimit float64
-	// RateLimitFault is why a limit that the response names is not valid; empty if it is, or if the response names none.
+	// RateLimitFault is why a limit that the response names is not valid; empty if it is, or if the response names none. A response with a fault
+	// says neither that the server has a limit nor that it has none.
 	RateLimitFault string
 }
 
