Report the rate limit of a response to the reducer once

Cause: the end of an attempt repeated the notice of its header. A stream ends long after its header, so its end would have replaced a newer limit of the server by the one from the start of the stream. Change: once OnStart has reported a success, the result of the attempt leaves out what the notice says of the rate limit. Failures, refusals and responses that break before OnStart carry it in the result, as before. Result: tests of the dispatcher and of the session follow the notice of successes, streams, early responses, trailers, interim responses, failures, refusals and retries; attempts without a response to the request, orders and reports never have Answered set.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -135,7 +135,9 @@
 	Outcome reducer.Outcome
 	Status  int
 	Load    reducer.Load
-	Notice  reducer.BackendNotice
+	// Notice is what the response says about the backend server; zero without a response to the request. What it says of a rate limit is left
+	// out if OnStart has reported it.
+	Notice reducer.BackendNotice
 	// Mismatched is the number of responses to other requests that arrived on the connection.
 	Mismatched int
 	// Delivered is set once the response, or the start of a stream, went to the sink.
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -34,7 +34,7 @@
 		x.handleBody(resp)
 		return
 	}
-	x.hooks.OnStart(x.start())
+	x.reportStart()
 	x.relayStream(resp)
 }
 
@@ -75,7 +75,7 @@
 		}
 		return
 	}
-	x.hooks.OnStart(x.start())
+	x.reportStart()
 	x.result.Outcome = reducer.OutcomeDone
 	x.result.Delivered = true
 	_ = x.sink.WriteResponse(complete)
@@ -84,7 +84,7 @@
 // passOn delivers a success whose body has been read in part, and reads the rest as the caller takes it.
 func (x *exchange[C, S]) passOn(resp *http.Response, start Response, rest *restReader) {
 	start.Rest, start.Length = rest, resp.ContentLength
-	x.hooks.OnStart(x.start())
+	x.reportStart()
 	x.result.Delivered = true
 	err := x.sink.WriteResponse(start)
 	if rest.err != nil {
@@ -101,8 +101,13 @@
 	x.releaseConn(resp, nil)
 }
 
-func (x *exchange[C, S]) start() Start {
-	return Start{After: time.Since(x.startedAt), Load: x.result.Load, Notice: x.result.Notice}
+// reportStart reports the start of a success, with what the response says about the backend server.
+//
+// The result of the attempt does not repeat the rate limit: a stream may end minutes after its header, when another response has named a newer
+// limit.
+func (x *exchange[C, S]) reportStart() {
+	x.hooks.OnStart(Start{After: time.Since(x.startedAt), Load: x.result.Load, Notice: x.result.Notice})
+	x.result.Notice.Answered, x.result.Notice.RateLimit, x.result.Notice.RateLimitFault = false, 0, ""
 }
 
 // relayStream sends the events of a stream to the sink as each becomes complete.
