Ignore the start of a response by a former incarnation of a server

Cause: the end of a late response was checked against the incarnation that is known now, its start was not: it marked the new incarnation as leaving, and took its prompt tokens from the load there. The test ran past the deadline of the late request, so that its response meant nothing. Change: the start is checked in the same way. The test delivers the response before the deadline, and its start too. Result: TestRestartClearsTheNoticesOfTheFormerIncarnation failed before and passes.

--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -172,7 +172,7 @@
 	r.Phase = PhaseResponding
 	r.RespondedAt = now
 	b, ok := s.Backends[r.Backend]
-	if !ok {
+	if !ok || b.FirstSeenAt.After(r.SentAt) {
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
--- a/internal/reducer/sendstate_test.go
+++ b/internal/reducer/sendstate_test.go
@@ -53,9 +53,11 @@
 	}
 	f.end(early, OutcomeFull, BackendNotice{Leaving: true, Backoff: time.Minute})
 	assert.Equal(t, f.sendStateOf(early.Backend), SendLeaving)
-	f.advance(time.Second)
+	f.advance(time.Second / 2)
 	f.publishBackend(cataloguer.Backend{ID: early.Backend, Service: "desk", Address: "10.0.1.1:80", FailureDomain: "east", StartedUnixMs: 2, Slots: 6})
 	assert.Equal(t, f.sendStateOf(early.Backend), SendAllowed)
+	assert.Equal(t, f.state.Requests[late.ID].Phase, PhaseRunning)
+	f.reduce(ResponseStarted{ID: late.ID, Attempt: 1, Notice: BackendNotice{Leaving: true}})
 	f.end(late, OutcomeDone, BackendNotice{Leaving: true})
 	assert.Equal(t, f.sendStateOf(early.Backend), SendAllowed)
 }
