Order the changes of a limit between hosts by their number

Cause: the age of a statement grows more exact at no hop: a limit that was lifted could come back as newer than its end. Change: the wire form carries the number of changes. Waits that follow from very low limits are bounded by a minute.

--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -13,6 +13,9 @@
 	Named throttler.Gate[throttler.NamedLimit]
 }
 
+// maxThrottleWait is the longest time until a request that is expected at a server with a very low limit.
+const maxThrottleWait = time.Minute
+
 // isCold reports whether this host takes a backend server for cold and the service bounds the requests to cold servers.
 func (s *State) isCold(now time.Time, b *Backend) bool {
 	service := s.Documents.Services[b.Info.Service]
@@ -58,9 +61,9 @@
 	if limit := b.RateLimit.PerSecond; limit > 0 {
 		opensIn, ok := b.Throttle.Named.OpensIn(now)
 		if !ok {
-			opensIn = time.Duration(float64(time.Second) / limit)
+			opensIn = time.Duration(min(float64(time.Second)/limit, float64(maxThrottleWait)))
 		}
-		wait = max(wait, opensIn)
+		wait = max(wait, min(opensIn, maxThrottleWait))
 	}
 	return wait
 }
--- a/internal/translator/ratelimits.go
+++ b/internal/translator/ratelimits.go
@@ -15,7 +15,8 @@
 	w := &peerv1.RateLimits{}
 	for _, s := range m.Servers {
 		w.Servers = append(w.Servers, &peerv1.ServerRateLimit{
-			Backend: s.Backend, StartedUnixMs: s.StartedUnixMs, PerSecond: s.PerSecond, AgeUs: uint64(max(s.Age.Microseconds(), 0)),
+			Backend: s.Backend, StartedUnixMs: s.StartedUnixMs, PerSecond: s.PerSecond, Sequence: s.Sequence,
+			AgeUs: uint64(max(s.Age.Microseconds(), 0)),
 		})
 	}
 	return w
@@ -29,7 +30,7 @@
 			continue
 		}
 		m.Servers = append(m.Servers, reducer.ServerRateLimit{
-			Backend: s.GetBackend(), StartedUnixMs: s.GetStartedUnixMs(), PerSecond: s.GetPerSecond(),
+			Backend: s.GetBackend(), StartedUnixMs: s.GetStartedUnixMs(), PerSecond: s.GetPerSecond(), Sequence: s.GetSequence(),
 			Age: microseconds(int64(min(s.GetAgeUs(), uint64(maxRateLimitAge.Microseconds())))),
 		})
 	}
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -42,7 +42,7 @@
 		}},
 		reducer.TokenGrant{Account: "a", Sequence: 5, Tokens: 1.5, Wait: time.Second},
 		reducer.RateLimits{Servers: []reducer.ServerRateLimit{
-			{Backend: "b", StartedUnixMs: 1700000000000, PerSecond: 6.9, Age: 1500 * time.Microsecond},
+			{Backend: "b", StartedUnixMs: 1700000000000, PerSecond: 6.9, Sequence: 3, Age: 1500 * time.Microsecond},
 			{Backend: "c", StartedUnixMs: 1700000000001, PerSecond: 0, Age: 2 * time.Second},
 			{Backend: "d", PerSecond: reducer.MaxRateLimit},
 		}},
