--- a/internal/reducer/membership_test.go
+++ b/internal/reducer/membership_test.go
@@ -308,7 +308,7 @@
 	c.Services[0].ColdRate = 100
 	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c3"), Catalogue: c})
 	cold := &Backend{Info: cataloguer.Backend{Service: "desk"}, ColdUntil: f.now.Add(time.Second)}
-	for i := 0; !f.state.isSender(f.now, cold); i++ {
+	for i := 0; !f.state.maySend(f.now, cold); i++ {
 		cold.Info.ID = strconv.Itoa(i)
 	}
 	f.state.updateThrottle(f.now, cold)
--- a/internal/reducer/ratelimit.go
+++ b/internal/reducer/ratelimit.go
@@ -73,7 +73,7 @@
 	}
 	s.updateThrottle(now, b)
 	s.Counters.RateLimitChanges++
-	senders := s.senders(now, b)
+	senders := s.sendersOf(now, b, s.namedDivision(now, b))
 	s.logEvent(EventRateLimitChanged, Field{"backend_server", b.Info.ID}, floatField("limit", perSecond), floatField("limit_before", former),
 		Field{"peer", from}, boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
 }
--- a/internal/reducer/sendstate.go
+++ b/internal/reducer/sendstate.go
@@ -72,7 +72,7 @@
 	if s.isCold(now, b) {
 		return SendCold, s.coldUntil(b, service)
 	}
-	if b.RateLimit.PerSecond > 0 {
+	if b.limited() {
 		return SendLimited, time.Time{}
 	}
 	if b.SlowStart.Ramp.Active() {
@@ -85,7 +85,7 @@
 // requests elsewhere for as long as the limit holds.
 func (s *State) usable(now time.Time, b *Backend) bool {
 	state, _ := s.sendState(now, b)
-	return state.Usable() && (state != SendLimited || s.isSender(now, b))
+	return state.Usable() && (state != SendLimited || s.maySend(now, b))
 }
 
 // BackendNotice is what a response says about the backend server itself.
--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -11,10 +11,16 @@
 type Throttle struct {
 	Cold  throttler.Gate[throttler.ColdStart]
 	Named throttler.Gate[throttler.NamedLimit]
+	// Control is for orders and report calls, which a server counts against the limit that it names. The lease holder alone makes such calls.
+	Control throttler.Gate[throttler.ControlCalls]
 }
 
-// maxThrottleWait is the longest time until a request that is expected at a server with a very low limit.
-const maxThrottleWait = time.Minute
+const (
+	// controlFraction is the part of a named limit that is kept for orders and report calls.
+	controlFraction = 0.3
+	// maxThrottleWait is the longest time until a request that is expected at a server with a very low limit.
+	maxThrottleWait = time.Minute
+)
 
 // isCold reports whether this host takes a backend server for cold and the service bounds the requests to cold servers.
 func (s *State) isCold(now time.Time, b *Backend) bool {
@@ -22,25 +28,52 @@
 	return service.ColdRate > 0 && now.Before(s.coldUntil(b, service))
 }
 
+// limited reports whether a backend server names a limit.
+func (b *Backend) limited() bool { return b.RateLimit.PerSecond > 0 }
+
 // throttled reports whether a backend server has a bound on its rate now.
-func (s *State) throttled(now time.Time, b *Backend) bool {
-	return b.RateLimit.PerSecond > 0 || s.isCold(now, b)
-}
+func (s *State) throttled(now time.Time, b *Backend) bool { return b.limited() || s.isCold(now, b) }
 
 // updateThrottle opens or closes this host's part in the bounds that a backend server has now.
 func (s *State) updateThrottle(now time.Time, b *Backend) {
-	coldRate := 0.0
-	if s.isCold(now, b) {
-		coldRate = s.Documents.Services[b.Info.Service].ColdRate
+	t := &b.Throttle
+	if !s.throttled(now, b) {
+		t.Cold.Close()
+		t.Named.Close()
+		t.Control.Close()
+		return
+	}
+	hosts := s.carrierVoters(now)
+	t.Cold.Update(now, s.coldRate(now, b), hosts, s.sendsTo(now, b, s.coldDivision(now, b)))
+	t.Named.Update(now, b.requestLimit(), hosts, s.sendsTo(now, b, s.namedDivision(now, b)))
+	t.Control.Update(now, b.RateLimit.PerSecond*controlFraction, 1, s.holdsLease(now, b.Info.ID))
+}
+
+// coldRate returns the rate of a cold backend server; 0 if the server is not cold.
+func (s *State) coldRate(now time.Time, b *Backend) float64 {
+	if !s.isCold(now, b) {
+		return 0
 	}
-	sender := s.throttled(now, b) && s.isSender(now, b)
-	b.Throttle.Cold.Update(now, coldRate, sender)
-	b.Throttle.Named.Update(now, b.RateLimit.PerSecond, sender)
+	return s.Documents.Services[b.Info.Service].ColdRate
+}
+
+// requestLimit returns the part of a named limit that is for requests; 0 if the server names no limit.
+func (b *Backend) requestLimit() float64 { return b.RateLimit.PerSecond * (1 - controlFraction) }
+
+func (s *State) coldDivision(now time.Time, b *Backend) throttler.Division {
+	return throttler.Divide[throttler.ColdStart](s.coldRate(now, b), s.carrierVoters(now))
+}
+
+func (s *State) namedDivision(now time.Time, b *Backend) throttler.Division {
+	return throttler.Divide[throttler.NamedLimit](b.requestLimit(), s.carrierVoters(now))
 }
 
 // maySend reports whether this host is one of those that may send requests to a backend server now.
 func (s *State) maySend(now time.Time, b *Backend) bool {
-	return !s.throttled(now, b) || s.isSender(now, b)
+	if s.isCold(now, b) && !s.sendsTo(now, b, s.coldDivision(now, b)) {
+		return false
+	}
+	return !b.limited() || s.sendsTo(now, b, s.namedDivision(now, b))
 }
 
 // throttleOpensIn returns the time until the bounds on the rate of a backend server allow a request of this host; for a host that may not send,
@@ -58,10 +91,10 @@
 		}
 		wait = opensIn
 	}
-	if limit := b.RateLimit.PerSecond; limit > 0 {
+	if b.limited() {
 		opensIn, ok := b.Throttle.Named.OpensIn(now)
 		if !ok {
-			opensIn = time.Duration(min(float64(time.Second)/limit, float64(maxThrottleWait)))
+			opensIn = time.Duration(min(float64(time.Second)/b.RateLimit.PerSecond, float64(maxThrottleWait)))
 		}
 		wait = max(wait, min(opensIn, maxThrottleWait))
 	}
@@ -73,11 +106,24 @@
 
 // spendThrottle counts a request that is being sent against the bounds on the rate of its backend server.
 func (s *State) spendThrottle(now time.Time, b *Backend) {
-	if s.throttled(now, b) {
-		s.updateThrottle(now, b)
-		b.Throttle.Cold.Spend(now)
-		b.Throttle.Named.Spend(now)
+	s.updateThrottle(now, b)
+	b.Throttle.Cold.Spend(now)
+	b.Throttle.Named.Spend(now)
+}
+
+// controlAllows reports whether the limit that a backend server names allows an order or a report call of this host, the server's lease holder.
+func (s *State) controlAllows(now time.Time, b *Backend) bool {
+	if !b.limited() {
+		return true
 	}
+	s.updateThrottle(now, b)
+	return b.Throttle.Control.Allows(now)
+}
+
+// spendControl counts an order or a report call against the limit that a backend server names.
+func (s *State) spendControl(now time.Time, b *Backend) {
+	s.updateThrottle(now, b)
+	b.Throttle.Control.Spend(now)
 }
 
 // tickThrottles opens this host's part in the bounds of the backend servers that have any, so that it can save up a request before the first
@@ -96,18 +142,30 @@
 	}
 }
 
-// senders returns the hosts that may send requests to a backend server with a bound on its rate: the first by rank of the voters that callers
-// are directed to. It returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
-func (s *State) senders(now time.Time, b *Backend) []string {
+// rankedSenders returns the hosts that rank first as senders to a backend server with a bound on its rate, among the voters that callers are
+// directed to. It returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
+func (s *State) rankedSenders(now time.Time, b *Backend) []string {
 	if !s.votersKnown() {
 		return nil
 	}
 	return s.ranked(now, rankKey{Among: rankCarriers, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
 }
 
-// isSender reports whether this host may send requests to a backend server with a bound on its rate.
-func (s *State) isSender(now time.Time, b *Backend) bool {
-	return slices.Contains(s.senders(now, b), s.Self.HostID)
+// sendersOf returns the hosts that may send requests to a backend server under a division of its rate.
+func (s *State) sendersOf(now time.Time, b *Backend, d throttler.Division) []string {
+	ranked := s.rankedSenders(now, b)
+	return ranked[:min(d.Senders, len(ranked))]
+}
+
+// sendsTo reports whether this host may send requests to a backend server under a division of its rate.
+func (s *State) sendsTo(now time.Time, b *Backend, d throttler.Division) bool {
+	return slices.Contains(s.sendersOf(now, b, d), s.Self.HostID)
+}
+
+// carrierVoters returns the number of voters that callers are directed to.
+func (s *State) carrierVoters(now time.Time) int {
+	s.indexHosts(now)
+	return len(s.Index.Carriers)
 }
 
 // carriers returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
