Count orders and report calls against the limit that a server names

Keep-alive orders go to watched servers without a limit where there is one, and requests whose adapter would have to be loaded at a server with a limit go elsewhere where they can. The choice of a server in placeRequest reads in fewer branches. Result: the reducer's tests pass, with TestOrdersAndReportCallsKeepTheLimit.

--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -19,8 +19,9 @@
 		return
 	}
 	completeLoads(s, now, backend, l)
-	if l.reportDue(now) && !now.Before(b.BackoffUntil) {
+	if l.reportDue(now) && !now.Before(b.BackoffUntil) && s.controlAllows(now, b) {
 		l.Inventory.ReportRequestedAt = now
+		s.spendControl(now, b)
 		s.emit(ReadReport{Backend: backend, Address: b.Info.Address, StartedUnixMs: b.Info.StartedUnixMs})
 	}
 	sendNextOrder(s, now, backend, l)
@@ -218,7 +219,7 @@
 // acceptsOrders reports whether a backend server may be sent orders. Those for a saturated server do not use the connections of requests.
 func (s *State) acceptsOrders(now time.Time, b *Backend) bool {
 	state, _ := s.sendState(now, b)
-	return state.Usable() || state == SendSaturated
+	return (state.Usable() || state == SendSaturated) && s.controlAllows(now, b)
 }
 
 // dropStalePending drops the requesters that have not repeated their request, and the pending loads that have no requester left.
--- a/internal/reducer/isolation.go
+++ b/internal/reducer/isolation.go
@@ -60,14 +60,15 @@
 		return
 	}
 	if len(b.Lost) == 0 {
-		s.readReport(b)
+		s.readReport(now, b)
 	}
 	if len(b.Lost) < maxLost {
 		b.Lost = append(b.Lost, lost)
 	}
 }
 
-func (s *State) readReport(b *Backend) {
+func (s *State) readReport(now time.Time, b *Backend) {
+	s.spendControl(now, b)
 	s.emit(ReadReport{Backend: b.Info.ID, Address: b.Info.Address, StartedUnixMs: b.Info.StartedUnixMs})
 }
 
@@ -84,7 +85,7 @@
 		}
 	}
 	if b.Lost = later; len(later) > 0 {
-		s.readReport(b)
+		s.readReport(now, b)
 	}
 }
 
--- a/internal/reducer/keepalive.go
+++ b/internal/reducer/keepalive.go
@@ -24,14 +24,7 @@
 	if now.Sub(later(k.OrderedAt, k.TriedAt.Add(keepAliveRetryDelay-keepAliveInterval))) < keepAliveInterval {
 		return
 	}
-	var chosen *Lease
-	var server string
-	for _, id := range s.watchedServers() {
-		l, ok := s.Leases[id]
-		if ok && s.holdsLease(now, id) && l.Inventory.idle(now) && (chosen == nil || l.Inventory.KeptAliveAt.Before(chosen.Inventory.KeptAliveAt)) {
-			chosen, server = l, id
-		}
-	}
+	server, chosen := s.keepAliveServer(now)
 	if chosen == nil {
 		return
 	}
@@ -40,6 +33,25 @@
 	reloadIdleAdapter(s, now, server, chosen)
 }
 
+// keepAliveServer returns the watched server, of those that this host holds, for which the last keep-alive order is the oldest, with its lease. One
+// that names a limit is chosen only if there is no other, since it takes few orders.
+func (s *State) keepAliveServer(now time.Time) (server string, chosen *Lease) {
+	chosenLimited := false
+	for _, id := range s.watchedServers() {
+		l, ok := s.Leases[id]
+		if !ok || !s.holdsLease(now, id) || !l.Inventory.idle(now) {
+			continue
+		}
+		limited := s.Backends[id].limited()
+		better := chosen == nil || chosenLimited && !limited ||
+			chosenLimited == limited && l.Inventory.KeptAliveAt.Before(chosen.Inventory.KeptAliveAt)
+		if better {
+			server, chosen, chosenLimited = id, l, limited
+		}
+	}
+	return server, chosen
+}
+
 // idle reports whether the holder knows what the server holds and has nothing to order.
 func (inv *Inventory) idle(now time.Time) bool {
 	return !inv.ReportReadAt.IsZero() && !inv.OrderPending && !now.Before(inv.NextOrderAt) && len(inv.Pending) == 0
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -55,6 +55,7 @@
 
 // emitOrder emits and logs an order, which is valid until the lease ends.
 func (s *State) emitOrder(now time.Time, b *Backend, l *Lease, key AdapterKey, version int64, unload bool) {
+	s.spendControl(now, b)
 	s.emit(OrderAdapter{
 		Backend: b.Info.ID, Address: b.Info.Address, StartedUnixMs: b.Info.StartedUnixMs, Adapter: key, Version: version, Unload: unload,
 		Holder: s.Self.HostID, Fence: l.Fence, NotAfter: l.ValidUntil,
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -42,7 +42,7 @@
 		var policy P
 		i := policy.Choose(candidates)
 		b := s.Backends[candidates[i].Backend]
-		if !s.maySend(now, b) {
+		if s.passesOver(now, r, b, len(candidates)) {
 			candidates = slices.Delete(candidates, i, i+1)
 			continue
 		}
@@ -51,19 +51,17 @@
 			candidates = slices.Delete(candidates, i, i+1)
 			continue
 		}
-		if service.Engine != nil && service.Engine.AdapterSlots > 0 && r.Adapter.Adapter != "" {
-			if s.needsAdapterLoad(now, r, b) {
-				if s.prefersHeldServer(now, r, b, held, candidates[i].Delay) {
-					break
-				}
-				if !s.admits() && r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.loadIsUseless(now, r, b, candidates[i].Delay) {
-					r.Backend = b.Info.ID
-					s.refuseUnplaced(now, r, ReasonNotLoaded)
-					return
-				}
-				requestAdapter[P](s, now, r, b)
+		if s.requiresLoad(now, r, b) {
+			if s.prefersHeldServer(now, r, b, held, candidates[i].Delay) {
+				break
+			}
+			if !s.admits() && r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.loadIsUseless(now, r, b, candidates[i].Delay) {
+				r.Backend = b.Info.ID
+				s.refuseUnplaced(now, r, ReasonNotLoaded)
 				return
 			}
+			requestAdapter[P](s, now, r, b)
+			return
 		}
 		if s.throttleAllows(now, b) {
 			s.dispatch(now, r, b, service)
@@ -79,6 +77,18 @@
 	s.waitForCapacity(now, r)
 }
 
+// passesOver reports whether a request leaves a candidate out because of the bounds on the server's rate: if this host may not send there, or if
+// the adapter would have to be loaded at a server that takes few orders, and there is another candidate.
+func (s *State) passesOver(now time.Time, r *Request, b *Backend, candidates int) bool {
+	return !s.maySend(now, b) || b.limited() && candidates > 1 && s.requiresLoad(now, r, b)
+}
+
+// requiresLoad reports whether the adapter of a request must be loaded at a backend server before the request can be sent there.
+func (s *State) requiresLoad(now time.Time, r *Request, b *Backend) bool {
+	engine := s.engineOf(b)
+	return engine != nil && engine.AdapterSlots > 0 && r.Adapter.Adapter != "" && s.needsAdapterLoad(now, r, b)
+}
+
 // loadIsUseless reports whether a request that has not been sent yet should not wait for its adapter to be loaded: it would miss its target,
 // or no host may order the load for longer than the request may wait.
 func (s *State) loadIsUseless(now time.Time, r *Request, b *Backend, delay time.Duration) bool {
--- a/internal/reducer/ratelimit_test.go
+++ b/internal/reducer/ratelimit_test.go
@@ -1,11 +1,14 @@
 package reducer
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // limited is what a response says whose server names a limit.
@@ -149,3 +152,35 @@
 	assert.Equal(t, refusal.Reason, ReasonNoBackend)
 	assert.Assert(t, !refusal.MayHaveRun && refusal.RetryAfter > time.Second, "%v", refusal.RetryAfter)
 }
+
+// Guards against orders and report calls of the lease holder, which the server counts against its limit too.
+func TestOrdersAndReportCallsKeepTheLimit(t *testing.T) {
+	f := newFixture(t)
+	f.publish(cataloguer.Document{Key: "c", Kind: cataloguer.KindCatalogue, Raw: []byte("c"), Catalogue: engineCatalogue()})
+	f.publishBackend(engine("e1"))
+	report := must[ReadReport](t, f.advance(3*time.Second))
+	f.reduce(BackendReported{Backend: "e1", StartedUnixMs: report.StartedUnixMs, RequestedAt: f.now})
+	assert.Assert(t, f.state.holdsLease(f.now, "e1"))
+	b := f.state.Backends["e1"]
+	f.state.recordRateLimit(f.now, b, &Request{SentAt: f.now}, limited(1))
+	var calls []time.Time
+	for i := range 2000 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		effects := append(f.generate("g"+strconv.Itoa(i), "a"+strconv.Itoa(i)), f.reduce(Tick{})...)
+		for _, e := range effects {
+			switch e := e.(type) {
+			case Dispatch:
+				calls = append(calls, f.now)
+			case ReadReport:
+				calls = append(calls, f.now)
+				f.reduce(BackendReported{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, RequestedAt: f.now})
+			case OrderAdapter:
+				calls = append(calls, f.now)
+				f.reduce(OrderEnded{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, Adapter: e.Adapter, Unload: e.Unload, Result: OrderAccepted})
+			}
+		}
+		recent := slices.DeleteFunc(slices.Clone(calls), func(at time.Time) bool { return f.now.Sub(at) > 4*time.Second })
+		assert.Assert(t, len(recent) <= 11, "%d calls in 4 s", len(recent))
+	}
+	assert.Assert(t, len(calls) > 0)
+}
