--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -30,8 +30,12 @@
 type Item struct {
 	Document  cataloguer.Document
 	LearnedAt time.Time
+	// ReadAt is when some host read the document from the configuration service.
+	ReadAt time.Time
 	// SignificantRevision is the revision of the last change that other hosts need to know.
 	SignificantRevision int64
+	// ColdUntil is the end of the cold start that the last significant entry of a backend server tells of; zero if it tells of none.
+	ColdUntil time.Time
 }
 
 func newDocuments() Documents {
@@ -79,7 +83,7 @@
 			item := s.Documents.Items[key]
 			if !listed[key] && !item.Document.Deleted && item.Document.Revision <= r.Revision {
 				deleted := item.Document
-				deleted.Deleted, deleted.Raw, deleted.Revision = true, nil, r.Revision
+				deleted.Deleted, deleted.Raw, deleted.Revision, deleted.Age = true, nil, r.Revision, 0
 				applyDocument(s, now, r, deleted)
 			}
 		}
@@ -111,12 +115,15 @@
 		s.logEvent(EventDocumentRefused, Field{"key", d.Key}, Field{"fault", d.DecodeError})
 		return
 	}
-	// An unknown item that is older than the revision that this host has read was deleted by then.
-	if d.Kind == cataloguer.KindOther || !known && (d.Deleted || d.Revision <= s.Documents.Revision) {
+	// An unknown item that is older than the revision that this host has read was deleted by then. The end of a withdrawal matters even if
+	// this host has not seen its beginning.
+	ends := d.Deleted && d.Kind != cataloguer.KindWithdrawnDomain
+	if d.Kind == cataloguer.KindOther || !known && (ends || d.Revision <= s.Documents.Revision) {
 		return
 	}
-	if known && s.insignificant(now, item.Document, d) {
-		item.Document = d
+	// Peers send only what is significant. To judge it again would end a change here that the hosts behind this one need.
+	if known && r.From == fromConfigService && insignificant(now, item, d) {
+		item.Document, item.ReadAt = d, now
 		applyBackend(s, now, *d.Backend)
 		return
 	}
@@ -124,20 +131,22 @@
 	if r.From != fromConfigService {
 		significant = min(significant, r.SignificantRevision)
 	}
-	s.Documents.Items[d.Key] = &Item{Document: d, LearnedAt: now, SignificantRevision: significant}
+	s.Documents.Items[d.Key] = &Item{
+		Document: d, LearnedAt: now, ReadAt: now.Add(-d.Age), SignificantRevision: significant, ColdUntil: coldEnd(now, d),
+	}
 	s.Documents.SignificantRevision = max(s.Documents.SignificantRevision, significant)
 	applyItem(s, now, r, d)
 }
 
-// insignificant reports whether the entry of a backend server changed only in what other hosts do not need to know. Such changes are not passed
-// on, so the former entry need not be the one that other hosts have.
-func (s *State) insignificant(now time.Time, former, d cataloguer.Document) bool {
+// insignificant reports whether the entry of a backend server changed only in what other hosts do not need to know.
+func insignificant(now time.Time, item *Item, d cataloguer.Document) bool {
+	former := item.Document
 	if former.Backend == nil || d.Backend == nil || former.Deleted || d.Deleted {
 		return false
 	}
 	x, y := *former.Backend, *d.Backend
 	return x.Service == y.Service && x.Address == y.Address && x.FailureDomain == y.FailureDomain && x.StartedUnixMs == y.StartedUnixMs &&
-		x.Slots == y.Slots && x.Draining == y.Draining && !s.coldAgain(now, y) && sameModels(x, y)
+		x.Slots == y.Slots && x.Draining == y.Draining && !coldAgain(now, item, y) && sameModels(x, y)
 }
 
 func sameModels(a, b cataloguer.Backend) bool {
@@ -156,10 +165,14 @@
 			markBackendRemoved(s, now, d.Name)
 			return
 		}
-		applyBackend(s, now, *d.Backend)
+		info := *d.Backend
+		info.ColdRemaining = max(info.ColdRemaining-d.Age, 0)
+		applyBackend(s, now, info)
 	case cataloguer.KindWithdrawnDomain:
+		if d.Deleted {
+			assumeDomainCold(s, now, now.Add(-d.Age), d.Name)
+		}
 		if d.Deleted && s.Documents.Withdrawn[d.Name] {
-			assumeDomainCold(s, now, d.Name)
 			beginDomainSlowStart(s, now, d.Name)
 		}
 		s.Documents.Withdrawn[d.Name] = !d.Deleted
--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -43,7 +43,7 @@
 		t.Control.Close()
 		return
 	}
-	hosts := s.carrierVoters(now)
+	hosts := s.directedVoterCount(now)
 	t.Cold.Update(now, s.coldRate(now, b), hosts, s.sendsTo(now, b, s.coldDivision(now, b)))
 	t.Named.Update(now, b.requestLimit(), hosts, s.sendsTo(now, b, s.namedDivision(now, b)))
 	t.Control.Update(now, b.RateLimit.PerSecond*controlFraction, 1, s.holdsLease(now, b.Info.ID))
@@ -61,11 +61,11 @@
 func (b *Backend) requestLimit() float64 { return b.RateLimit.PerSecond * (1 - controlFraction) }
 
 func (s *State) coldDivision(now time.Time, b *Backend) throttler.Division {
-	return throttler.Divide[throttler.ColdStart](s.coldRate(now, b), s.carrierVoters(now))
+	return throttler.Divide[throttler.ColdStart](s.coldRate(now, b), s.directedVoterCount(now))
 }
 
 func (s *State) namedDivision(now time.Time, b *Backend) throttler.Division {
-	return throttler.Divide[throttler.NamedLimit](b.requestLimit(), s.carrierVoters(now))
+	return throttler.Divide[throttler.NamedLimit](b.requestLimit(), s.directedVoterCount(now))
 }
 
 // maySend reports whether this host is one of those that may send requests to a backend server now.
@@ -148,7 +148,7 @@
 	if !s.votersKnown() {
 		return nil
 	}
-	return s.ranked(now, rankKey{Among: rankCarriers, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
+	return s.ranked(now, rankKey{Among: rankDirected, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
 }
 
 // sendersOf returns the hosts that may send requests to a backend server under a division of its rate.
@@ -162,15 +162,15 @@
 	return slices.Contains(s.sendersOf(now, b, d), s.Self.HostID)
 }
 
-// carrierVoters returns the number of voters that callers are directed to.
-func (s *State) carrierVoters(now time.Time) int {
+// directedVoterCount returns the number of voters that callers are directed to.
+func (s *State) directedVoterCount(now time.Time) int {
 	s.indexHosts(now)
-	return len(s.Index.Carriers)
+	return len(s.Index.DirectedVoters)
 }
 
-// carriers returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
+// directedVoters returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
 // at different times, and the senders would change with it.
-func (s *State) carriers(voters []string) []string {
+func (s *State) directedVoters(voters []string) []string {
 	if len(voters) <= smallDirectory {
 		return voters
 	}
