Let the test of orders at a limit carry out what follows from an order

Cause: the test dropped the orders that follow from the end of another one, so that it passed without the bound on orders. Change: all effects are carried out, and loads are done at once. Result: without the bound the test fails, with it it passes.

--- a/internal/reducer/ratelimit_test.go
+++ b/internal/reducer/ratelimit_test.go
@@ -167,16 +167,19 @@
 	for i := range 2000 {
 		f.now = f.now.Add(10 * time.Millisecond)
 		effects := append(f.generate("g"+strconv.Itoa(i), "a"+strconv.Itoa(i)), f.reduce(Tick{})...)
-		for _, e := range effects {
-			switch e := e.(type) {
+		for len(effects) > 0 {
+			next := effects[0]
+			effects = effects[1:]
+			switch e := next.(type) {
 			case Dispatch:
 				calls = append(calls, f.now)
 			case ReadReport:
 				calls = append(calls, f.now)
-				f.reduce(BackendReported{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, RequestedAt: f.now})
+				effects = append(effects, f.reduce(BackendReported{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, RequestedAt: f.now})...)
 			case OrderAdapter:
 				calls = append(calls, f.now)
-				f.reduce(OrderEnded{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, Adapter: e.Adapter, Unload: e.Unload, Result: OrderAccepted})
+				ended := OrderEnded{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, Adapter: e.Adapter, Unload: e.Unload, Result: OrderDone}
+				effects = append(effects, f.reduce(ended)...)
 			}
 		}
 		recent := slices.DeleteFunc(slices.Clone(calls), func(at time.Time) bool { return f.now.Sub(at) > 4*time.Second })
