Correct the use of adapters by full reports

Cause: the end of an adapter's use at a host is reported to the lease holder once, in a datagram that may be lost; later full reports leave out adapters that are not in use, so that the holder never evicted it while the host used the server. Change: a full report says that it is one and replaces what the holder knows of the host.

--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -162,7 +162,7 @@
 	samples := s.takeUnreported(now, b)
 	usage := Usage{
 		Backend: b.Info.ID, Running: b.Running, Tokens: b.Tokens, PrefillTokens: b.PrefillTokens,
-		PaceWork: samples.Work, PaceBusy: samples.Busy,
+		PaceWork: samples.Work, PaceBusy: samples.Busy, Full: full,
 	}
 	b.SlowStart.report(&usage)
 	for _, key := range sortedAdapters(b.Adapters) {
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -138,6 +138,8 @@
 	// PrefillTokens is the prompt tokens of requests without a response yet.
 	PrefillTokens int
 	Adapters      []AdapterUsage
+	// Full is set if Adapters names all adapters that the sender has running.
+	Full bool
 	// PaceWork is the work that the server did for the sender since the last report, in prompt tokens, and PaceBusy the time that it took.
 	PaceWork float64
 	PaceBusy time.Duration
--- a/internal/reducer/usage.go
+++ b/internal/reducer/usage.go
@@ -18,7 +18,11 @@
 	if from != s.Self.HostID {
 		s.recordReportedAnswers(now, m)
 	}
-	freed := false
+	freed := m.Full && len(u.RunningByAdapter) > 0
+	if m.Full {
+		// The report that ended the use of an adapter may have been lost.
+		clear(u.RunningByAdapter)
+	}
 	for _, a := range m.Adapters {
 		u.RunningByAdapter[a.Adapter] = a.Running
 		l.verifyAdapter(s, now, m.Backend, a)
--- a/internal/translator/messages.go
+++ b/internal/translator/messages.go
@@ -112,7 +112,7 @@
 	w := &peerv1.Usage{
 		Backend: m.Backend, Running: int64(m.Running), Tokens: int64(m.Tokens), Prefill: int64(m.PrefillTokens),
 		PaceWork: m.PaceWork, PaceBusyUs: uint64(max(m.PaceBusy.Microseconds(), 0)),
-		Answers: uint32(m.Answers), SlowAnswers: uint32(m.SlowAnswers), Refusals: uint32(m.Refusals),
+		Answers: uint32(m.Answers), SlowAnswers: uint32(m.SlowAnswers), Refusals: uint32(m.Refusals), Full: m.Full,
 	}
 	for _, a := range m.Adapters {
 		w.Adapters = append(w.Adapters, &peerv1.AdapterUse{
@@ -127,7 +127,7 @@
 	m := reducer.Usage{
 		Backend: w.GetBackend(), Running: int(w.GetRunning()), Tokens: int(w.GetTokens()), PrefillTokens: int(w.GetPrefill()),
 		PaceWork: w.GetPaceWork(), PaceBusy: microseconds(int64(w.GetPaceBusyUs())),
-		Answers: int(w.GetAnswers()), SlowAnswers: int(w.GetSlowAnswers()), Refusals: int(w.GetRefusals()),
+		Answers: int(w.GetAnswers()), SlowAnswers: int(w.GetSlowAnswers()), Refusals: int(w.GetRefusals()), Full: w.GetFull(),
 	}
 	for _, a := range w.GetAdapters() {
 		m.Adapters = append(m.Adapters, reducer.AdapterUsage{
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -28,7 +28,7 @@
 		reducer.LeaseRelease{SentAtUptime: time.Second, Backends: []string{"b"}},
 		reducer.AdapterRequest{Backend: "b", Adapter: key, Version: 2, Overdue: true, Origin: reducer.Origin{Request: "r", Age: 3 * time.Millisecond}},
 		reducer.ResidencyUpdate{Backend: "b", Adapter: key, Version: 2, Stage: reducer.StageReady, ReadyIn: time.Millisecond},
-		reducer.Usage{Backend: "b", Running: 1, Tokens: 2, PrefillTokens: 3, Adapters: []reducer.AdapterUsage{{Adapter: key, DispatchCount: 1, Running: 2, Verified: true, Version: 3, Work: 4}},
+		reducer.Usage{Backend: "b", Running: 1, Full: true, Tokens: 2, PrefillTokens: 3, Adapters: []reducer.AdapterUsage{{Adapter: key, DispatchCount: 1, Running: 2, Verified: true, Version: 3, Work: 4}},
 			PaceWork: 1.5, PaceBusy: 2 * time.Millisecond, Answers: 5, SlowAnswers: 2, Refusals: 1},
 		reducer.BackendLoad{Backend: "b", Running: 1, Tokens: 2, PrefillTokens: 3, FreeSlots: 4, PaceWork: 2.5, PaceBusy: time.Second, StartLimit: 3.5, Senders: 6,
 			Demands: []reducer.AdapterDemand{{Adapter: key, Work: 7.5}}},
