Show operators who sends to a cold server, and how much

Cause: status and where said that a server is cold, but not whether this host is one of its senders, which hosts are, nor for how long a request is held; nothing counted the requests that a cold start keeps from a server. Change: status and where have sender, send_per_second and senders of a server with a bound, as plain fields of BoundStatus; where has the time for which a request is held, also on a host that leaves the server to its senders. The gauge backend_servers_cold and the counter cold_held_total. The client prints these, and the state of each server.

--- a/internal/commander/fleet.go
+++ b/internal/commander/fleet.go
@@ -1,7 +1,10 @@
 package commander
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -70,8 +73,25 @@
 		o.printf("  host %-24s alive %-5v ready %-5v heard %6d ms ago, orders %d backend servers\n", h.ID, h.Active, h.Ready, h.AgeMs, h.LeasesHeld)
 	}
 	for _, b := range s.Backends {
-		o.printf("  backend server %-16s %-12s usable %-5v running %3d loss %.2f ordered by %s\n", b.ID, b.Service, b.Usable, b.Running, b.FailureRate, b.Holder)
+		o.printf("  backend server %-16s %-12s usable %-5v %-9s running %3d loss %.2f ordered by %s", b.ID, b.Service, b.Usable, b.State, b.Running, b.FailureRate,
+			cmp.Or(b.Holder, "none"))
+		if b.StateEndsInMs > 0 {
+			o.printf(", %s for %d ms more", b.State, b.StateEndsInMs)
+		}
+		o.printf("%s\n", boundText(b.BoundStatus))
+	}
+}
+
+// boundText describes the bound on the requests to a backend server over all hosts, after a comma; it is empty for a server without one.
+func boundText(b reducer.BoundStatus) string {
+	text := ""
+	if b.Sender {
+		text += fmt.Sprintf(", this host may send %.3g requests/s", b.SendPerSecond)
+	}
+	if len(b.Senders) > 0 {
+		text += ", senders " + strings.Join(b.Senders, ",")
 	}
+	return text
 }
 
 // HostAccount is the status of one client account on one host.
--- a/internal/commander/where.go
+++ b/internal/commander/where.go
@@ -162,10 +162,14 @@
 		if c.Held != "" {
 			o.printf(", held for %.1f ms (%s)", c.HeldMs, c.Held)
 		}
-		o.printf("\n")
+		o.printf("%s\n", boundText(c.BoundStatus))
 	}
 	for _, e := range w.Excluded {
-		o.printf("  %s: excluded, %s, for %d ms\n", e.Backend, e.Why, e.EndsMs)
+		o.printf("  %s: excluded, %s", e.Backend, e.Why)
+		if e.EndsMs > 0 {
+			o.printf(", for %d ms", e.EndsMs)
+		}
+		o.printf("%s\n", boundText(e.BoundStatus))
 	}
 	if w.Unranked > 0 {
 		o.printf("  %d more do not rank for the adapter\n", w.Unranked)
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -70,6 +70,7 @@
 			preloadReplicas[P](s, now, r, candidates)
 			return
 		}
+		s.countThrottled(now, b)
 		candidates = slices.Delete(candidates, i, i+1)
 	}
 	if held.Servers > 0 {
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -48,9 +48,11 @@
 	HostsRecent     int   `json:"hosts_members"`
 	BackendsUsable  int   `json:"backend_servers_usable"`
 	BackendsEjected int   `json:"backend_servers_left_alone"`
-	LeasesHeld      int   `json:"leases_held"`
-	LoadsPending    int   `json:"adapters_wanted"`
-	AdaptersLoading int   `json:"adapters_loading"`
+	// BackendsCold counts the backend servers that this host takes for cold.
+	BackendsCold    int `json:"backend_servers_cold"`
+	LeasesHeld      int `json:"leases_held"`
+	LoadsPending    int `json:"adapters_wanted"`
+	AdaptersLoading int `json:"adapters_loading"`
 	// RetryTokens is the number of retries left in this host's retry budget for each service.
 	RetryTokens map[string]float64 `json:"retry_tokens"`
 	// ExpectedLoadMs is the expected time to load an adapter from the weight store, by service.
@@ -83,7 +85,7 @@
 	ID      string `json:"id"`
 	Service string `json:"service"`
 	Usable  bool   `json:"usable"`
-	// State is why the server gets no new requests from this host, or allowed or cold.
+	// State is why the server gets no new requests from this host, or allowed, cold or starting.
 	State string `json:"state"`
 	// StateEndsInMs is the time until the state ends by itself; 0 if it does not.
 	StateEndsInMs int64 `json:"state_ends_in_ms"`
@@ -91,6 +93,7 @@
 	// StartReason why the slow start began.
 	StartLimit  float64 `json:"start_limit,omitempty"`
 	StartReason string  `json:"start_reason,omitempty"`
+	BoundStatus
 	Holder      string  `json:"holder"`
 	Running     int     `json:"running"`
 	FailureRate float64 `json:"loss"`
@@ -164,6 +167,7 @@
 		status := BackendStatus{
 			ID: id, Service: b.Info.Service, Usable: state.Usable(), State: state.String(), StateEndsInMs: endsIn, Holder: s.holderOf(now, id), Running: b.Running,
 			FailureRate: b.FailureRate, Adapters: len(b.Adapters), StartLimit: b.SlowStart.Ramp.Limit(now), StartReason: b.SlowStart.Ramp.Reason.String(),
+			BoundStatus: s.boundStatus(now, b),
 		}
 		if s.Limits.Adaptive.Pace {
 			status.ServiceRate, status.Slowdown = s.usualRate(now, b), b.Pacing.Estimate.Slowdown(now)
@@ -216,6 +220,7 @@
 		g.ExpectedLoadMs[name] = v.LoadTime.Milliseconds()
 		g.ReturnsPromised += len(v.Admission.Returns.Promises)
 	}
+	gaugeBounds(s, now, &g)
 	gaugeLeases(s, now, &g)
 	gaugeQuotas(s, now, &g)
 	return g
--- a/internal/reducer/where.go
+++ b/internal/reducer/where.go
@@ -97,6 +97,7 @@
 	Running        int     `json:"running"`
 	OthersRunning  int     `json:"others_running"`
 	StartLimit     float64 `json:"start_limit,omitempty"`
+	BoundStatus
 }
 
 // WhereExcluded is one backend server that cannot take a request, and why.
@@ -104,6 +105,7 @@
 	Backend string `json:"backend_server"`
 	Why     string `json:"why"`
 	EndsMs  int64  `json:"ends_in_ms,omitempty"`
+	BoundStatus
 }
 
 // Answers in a Where.
@@ -218,7 +220,7 @@
 			w.Unranked++
 			continue
 		}
-		excluded := WhereExcluded{Backend: b.Info.ID, Why: why}
+		excluded := WhereExcluded{Backend: b.Info.ID, Why: why, BoundStatus: s.boundStatus(now, b)}
 		if !until.IsZero() {
 			excluded.EndsMs = until.Sub(now).Milliseconds()
 		}
@@ -245,6 +247,7 @@
 	out := WhereCandidate{
 		Backend: c.Backend, Rank: c.Rank, SameDomain: c.SameDomain, State: state.String(), DelayMs: inMs(c.Delay), FailureMs: inMs(b.failurePenalty()),
 		Holder: s.holderOf(now, c.Backend), Running: b.Running, StartLimit: b.SlowStart.Ramp.Limit(now),
+		BoundStatus: s.boundStatus(now, b),
 	}
 	if now.Sub(b.OtherHostsAt) < loadReportTTL {
 		out.OthersRunning = b.OtherHosts.Running
@@ -258,12 +261,12 @@
 		out.AdapterStage = s.stageOf(now, r, b)
 	}
 	out.WorkMs = out.DelayMs - out.AdapterMs - out.FailureMs
-	if opensIn := s.slowStartOpensIn(now, r, b); opensIn > 0 {
+	if opensIn := s.slowStartOpensIn(now, r, b); opensIn > 0 && s.maySend(now, b) {
 		out.Held, out.HeldMs = SendStarting.String(), inMs(opensIn)
 		return out
 	}
-	if !s.throttleAllows(now, b) {
-		out.Held = SendCold.String()
+	if opensIn := s.throttleOpensIn(now, b); opensIn > 0 {
+		out.Held, out.HeldMs = state.String(), inMs(opensIn)
 	}
 	return out
 }
