Show operators the limits that backend servers name, and explain refusals by them

Cause: status and where showed that a server is limited, but neither the limit nor who may send; where counted a server that is left to its senders among those without the adapter. The lines of a request that no server could take name no server, so explain showed no line about the limits that were the reason, and limits that were named more than 5 s before would not have been shown at all. Change: status and where have limit_per_second and limit_age_ms; where names a server that is left to its senders among the excluded, with these, and usable in the status is false for it. The gauge backend_servers_limited and the counter limited_held_total. Events 170 to 172 and 204 have the service, by which explain finds the bounds that were in force, however old, and names them in the cause.

--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -154,8 +154,13 @@
 	}
 	last := lastLine(e.Lines)
 	slices.SortStableFunc(e.Lines, func(a, b Line) int { return cmp.Or(byAge(a, b), servingFirst(a, b, last.Host)) })
-	e.Nearby = nearbyLines(lines, e.Lines, last, arrivals)
+	bounds := findBounds(lines, e.Lines, last, arrivals[last.Host])
+	e.Nearby = append(nearbyLines(lines, e.Lines, last, arrivals), bounds.Lines...)
+	slices.SortStableFunc(e.Nearby, byAge)
 	e.Outcome, e.Cause = diagnose(e.Lines, last)
+	if lacksBackend(last) {
+		e.Cause += bounds.cause(last)
+	}
 	return e, nil
 }
 
@@ -193,7 +198,7 @@
 const nearbyWindowMs = 5000
 
 // nearbyLines returns the lines that the hosts involved wrote before the end of the request about its backend servers and its account, and
-// the lines of the serving host about its dependencies. A line of another host that names an adapter must name one of the request's.
+// the lines of the serving host about its dependencies. The serving host's lines about bounds are left to findBounds. A line of another host that names an adapter must name one of the request's.
 // Parameter arrivals holds the time of the request's arrival by the clock of each host involved.
 func nearbyLines(all []rawLine, request []Line, last Line, arrivals map[string]int64) []Line {
 	backends := map[string]bool{}
@@ -209,6 +214,9 @@
 		line := newLine(l)
 		arrived, known := arrivals[line.Host]
 		line.AgeMs = l.Time - arrived
+		if line.Host == last.Host && isBound(l.Event) {
+			continue
+		}
 		if !known || l.Fields["request"] != "" || line.AgeMs < last.AgeMs-nearbyWindowMs || line.AgeMs > last.AgeMs {
 			continue
 		}
@@ -271,7 +279,7 @@
 	"no_route":          "no route of the applied configuration matches the host name and path of the request",
 	"no_key":            "the key belongs to no client account of the applied configuration",
 	"over_rate":         "the tokens granted for the client account did not cover the cost of the request",
-	"no_backend_server": "no backend server of the service could be used, for example because all were draining, withdrawn, cold or ejected",
+	"no_backend_server": "no backend server of the service could be used, for example because all were draining, withdrawn, cold or ejected, or at the limits that they name",
 	"full":              "the backend servers responded that they were full",
 	"not_loaded":        "the adapter could not be loaded within the latency target of the route",
 	"timeout":           "the timeout of the route or the deadline of the caller had passed",
--- a/internal/commander/fleet.go
+++ b/internal/commander/fleet.go
@@ -85,6 +85,9 @@
 // boundText describes the bound on the requests to a backend server over all hosts, after a comma; it is empty for a server without one.
 func boundText(b reducer.BoundStatus) string {
 	text := ""
+	if b.LimitPerSecond > 0 {
+		text = fmt.Sprintf(", names a limit of %g requests/s, known for %d ms", b.LimitPerSecond, b.LimitAgeMs)
+	}
 	if b.Sender {
 		text += fmt.Sprintf(", this host may send %.3g requests/s", b.SendPerSecond)
 	}
--- a/internal/commander/fleet_test.go
+++ b/internal/commander/fleet_test.go
@@ -12,10 +12,10 @@
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
-// Guards against the senders or the state of a server that the host's answer has and the printed text lacks.
+// Guards against a limit, its senders or the state of a server that the host's answer has and the printed text lacks.
 func TestStatusAndWherePrintBounds(t *testing.T) {
-	own := reducer.BoundStatus{Sender: true, SendPerSecond: 2, Senders: []string{"a", "b"}}
-	other := reducer.BoundStatus{Senders: []string{"b", "c"}}
+	own := reducer.BoundStatus{LimitPerSecond: 8, LimitAgeMs: 1500, Sender: true, SendPerSecond: 2, Senders: []string{"a", "b"}}
+	other := reducer.BoundStatus{LimitPerSecond: 0.5, Senders: []string{"b", "c"}}
 	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/v1/where" {
 			_ = json.NewEncoder(w).Encode(reducer.Where{
@@ -30,10 +30,10 @@
 	}))
 	defer host.Close()
 	address := strings.TrimPrefix(host.URL, "http://")
-	const ownText = ", this host may send 2 requests/s, senders a,b\n"
+	const ownText = ", names a limit of 8 requests/s, known for 1500 ms, this host may send 2 requests/s, senders a,b\n"
 	for command, expected := range map[string][]string{
 		"status": {ownText, "backoff for 70 ms more\n"},
-		"where":  {"held for 250.0 ms (limited)" + ownText, "d2: excluded, limited", ", senders b,c\n", "d3: excluded, backoff, for 70 ms\n"},
+		"where":  {"held for 250.0 ms (limited)" + ownText, "d2: excluded, limited, names a limit of 0.5 requests/s", ", senders b,c\n", "d3: excluded, backoff, for 70 ms\n"},
 	} {
 		args := []string{command, "--operator", address}
 		if command == "where" {
--- a/internal/reducer/bound.go
+++ b/internal/reducer/bound.go
@@ -7,6 +7,10 @@
 
 // BoundStatus is the bound on the requests to a backend server over all hosts as shown to operators; it is empty for a server without one.
 type BoundStatus struct {
+	// LimitPerSecond is the limit that the server names, in requests per second of all hosts together, and LimitAgeMs the time since this host
+	// learned of it.
+	LimitPerSecond float64 `json:"limit_per_second,omitempty"`
+	LimitAgeMs     int64   `json:"limit_age_ms,omitempty"`
 	// Sender is set if this host is one of those that may send requests there while the server is cold or limited, and SendPerSecond the rate at
 	// which it may.
 	Sender        bool    `json:"sender,omitempty"`
@@ -20,7 +24,11 @@
 	if !s.throttled(now, b) {
 		return BoundStatus{}
 	}
-	status := BoundStatus{Senders: s.senders(now, b)}
+	limit := b.RateLimit.PerSecond
+	status := BoundStatus{LimitPerSecond: limit, Senders: s.senders(now, b)}
+	if limit > 0 {
+		status.LimitAgeMs = now.Sub(b.RateLimit.ChangedAt).Milliseconds()
+	}
 	status.Sender = slices.Contains(status.Senders, s.Self.HostID)
 	trial := *b
 	s.updateThrottle(now, &trial)
@@ -40,11 +48,13 @@
 	return rate
 }
 
-// countThrottled counts a request that a bound keeps from a backend server.
+// countThrottled counts a request that a bound keeps from a backend server; a server that is cold and limited counts as cold.
 func (s *State) countThrottled(now time.Time, b *Backend) {
 	if s.isCold(now, b) {
 		s.Counters.ColdHeld++
+		return
 	}
+	s.Counters.LimitedHeld++
 }
 
 // gaugeBounds sets the gauges on the backend servers with a bound on their requests over all hosts.
@@ -53,5 +63,8 @@
 		if s.isCold(now, b) {
 			g.BackendsCold++
 		}
+		if b.RateLimit.PerSecond > 0 {
+			g.BackendsLimited++
+		}
 	}
 }
--- a/internal/reducer/bound_test.go
+++ b/internal/reducer/bound_test.go
@@ -1,11 +1,15 @@
 package reducer
 
 import (
+	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingpick/redwingpick/internal/cloner"
+	"github.com/redwingpick/redwingpick/internal/ramper"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
@@ -46,14 +50,118 @@
 	f.state.noteColdStart(f.now, b, f.now, coldJoined)
 }
 
-// Guards against a cold server whose senders the status leaves out.
+// Guards against a status that does not say what a server's limit is, who may send there and how much.
+func TestStatusShowsTheNamedLimitAndItsSenders(t *testing.T) {
+	f := newFixture(t)
+	none, _ := f.statusOf("desk-1")
+	assert.DeepEqual(t, none.BoundStatus, BoundStatus{})
+	f.nameLimit("desk-1", limited(8))
+	f.advance(1500 * time.Millisecond)
+	own, gauges := f.statusOf("desk-1")
+	assert.DeepEqual(t, own.BoundStatus, BoundStatus{LimitPerSecond: 8, LimitAgeMs: 1500, Sender: true, SendPerSecond: 2, Senders: []string{"host-a"}})
+	assert.Equal(t, own.State, "limited")
+	assert.Assert(t, own.Usable)
+	assert.Equal(t, own.SendPerSecond, f.state.Backends["desk-1"].Throttle.Named.Bucket.Rate)
+	assert.Equal(t, gauges.BackendsLimited, 1)
+	assert.Equal(t, gauges.BackendsCold, 0)
+	b := f.leaveToOthers()
+	f.state.recordRateLimit(f.now, b, &Request{SentAt: f.now}, limited(6))
+	other, _ := f.statusOf(b.Info.ID)
+	assert.Equal(t, len(other.Senders), 3)
+	assert.DeepEqual(t, other.BoundStatus, BoundStatus{LimitPerSecond: 6, Senders: other.Senders})
+	assert.Assert(t, !other.Usable, "the server is left to its senders")
+}
+
+// Guards against a cold server whose senders the status leaves out, and a rate that is not the lower one of two bounds.
 func TestStatusShowsTheSendersOfAColdServer(t *testing.T) {
 	f := newFixture(t)
 	f.makeCold("desk-1", 4)
+	gates := f.state.Backends["desk-1"].Throttle
 	cold, gauges := f.statusOf("desk-1")
+	assert.DeepEqual(t, f.state.Backends["desk-1"].Throttle, gates)
 	assert.DeepEqual(t, cold.BoundStatus, BoundStatus{Sender: true, SendPerSecond: 1, Senders: []string{"host-a"}})
 	assert.Equal(t, cold.State, "cold")
 	assert.Equal(t, gauges.BackendsCold, 1)
+	for limit, rate := range map[float64]float64{2: 0.5, 400: 1} {
+		f.state.recordRateLimit(f.now, f.state.Backends["desk-1"], &Request{SentAt: f.now}, limited(limit))
+		both, gauges := f.statusOf("desk-1")
+		assert.Equal(t, both.SendPerSecond, rate)
+		assert.Equal(t, gauges.BackendsCold+gauges.BackendsLimited, 2)
+	}
+}
+
+// Guards against an answer of where that hides a limit or a cold start, or takes a request from what the host may send.
+func TestWhereShowsBoundsAndSpendsNothing(t *testing.T) {
+	f := newFixture(t)
+	f.nameLimit("desk-1", limited(4))
+	f.makeCold("desk-2", 2)
+	f.advance(100 * time.Millisecond)
+	before := cloner.Clone(*f.state)
+	held := map[string]WhereCandidate{}
+	for range 2 {
+		w := f.where(WhereQuery{HostName: "h", Path: "/safe/x", Account: "acme"})
+		for _, c := range w.Candidates {
+			held[c.Backend] = c
+		}
+	}
+	assert.DeepEqual(t, before.Backends, f.state.Backends)
+	assert.DeepEqual(t, before.Throttled, f.state.Throttled)
+	assert.DeepEqual(t, before.Limited, f.state.Limited)
+	assert.DeepEqual(t, before.Counters, f.state.Counters)
+	assert.Equal(t, held["desk-1"].Held, "limited")
+	assert.Equal(t, held["desk-1"].LimitPerSecond, 4.0)
+	assert.Equal(t, held["desk-2"].Held, "cold")
+	for id, c := range held {
+		assert.Equal(t, c.HeldMs, inMs(f.state.throttleOpensIn(f.now, f.state.Backends[id])))
+		assert.Assert(t, c.HeldMs > 0)
+	}
+	f.advance(time.Second)
+	w := f.where(WhereQuery{HostName: "h", Path: "/safe/x", Account: "acme"})
+	assert.Equal(t, w.Answer, WhereSent)
+	assert.Equal(t, w.Backend, must[Dispatch](t, f.arrive("1", "/safe/x", "secret")).Backend)
+}
+
+// Guards against a server that is left to others and that where does not name, or counts among those without the adapter.
+func TestWhereNamesTheSendersOfAServerThatIsLeftToThem(t *testing.T) {
+	f := newFixture(t)
+	b := f.leaveToOthers()
+	f.state.recordRateLimit(f.now, b, &Request{SentAt: f.now}, limited(6))
+	w := f.where(WhereQuery{HostName: "h", Path: "/safe/x", Account: "acme"})
+	assert.Equal(t, len(w.Excluded), 1)
+	assert.Equal(t, w.Unranked, 0)
+	excluded := w.Excluded[0]
+	assert.Equal(t, excluded.Backend, b.Info.ID)
+	assert.Equal(t, excluded.Why, "limited")
+	assert.DeepEqual(t, excluded.Senders, f.state.senders(f.now, b))
+	assert.Equal(t, excluded.LimitPerSecond, 6.0)
+}
+
+// Guards against requests that a bound keeps from a server and that no counter shows, or the wrong one.
+func TestRequestsThatABoundHoldsAreCounted(t *testing.T) {
+	for name, run := range map[string]struct {
+		bound         func(f *fixture)
+		cold, limited bool
+	}{
+		"cold":    {func(f *fixture) { f.makeCold("desk-1", 1); f.makeCold("desk-2", 1) }, true, false},
+		"limited": {func(f *fixture) { f.limitAll(1) }, false, true},
+		"both":    {func(f *fixture) { f.limitAll(1); f.makeCold("desk-1", 1); f.makeCold("desk-2", 1) }, true, false},
+		"none":    {func(*fixture) {}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			run.bound(f)
+			f.arrive("1", "/safe/x", "secret")
+			assert.Equal(t, f.state.Counters.ColdHeld > 0, run.cold)
+			assert.Equal(t, f.state.Counters.LimitedHeld > 0, run.limited)
+		})
+	}
+}
+
+// limitAll names a limit for both unary servers.
+func (f *fixture) limitAll(perSecond float64) {
+	for _, id := range []string{"desk-1", "desk-2"} {
+		f.state.recordRateLimit(f.now, f.state.Backends[id], &Request{SentAt: f.now}, limited(perSecond))
+	}
 }
 
 // Guards against a cold server that is left to others and shown as if this host could send there soon.
@@ -61,6 +169,9 @@
 	f := newFixture(t)
 	b := f.leaveToOthers()
 	f.makeCold(b.Info.ID, 7)
+	f.state.Limits.Adaptive.Start = true
+	f.state.beginSlowStart(f.now, f.now, b, ramper.ReasonReturned)
+	assert.Assert(t, f.state.slowStartOpensIn(f.now, &Request{}, b) > 0)
 	w := f.where(WhereQuery{HostName: "h", Path: "/safe/x", Account: "acme"})
 	for _, c := range w.Candidates {
 		if c.Backend == b.Info.ID {
@@ -74,13 +185,19 @@
 	t.Fatal("the server is not among the candidates")
 }
 
-// Guards against requests that a cold start keeps from a server and that no counter shows.
-func TestRequestsThatAColdStartHoldsAreCounted(t *testing.T) {
-	f := newFixture(t)
-	f.arrive("1", "/safe/x", "secret")
-	assert.Equal(t, f.state.Counters.ColdHeld, uint64(0))
-	f.makeCold("desk-1", 1)
-	f.makeCold("desk-2", 1)
-	f.arrive("2", "/safe/x", "secret")
-	assert.Equal(t, f.state.Counters.ColdHeld, uint64(2))
+// Guards against metrics whose names differ from those that docs/OPERATIONS.md tells operators to watch, and fields without a value in the status.
+func TestNamesOfBoundsInMetricsAndStatus(t *testing.T) {
+	for name, v := range map[string]any{
+		`"cold_held_total":3,"limited_held_total":4,`:                 Counters{ColdHeld: 3, LimitedHeld: 4},
+		`"rate_limit_changes_total":5,"rate_limit_faults_total":6,`:   Counters{RateLimitChanges: 5, RateLimitFaults: 6},
+		`"backend_servers_cold":1,"backend_servers_limited":2,`:       Gauges{BackendsCold: 1, BackendsLimited: 2},
+		`"limit_per_second":2,"limit_age_ms":5,"sender":true,`:        BackendStatus{BoundStatus: BoundStatus{LimitPerSecond: 2, LimitAgeMs: 5, Sender: true}},
+		`"send_per_second":0.5,"senders":["a"]`:                       WhereExcluded{BoundStatus: BoundStatus{SendPerSecond: 0.5, Senders: []string{"a"}}},
+		`{"backend_server":"e1","why":"limited","limit_per_second":1`: WhereExcluded{Backend: "e1", Why: "limited", BoundStatus: BoundStatus{LimitPerSecond: 1}},
+		`{"backend_server":"e1","why":"cold"}`:                        WhereExcluded{Backend: "e1", Why: "cold"},
+	} {
+		data, err := json.Marshal(v)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(string(data), name), "%s: %s", name, data)
+	}
 }
--- a/internal/reducer/coldstart.go
+++ b/internal/reducer/coldstart.go
@@ -46,8 +46,8 @@
 		return
 	}
 	senders := s.senders(now, b)
-	s.logEvent(EventColdStartBegan, Field{"backend_server", b.Info.ID}, Field{"failure_domain", b.Info.FailureDomain}, Field{"reason", reason},
-		msField("cold_ms", until.Sub(now)), msField("published_ms", b.Info.ColdRemaining),
+	s.logEvent(EventColdStartBegan, Field{"backend_server", b.Info.ID}, Field{"service", b.Info.Service},
+		Field{"failure_domain", b.Info.FailureDomain}, Field{"reason", reason}, msField("cold_ms", until.Sub(now)), msField("published_ms", b.Info.ColdRemaining),
 		boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
 }
 
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -45,9 +45,10 @@
 	// RateLimitChanges counts the changes of limits that backend servers name, and RateLimitFaults the responses that named one that is not valid.
 	RateLimitChanges uint64 `json:"rate_limit_changes_total"`
 	RateLimitFaults  uint64 `json:"rate_limit_faults_total"`
-	// ColdHeld counts how often this host, as one of the senders, could not send a request to a cold backend server because its part of the rate
-	// was used up; a request counts again each time it is tried there.
-	ColdHeld uint64 `json:"cold_held_total"`
+	// ColdHeld and LimitedHeld count how often this host, as one of the senders, could not send a request to a cold or limited backend server
+	// because its part of the rate was used up; a request counts again each time it is tried there.
+	ColdHeld    uint64 `json:"cold_held_total"`
+	LimitedHeld uint64 `json:"limited_held_total"`
 	// LeavingNotices counts backend servers whose responses said that they drain, and Backoffs those that asked for no requests.
 	LeavingNotices uint64 `json:"leaving_notices_total"`
 	Backoffs       uint64 `json:"backoffs_total"`
--- a/internal/reducer/ratelimit.go
+++ b/internal/reducer/ratelimit.go
@@ -59,7 +59,7 @@
 		return
 	}
 	b.RateLimit.FaultLoggedAt = now
-	s.logEvent(EventRateLimitIgnored, Field{"backend_server", b.Info.ID}, Field{"fault", fault}, floatField("limit", b.RateLimit.PerSecond))
+	s.logEvent(EventRateLimitIgnored, Field{"backend_server", b.Info.ID}, Field{"service", b.Info.Service}, Field{"fault", fault}, floatField("limit", b.RateLimit.PerSecond))
 }
 
 // changeRateLimit puts another limit of a backend server into effect; from is the host that told of it, empty if a response to this host did.
@@ -74,8 +74,8 @@
 	s.updateThrottle(now, b)
 	s.Counters.RateLimitChanges++
 	senders := s.senders(now, b)
-	s.logEvent(EventRateLimitChanged, Field{"backend_server", b.Info.ID}, floatField("limit", perSecond), floatField("limit_before", former),
-		Field{"peer", from}, boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
+	s.logEvent(EventRateLimitChanged, Field{"backend_server", b.Info.ID}, Field{"service", b.Info.Service}, floatField("limit", perSecond),
+		floatField("limit_before", former), Field{"peer", from}, boolField("sender", slices.Contains(senders, s.Self.HostID)), Field{"senders", strings.Join(senders, ",")})
 }
 
 // tickRateLimits tells other hosts of changed limits without waiting for the next round of gossip, and gives up those that no response has
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -107,7 +107,7 @@
 // refuse ends a request with a response from this host.
 func refuse(s *State, now time.Time, r *Request, reason Reason, retryAfter time.Duration) {
 	s.Counters.RefusedByReason[reason]++
-	s.logEvent(EventRequestRefused, s.requestFields(now, r, Field{"reason", reason.String()}, boolField("may_have_run", r.PossibleRuns > 0),
+	s.logEvent(EventRequestRefused, s.requestFields(now, r, Field{"service", r.Service}, Field{"reason", reason.String()}, boolField("may_have_run", r.PossibleRuns > 0),
 		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastFailure.String()}, Field{"content", r.QuarantinedContent})...)
 	s.emit(Refuse{ID: r.ID, Reason: reason, MayHaveRun: r.PossibleRuns > 0, RetryAfter: retryAfter})
 	s.endRequest(now, r, "refused_"+reason.String())
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -48,8 +48,9 @@
 	HostsRecent     int   `json:"hosts_members"`
 	BackendsUsable  int   `json:"backend_servers_usable"`
 	BackendsEjected int   `json:"backend_servers_left_alone"`
-	// BackendsCold counts the backend servers that this host takes for cold.
+	// BackendsCold and BackendsLimited count the backend servers that this host takes for cold, and those that name a limit.
 	BackendsCold    int `json:"backend_servers_cold"`
+	BackendsLimited int `json:"backend_servers_limited"`
 	LeasesHeld      int `json:"leases_held"`
 	LoadsPending    int `json:"adapters_wanted"`
 	AdaptersLoading int `json:"adapters_loading"`
@@ -84,8 +85,9 @@
 type BackendStatus struct {
 	ID      string `json:"id"`
 	Service string `json:"service"`
-	Usable  bool   `json:"usable"`
-	// State is why the server gets no new requests from this host, or allowed, cold or starting.
+	// Usable is set if this host may send the server requests now; one that is limited is left to its senders.
+	Usable bool `json:"usable"`
+	// State is why the server gets no new requests from this host, or allowed, cold, limited or starting.
 	State string `json:"state"`
 	// StateEndsInMs is the time until the state ends by itself; 0 if it does not.
 	StateEndsInMs int64 `json:"state_ends_in_ms"`
@@ -165,7 +167,7 @@
 			endsIn = until.Sub(now).Milliseconds()
 		}
 		status := BackendStatus{
-			ID: id, Service: b.Info.Service, Usable: state.Usable(), State: state.String(), StateEndsInMs: endsIn, Holder: s.holderOf(now, id), Running: b.Running,
+			ID: id, Service: b.Info.Service, Usable: s.usable(now, b), State: state.String(), StateEndsInMs: endsIn, Holder: s.holderOf(now, id), Running: b.Running,
 			FailureRate: b.FailureRate, Adapters: len(b.Adapters), StartLimit: b.SlowStart.Ramp.Limit(now), StartReason: b.SlowStart.Ramp.Reason.String(),
 			BoundStatus: s.boundStatus(now, b),
 		}
--- a/internal/reducer/where.go
+++ b/internal/reducer/where.go
@@ -231,7 +231,7 @@
 // excluded returns why a backend server may not get a request, and until when; why is empty if the server may.
 func (s *State) excluded(now time.Time, r *Request, b *Backend) (why string, until time.Time) {
 	state, until := s.sendState(now, b)
-	if !state.Usable() {
+	if !state.Usable() || !s.usable(now, b) {
 		return state.String(), until
 	}
 	if r.Adapter.Model != "" && s.isEngine(b) && !b.holdsModel(r.Adapter.Model) {
