--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -43,9 +43,9 @@
 		t.Control.Close()
 		return
 	}
-	hosts := s.directedVoterCount(now)
-	t.Cold.Update(now, s.coldRate(now, b), hosts, s.sendsTo(now, b, s.coldDivision(now, b)))
-	t.Named.Update(now, b.requestLimit(), hosts, s.sendsTo(now, b, s.namedDivision(now, b)))
+	hosts, sender := s.directedVoterCount(now), s.isSender(now, b)
+	t.Cold.Update(now, s.coldRate(now, b), hosts, sender)
+	t.Named.Update(now, b.requestLimit(), hosts, sender)
 	t.Control.Update(now, b.RateLimit.PerSecond*controlFraction, 1, s.holdsLease(now, b.Info.ID))
 }
 
@@ -60,20 +60,9 @@
 // requestLimit returns the part of a named limit that is for requests; 0 if the server names no limit.
 func (b *Backend) requestLimit() float64 { return b.RateLimit.PerSecond * (1 - controlFraction) }
 
-func (s *State) coldDivision(now time.Time, b *Backend) throttler.Division {
-	return throttler.Divide[throttler.ColdStart](s.coldRate(now, b), s.directedVoterCount(now))
-}
-
-func (s *State) namedDivision(now time.Time, b *Backend) throttler.Division {
-	return throttler.Divide[throttler.NamedLimit](b.requestLimit(), s.directedVoterCount(now))
-}
-
 // maySend reports whether this host is one of those that may send requests to a backend server now.
 func (s *State) maySend(now time.Time, b *Backend) bool {
-	if s.isCold(now, b) && !s.sendsTo(now, b, s.coldDivision(now, b)) {
-		return false
-	}
-	return !b.limited() || s.sendsTo(now, b, s.namedDivision(now, b))
+	return !s.throttled(now, b) || s.isSender(now, b)
 }
 
 // throttleOpensIn returns the time until the bounds on the rate of a backend server allow a request of this host; for a host that may not send,
@@ -142,24 +131,26 @@
 	}
 }
 
-// rankedSenders returns the hosts that rank first as senders to a backend server with a bound on its rate, among the voters that callers are
-// directed to. It returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
-func (s *State) rankedSenders(now time.Time, b *Backend) []string {
+// senders returns the hosts that may send requests to a backend server with a bound on its rate: the first by rank of the voters that callers
+// are directed to. It returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
+func (s *State) senders(now time.Time, b *Backend) []string {
 	if !s.votersKnown() {
 		return nil
 	}
-	return s.ranked(now, rankKey{Among: rankDirected, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
-}
-
-// sendersOf returns the hosts that may send requests to a backend server under a division of its rate.
-func (s *State) sendersOf(now time.Time, b *Backend, d throttler.Division) []string {
-	ranked := s.rankedSenders(now, b)
-	return ranked[:min(d.Senders, len(ranked))]
+	ranked := s.ranked(now, rankKey{Among: rankDirected, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
+	count, hosts := len(ranked), s.directedVoterCount(now)
+	if s.isCold(now, b) {
+		count = min(count, throttler.Divide[throttler.ColdStart](s.coldRate(now, b), hosts).Senders)
+	}
+	if b.limited() {
+		count = min(count, throttler.Divide[throttler.NamedLimit](b.requestLimit(), hosts).Senders)
+	}
+	return ranked[:count]
 }
 
-// sendsTo reports whether this host may send requests to a backend server under a division of its rate.
-func (s *State) sendsTo(now time.Time, b *Backend, d throttler.Division) bool {
-	return slices.Contains(s.sendersOf(now, b, d), s.Self.HostID)
+// isSender reports whether this host may send requests to a backend server with a bound on its rate.
+func (s *State) isSender(now time.Time, b *Backend) bool {
+	return slices.Contains(s.senders(now, b), s.Self.HostID)
 }
 
 // directedVoterCount returns the number of voters that callers are directed to.
