Model cold starts beside other faults, and name the senders of a flood

Cause: the model could play neither engines that restart cold with a late entry, nor a second cold start, nor kills of the hosts that may send to a cold engine. A violation of cold_bound named no sender, so that its cause could not be told. A cold engine publishes the rest of its cold start once in a heartbeat, as servers do. The count of the check begins with a restart, whose former incarnation got its requests warm, and goes on in a second cold start within the first. A violation names the busiest hosts with the state in which they took the server to be, and what they knew of its cold start.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -103,8 +103,13 @@
 	s.Traffic.cataloguePublishedAt = append(s.Traffic.cataloguePublishedAt, s.Now)
 }
 
-// startBackend starts a new incarnation of a backend server and publishes its entry.
+// startBackend starts a new incarnation of a backend server and publishes its entry at once.
 func (s *Simulation[P]) startBackend(id, service, domain string) {
+	s.startBackendLate(id, service, domain, 0)
+}
+
+// startBackendLate starts a new incarnation of a backend server, whose entry is published after publishDelay.
+func (s *Simulation[P]) startBackendLate(id, service, domain string, publishDelay time.Duration) {
 	b, restarted := s.Backends[id]
 	if !restarted {
 		b = &Backend{}
@@ -127,18 +132,34 @@
 			b.Engine.Spec.LoadTime *= time.Duration(1 + s.extendedRNG.IntN(maxLoadSlowdown))
 		}
 		if restarted {
-			b.Info.ColdRemaining = coldDuration
-			b.ColdSince = s.Now
+			b.Info.ColdRemaining = coldDuration - publishDelay
+			b.ColdSince, b.Arrivals = s.Now, nil
 		}
 	} else {
 		b.Engine = modeler.NewEngine(modeler.Spec{Slots: 6, QueueSize: 24, TokenTime: s.Options.EngineSpec.TokenTime})
 	}
-	s.publishBackend(b)
+	s.publishLate(b, publishDelay)
 	if s.Options.UniformAdapters && !restarted && service == engineService {
 		s.after(heartbeatInterval, func() { s.heartbeat(b) })
 	}
 }
 
+// publishLate publishes the entry of a backend server after a delay, unless its incarnation has ended by then.
+func (s *Simulation[P]) publishLate(b *Backend, delay time.Duration) {
+	if delay <= 0 {
+		s.publishBackend(b)
+		return
+	}
+	startedUnixMs := b.Info.StartedUnixMs
+	b.unlisted = true
+	s.after(delay, func() {
+		if b.Up && b.Info.StartedUnixMs == startedUnixMs {
+			b.unlisted = false
+			s.publishBackend(b)
+		}
+	})
+}
+
 func (s *Simulation[P]) publishBackend(b *Backend) {
 	info := b.Info
 	if s.Options.UniformAdapters && info.Service == engineService {
@@ -217,6 +238,7 @@
 	}
 	r.attempt = e.Attempt
 	s.Checker.checkDispatch(s.Now, r, e)
+	view := s.coldView(h, e.Backend)
 	s.after(s.messageDelay(), func() {
 		b, ok := s.Backends[e.Backend]
 		if !ok || !b.Up || !s.connected(h.ID, e.Backend) {
@@ -234,7 +256,7 @@
 		// The users' rules on cold starts and drains do not count requests that are rejected because the adapter is not loaded.
 		if outcome != reducer.OutcomeNotLoaded {
 			s.Checker.checkNotices(s.Now, s.Options.Limits.DrainDeadline, s.faultFree(h), b, h)
-			s.Checker.checkArrival(s.Now, s.faultFree(h), b, h)
+			s.Checker.checkArrival(s.Now, s.faultFree(h), b, Arrival{At: s.Now, Host: h.ID, View: view})
 		}
 		event.Notice, event.Load = s.notice(h, b, outcome), s.load(b)
 		if outcome != reducer.OutcomeDone {
--- a/internal/exerciser/checks.go
+++ b/internal/exerciser/checks.go
@@ -62,17 +62,17 @@
 }
 
 // checkArrival checks that a draining backend server gets no requests after drainBound, and bounds the requests of a cold one.
-func (c *Checker) checkArrival(now time.Time, faultFree bool, b *Backend, h *Host) {
+func (c *Checker) checkArrival(now time.Time, faultFree bool, b *Backend, a Arrival) {
 	if !b.DrainingAt.IsZero() && now.Sub(b.DrainingAt) > drainBound && faultFree {
-		c.addViolation(now, "drain", b.Info.ID+" got a request from "+h.ID)
+		c.addViolation(now, "drain", b.Info.ID+" got a request from "+a.Host)
 	}
-	b.Arrivals = append(b.Arrivals, now)
-	for len(b.Arrivals) > 0 && now.Sub(b.Arrivals[0]) > time.Second {
+	b.Arrivals = append(b.Arrivals, a)
+	for len(b.Arrivals) > 0 && now.Sub(b.Arrivals[0].At) > time.Second {
 		b.Arrivals = b.Arrivals[1:]
 	}
-	cold := !b.ColdSince.IsZero() && now.Sub(b.ColdSince) < coldDuration
-	if cold && float64(len(b.Arrivals)) > coldRate*coldOvershoot+coldSlack {
-		c.addViolation(now, "cold_bound", fmt.Sprintf("%s got %d requests in a second", b.Info.ID, len(b.Arrivals)))
+	if b.cold(now) && float64(len(b.Arrivals)) > coldRate*coldOvershoot+coldSlack {
+		c.addViolation(now, "cold_bound", fmt.Sprintf("%s got %d requests in a second, cold for %v: %s", b.Info.ID, len(b.Arrivals),
+			roundMs(now.Sub(b.ColdSince)), describeArrivals(b.Arrivals)))
 	}
 }
 
--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -42,6 +42,8 @@
 		s.after(max(e.At.Sub(s.Now), time.Millisecond), func() { s.post(h, incarnation, reducer.Tick{}) })
 	case reducer.Drained:
 		h.Up = false
+	case reducer.LogEvent:
+		s.recordLogEvent(h, e)
 	}
 }
 
--- a/internal/exerciser/scheduled_faults.go
+++ b/internal/exerciser/scheduled_faults.go
@@ -219,20 +219,30 @@
 	s.coolEngine(b, 0)
 }
 
-// coolEngine makes a running engine cold. Its entry says so after publishDelay.
+// coolEngine makes a running engine cold. Its entry says so after publishDelay. The count of a server that is cold already goes on.
 func (s *Simulation[P]) coolEngine(b *Backend, publishDelay time.Duration) {
-	b.ColdSince, b.Arrivals = s.Now, nil
-	startedUnixMs := b.Info.StartedUnixMs
-	publish := func(remaining time.Duration) func() {
-		return func() {
-			if b.Up && b.Info.StartedUnixMs == startedUnixMs {
-				b.Info.ColdRemaining = remaining
-				s.publishBackend(b)
-			}
+	if !b.cold(s.Now) {
+		b.Arrivals = nil
+	}
+	b.ColdSince = s.Now
+	s.publishColdStart(b, publishDelay)
+}
+
+// publishColdStart publishes the rest of the cold start of an engine after publishDelay, and then once in a heartbeat until it has ended.
+func (s *Simulation[P]) publishColdStart(b *Backend, publishDelay time.Duration) {
+	startedUnixMs, coldSince := b.Info.StartedUnixMs, b.ColdSince
+	var publish func()
+	publish = func() {
+		if !b.Up || b.Info.StartedUnixMs != startedUnixMs || !b.ColdSince.Equal(coldSince) {
+			return
+		}
+		b.Info.ColdRemaining = max(coldSince.Add(coldDuration).Sub(s.Now), 0)
+		s.publishBackend(b)
+		if b.Info.ColdRemaining > 0 {
+			s.after(heartbeatInterval, publish)
 		}
 	}
-	s.after(publishDelay, publish(coldDuration-publishDelay))
-	s.after(coldDuration, publish(0))
+	s.after(publishDelay, publish)
 }
 
 // domainEngines returns the running engines of a failure domain, sorted by ID.
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -109,6 +109,8 @@
 	onAnswer func(b *Backend, r *Request)
 	// reportedKeys holds the keys of violations that have been reported and are not reported again.
 	reportedKeys map[string]bool
+	// coldSenders holds, by backend server, the hosts that the host which last took it for cold lets send to it.
+	coldSenders map[string][]string
 }
 
 // Host is a simulated host; its process may be restarted.
@@ -129,6 +131,8 @@
 	LastLocalFaultAt time.Time
 	// appliedVersion is the catalogue version that the process had applied at the last check.
 	appliedVersion int64
+	// sendState is the state in which the host took the backend server of its last request to be.
+	sendState string
 	// deadConnectionCalls is the number of calls to the configuration service that will still be made on a dead connection and time out.
 	deadConnectionCalls int
 }
@@ -142,14 +146,16 @@
 	PublishedModels []cataloguer.ResidentModel
 	// DrainingAt is when it was published as draining, or when its entry was removed without a drain.
 	DrainingAt time.Time
-	// Arrivals holds the arrival times of requests within the last second.
-	Arrivals  []time.Time
+	// Arrivals holds the requests that arrived within the last second, since the start of a cold start in one.
+	Arrivals []Arrival
+	// ColdSince is when the server last became cold, as far as the bound on cold servers counts.
 	ColdSince time.Time
 	Orders    modeler.OrderLog
 
 	// leaving is set while the server says in its responses that it drains.
 	leaving bool
-	// unlisted is set once the entry was removed without a drain; the server then publishes none.
+	// unlisted is set while the server publishes no entry: once its entry was removed without a drain, and until the first one of an incarnation
+	// that publishes late.
 	unlisted bool
 	// answers holds the answers in progress.
 	answers []*answer
@@ -213,6 +219,7 @@
 		faultRNG:    rand.New(rand.NewPCG(o.Seed, 3)), hostsByName: map[string]*Host{},
 		blockedLinks: map[[2]string]bool{}, partitionedFromConfigService: map[string]bool{}, leaseHolders: map[string][]*Host{},
 		reportedKeys:      map[string]bool{},
+		coldSenders:       map[string][]string{},
 		hostAtAcquisition: map[[2]string]string{},
 	}
 	s.Messages, s.MessageBytes = map[string]int{}, map[string]int{}
