Model streams that stall and are resumed by another engine

Cause: in the model no stream of an engine stops, so that no schedule plays the path by which a host ends a stalled attempt and resumes it elsewhere. Change: a fault stops the streams that engines have begun for a time; hosts are told after the time limit of the attempt, and may end it.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -328,6 +328,7 @@
 		}
 		s.post(h, incarnation, event)
 	}
+	s.addStallHandlers(a, h, b, r, e, key)
 	b.answers = append(b.answers, a)
 	interrupted := func() bool { return !b.Up || b.Info.StartedUnixMs != startedUnixMs || !s.connected(h.ID, e.Backend) }
 	s.after(processingTime, func() {
@@ -345,13 +346,18 @@
 			ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt), Load: event.Load, Notice: event.Notice,
 		})
 		s.Traffic.ResponseTimes[b.Info.Service] = append(s.Traffic.ResponseTimes[b.Info.Service], s.Now.Sub(r.sentAt))
-		event.Delivered = true
+		event.Delivered, a.begun = true, true
 		r.beganAt = s.Now
 		s.answerBegan(b, r)
-		s.after(time.Duration(r.event.OutputTokens)*b.Engine.Spec.TokenTime, func() {
+		var finish func()
+		finish = func() {
 			if a.aborted {
 				return
 			}
+			if rest := a.stalledUntil.Sub(s.Now); rest > 0 {
+				s.after(rest, finish)
+				return
+			}
 			b.endAnswer(a)
 			if !interrupted() {
 				b.Engine.FinishRequest(s.Now, key)
@@ -364,6 +370,7 @@
 				}
 				s.reduce(h, event)
 			})
-		})
+		}
+		s.after(time.Duration(r.event.OutputTokens)*b.Engine.Spec.TokenTime, finish)
 	})
 }
--- a/internal/exerciser/deadly_parts.go
+++ b/internal/exerciser/deadly_parts.go
@@ -37,6 +37,14 @@
 	aborted bool
 	// abort breaks the answer off.
 	abort func()
+	// attempt is the attempt of the request that it answers, begun whether its first event has been sent, and stalledUntil when it goes on.
+	attempt      int
+	begun        bool
+	stalledUntil time.Time
+	// reportStall tells the host that the answer makes no progress, after the time limit of the attempt.
+	reportStall func()
+	// end ends the attempt, as its host asked.
+	end func()
 }
 
 // deadlyAdapter is the position for an adapter that crashes engines, and deadlyRequest that for a request which alone has its last part.
--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -36,6 +36,8 @@
 		s.refuse(h, e)
 	case reducer.DeliverFailure:
 		s.deliverFailure(h, e)
+	case reducer.EndAttempt:
+		s.endAttempt(h, e)
 	case reducer.Cancel:
 		s.cancel(h, e)
 	case reducer.WakeAt:
--- a/internal/exerciser/traffic.go
+++ b/internal/exerciser/traffic.go
@@ -43,6 +43,8 @@
 	// arrivalCount counts the arrivals of the request at backend servers.
 	arrivalCount int
 	outcome      string
+	// answer is the latest answer to the request.
+	answer *answer
 	// deadly is set for a request that crashes the engine which begins to answer it.
 	deadly bool
 	// sound is where a sound request is counted once its answer begins, if it shares a part with the deadly ones.
