--- a/internal/exerciser/places_test.go
+++ b/internal/exerciser/places_test.go
@@ -21,6 +21,12 @@
 	// rate is in requests per second. Popularity moves to other adapters after each shift; 0 for never.
 	rate  float64
 	shift time.Duration
+	// path is the path of the requests, and atMostOnce is set if they must not run twice.
+	path       string
+	atMostOnce bool
+	// adapters is the number of adapters, and brief makes all prompts short, which an engine answers at a high rate.
+	adapters int
+	brief    bool
 	// uniform draws all adapters with the same probability; otherwise popularity follows a Zipf law.
 	uniform bool
 
@@ -51,7 +57,8 @@
 	if change != nil {
 		change(&o)
 	}
-	l := &adapterLoad{sim: New[selector.LeastDelay](o), rng: rand.New(rand.NewPCG(7, 7)), rate: rate, answers: map[string]int{}}
+	l := &adapterLoad{sim: New[selector.LeastDelay](o), rng: rand.New(rand.NewPCG(o.Seed, 7)), rate: rate, answers: map[string]int{}}
+	l.path, l.atMostOnce, l.adapters = "/stream/x", true, adapterCount
 	l.sim.Run(8 * time.Second)
 	l.sim.Traffic.catalogueVersion++
 	c := l.sim.catalogue(l.sim.Traffic.catalogueVersion, 0)
@@ -69,6 +76,12 @@
 
 // run sends requests for some time and waits until all have ended.
 func (l *adapterLoad) run(d time.Duration) {
+	l.start(d)
+	l.sim.Run(d + 6*time.Second)
+}
+
+// start sends requests for some time.
+func (l *adapterLoad) start(d time.Duration) {
 	start := l.sim.Now
 	var next func()
 	next = func() {
@@ -83,17 +96,16 @@
 		l.sim.after(time.Duration(l.rng.ExpFloat64()/l.rate*float64(time.Second)), next)
 	}
 	next()
-	l.sim.Run(d + 6*time.Second)
 }
 
 // drawAdapter draws the popularity rank of an adapter; the first one gets a sixth of all requests.
 func (l *adapterLoad) drawAdapter() int {
 	for !l.uniform {
-		if rank := math.Pow(l.rng.Float64(), -1/(zipfExponent-1)) - 1; rank < adapterCount {
+		if rank := math.Pow(l.rng.Float64(), -1/(zipfExponent-1)) - 1; rank < float64(l.adapters) {
 			return int(rank)
 		}
 	}
-	return l.rng.IntN(adapterCount)
+	return l.rng.IntN(l.adapters)
 }
 
 // send sends one request, a long or a short prompt, to a random host.
@@ -105,6 +117,9 @@
 	if l.rng.IntN(2) == 0 {
 		shared, own, output = 6300, 2890, 54
 	}
+	if l.brief {
+		shared, own, output = 198, 100, 150
+	}
 	prefix := fmt.Sprintf("shared-%d-%d", shared, l.rng.IntN(prefixCount))
 	if !h.Up {
 		return
@@ -113,8 +128,8 @@
 	s.Checker.requestTimes[engineService] = append(s.Checker.requestTimes[engineService], s.Now)
 	s.Traffic.Sent++
 	id := fmt.Sprint(s.Traffic.Sent)
-	s.deliverRequest(h, &Request{host: h, sentAt: s.Now, account: unlimitedAccount, atMostOnce: true}, reducer.RequestArrived{
-		ID: id, CallerID: id, At: s.Now, HostName: routeHostName, Path: "/stream/x", TimeLeft: 5 * time.Second, Key: "key-unlimited",
+	s.deliverRequest(h, &Request{host: h, sentAt: s.Now, account: unlimitedAccount, atMostOnce: l.atMostOnce}, reducer.RequestArrived{
+		ID: id, CallerID: id, At: s.Now, HostName: routeHostName, Path: l.path, TimeLeft: 5 * time.Second, Key: "key-unlimited",
 		Model: modelName, Adapter: fmt.Sprintf("a%d", adapter), PromptTokens: shared + own, OutputTokens: output,
 		Parts: []reducer.Part{{ID: prefix, Tokens: shared}, {ID: "own-" + id, Tokens: own}},
 	})
@@ -133,6 +148,14 @@
 	return float64(busiest) * float64(l.sim.Options.Engines) / float64(max(all, 1))
 }
 
+// resumes returns the number of streams that the running hosts have resumed.
+func (l *adapterLoad) resumes() (resumes uint64) {
+	for _, h := range l.sim.Hosts {
+		resumes += h.State.Counters.Resumes
+	}
+	return resumes
+}
+
 func (l *adapterLoad) String() string {
 	loads := uint64(0)
 	for _, h := range l.sim.Hosts {
