--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -235,6 +235,31 @@
 	AnswerBegun bool
 }
 
+// RateLimits tells which rate limits backend servers name, and which of them name none any more.
+type RateLimits struct {
+	Servers []ServerRateLimit
+}
+
+// ServerRateLimit is the rate limit of one incarnation of a backend server, as its latest response to some host states it.
+type ServerRateLimit struct {
+	Backend       string
+	StartedUnixMs int64
+	// PerSecond is the number of requests per second that the server takes from all hosts together; 0 if it names no limit any more.
+	PerSecond float64
+	// Sequence counts the changes of the limit. A host that a response tells of a change takes the next number, and the highest one holds.
+	Sequence uint64
+	// Age is the time since a response last stated the limit, as far as the sender knows.
+	Age time.Duration
+}
+
+const (
+	// MaxRateLimit is the highest number of requests per second that counts as a rate limit. It is far above what one backend server answers,
+	// so a higher number is a fault of the server, and it can be added and multiplied without overflow.
+	MaxRateLimit = 1e6
+	// MaxRateLimitsTold is the largest number of servers in one RateLimits; a receiver ignores the rest.
+	MaxRateLimitsTold = 1024
+)
+
 // TokenGrant replies to the TokenRequest with the same Sequence. If the coordinator could not grant all needed tokens, Wait is the time
 // until it has them; otherwise Wait is 0.
 type TokenGrant struct {
--- /dev/null
+++ b/internal/reducer/throttle.go
@@ -0,0 +1,186 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingpick/redwingpick/internal/throttler"
+)
+
+// Throttle is this host's part in the bounds on the rate of one backend server that hold over all hosts.
+type Throttle struct {
+	Cold  throttler.Gate[throttler.ColdStart]
+	Named throttler.Gate[throttler.NamedLimit]
+	// Control is for orders and report calls, which a server counts against the limit that it names. The lease holder alone makes such calls.
+	Control throttler.Gate[throttler.ControlCalls]
+}
+
+const (
+	// controlFraction is the part of a named limit that is kept for orders and report calls.
+	controlFraction = 0.3
+	// maxThrottleWait is the longest time until a request that is expected at a server with a very low limit.
+	maxThrottleWait = time.Minute
+)
+
+// isCold reports whether this host takes a backend server for cold and the service bounds the requests to cold servers.
+func (s *State) isCold(now time.Time, b *Backend) bool {
+	service := s.Documents.Services[b.Info.Service]
+	return service.ColdRate > 0 && now.Before(s.coldUntil(b, service))
+}
+
+// limited reports whether a backend server names a limit.
+func (b *Backend) limited() bool { return b.RateLimit.PerSecond > 0 }
+
+// throttled reports whether a backend server has a bound on its rate now.
+func (s *State) throttled(now time.Time, b *Backend) bool { return b.limited() || s.isCold(now, b) }
+
+// updateThrottle opens or closes this host's part in the bounds that a backend server has now.
+func (s *State) updateThrottle(now time.Time, b *Backend) {
+	t := &b.Throttle
+	if !s.throttled(now, b) {
+		t.Cold.Close()
+		t.Named.Close()
+		t.Control.Close()
+		return
+	}
+	hosts := s.carrierVoters(now)
+	t.Cold.Update(now, s.coldRate(now, b), hosts, s.sendsTo(now, b, s.coldDivision(now, b)))
+	t.Named.Update(now, b.requestLimit(), hosts, s.sendsTo(now, b, s.namedDivision(now, b)))
+	t.Control.Update(now, b.RateLimit.PerSecond*controlFraction, 1, s.holdsLease(now, b.Info.ID))
+}
+
+// coldRate returns the rate of a cold backend server; 0 if the server is not cold.
+func (s *State) coldRate(now time.Time, b *Backend) float64 {
+	if !s.isCold(now, b) {
+		return 0
+	}
+	return s.Documents.Services[b.Info.Service].ColdRate
+}
+
+// requestLimit returns the part of a named limit that is for requests; 0 if the server names no limit.
+func (b *Backend) requestLimit() float64 { return b.RateLimit.PerSecond * (1 - controlFraction) }
+
+func (s *State) coldDivision(now time.Time, b *Backend) throttler.Division {
+	return throttler.Divide[throttler.ColdStart](s.coldRate(now, b), s.carrierVoters(now))
+}
+
+func (s *State) namedDivision(now time.Time, b *Backend) throttler.Division {
+	return throttler.Divide[throttler.NamedLimit](b.requestLimit(), s.carrierVoters(now))
+}
+
+// maySend reports whether this host is one of those that may send requests to a backend server now.
+func (s *State) maySend(now time.Time, b *Backend) bool {
+	if s.isCold(now, b) && !s.sendsTo(now, b, s.coldDivision(now, b)) {
+		return false
+	}
+	return !b.limited() || s.sendsTo(now, b, s.namedDivision(now, b))
+}
+
+// throttleOpensIn returns the time until the bounds on the rate of a backend server allow a request of this host; for a host that may not send,
+// until the server is not cold any more, or is expected to take another request of the senders.
+func (s *State) throttleOpensIn(now time.Time, b *Backend) time.Duration {
+	if !s.throttled(now, b) {
+		return 0
+	}
+	s.updateThrottle(now, b)
+	wait := time.Duration(0)
+	if s.isCold(now, b) {
+		opensIn, ok := b.Throttle.Cold.OpensIn(now)
+		if !ok {
+			opensIn = s.coldUntil(b, s.Documents.Services[b.Info.Service]).Sub(now)
+		}
+		wait = opensIn
+	}
+	if b.limited() {
+		opensIn, ok := b.Throttle.Named.OpensIn(now)
+		if !ok {
+			opensIn = time.Duration(min(float64(time.Second)/b.RateLimit.PerSecond, float64(maxThrottleWait)))
+		}
+		wait = max(wait, min(opensIn, maxThrottleWait))
+	}
+	return wait
+}
+
+// throttleAllows reports whether the bounds on the rate of a backend server allow a request of this host now.
+func (s *State) throttleAllows(now time.Time, b *Backend) bool { return s.throttleOpensIn(now, b) <= 0 }
+
+// spendThrottle counts a request that is being sent against the bounds on the rate of its backend server.
+func (s *State) spendThrottle(now time.Time, b *Backend) {
+	s.updateThrottle(now, b)
+	b.Throttle.Cold.Spend(now)
+	b.Throttle.Named.Spend(now)
+}
+
+// controlAllows reports whether the limit that a backend server names allows an order or a report call of this host, the server's lease holder.
+func (s *State) controlAllows(now time.Time, b *Backend) bool {
+	if !b.limited() {
+		return true
+	}
+	s.updateThrottle(now, b)
+	return b.Throttle.Control.Allows(now)
+}
+
+// spendControl counts an order or a report call against the limit that a backend server names.
+func (s *State) spendControl(now time.Time, b *Backend) {
+	s.updateThrottle(now, b)
+	b.Throttle.Control.Spend(now)
+}
+
+// tickThrottles opens this host's part in the bounds of the backend servers that have any, so that it can save up a request before the first
+// one arrives.
+func tickThrottles(s *State, now time.Time) {
+	for _, id := range sortedKeys(s.Throttled) {
+		b, ok := s.Backends[id]
+		if !ok {
+			delete(s.Throttled, id)
+			continue
+		}
+		s.updateThrottle(now, b)
+		if !s.throttled(now, b) {
+			delete(s.Throttled, id)
+		}
+	}
+}
+
+// rankedSenders returns the hosts that rank first as senders to a backend server with a bound on its rate, among the voters that callers are
+// directed to. It returns none while this host does not know the voter set, since hosts that are starting or cut off do not form one of their own.
+func (s *State) rankedSenders(now time.Time, b *Backend) []string {
+	if !s.votersKnown() {
+		return nil
+	}
+	return s.ranked(now, rankKey{Among: rankCarriers, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
+}
+
+// sendersOf returns the hosts that may send requests to a backend server under a division of its rate.
+func (s *State) sendersOf(now time.Time, b *Backend, d throttler.Division) []string {
+	ranked := s.rankedSenders(now, b)
+	return ranked[:min(d.Senders, len(ranked))]
+}
+
+// sendsTo reports whether this host may send requests to a backend server under a division of its rate.
+func (s *State) sendsTo(now time.Time, b *Backend, d throttler.Division) bool {
+	return slices.Contains(s.sendersOf(now, b, d), s.Self.HostID)
+}
+
+// carrierVoters returns the number of voters that callers are directed to.
+func (s *State) carrierVoters(now time.Time) int {
+	s.indexHosts(now)
+	return len(s.Index.Carriers)
+}
+
+// carriers returns the voters that callers are directed to while all of them are ready. Readiness itself is left out, since hosts learn of it
+// at different times, and the senders would change with it.
+func (s *State) carriers(voters []string) []string {
+	if len(voters) <= smallDirectory {
+		return voters
+	}
+	var records []HostRecord
+	for _, id := range voters {
+		if id == s.Self.HostID {
+			records = append(records, HostRecord{ID: id, FailureDomain: s.Self.FailureDomain, CapacityMillicores: s.Self.CapacityMillicores})
+			continue
+		}
+		records = append(records, s.Hosts[id].Record)
+	}
+	return sortedKeys(directedHosts(records))
+}
