Model backend servers that name a rate limit, and check the requests that they get

Cause: no test of a whole fleet shows whether hosts keep together to the limit that a server names (rule LIMIT). Change: servers of the model name a limit in each response, change it, lift it, and are back without it after a crash. The check rate_limit counts, in each 4 s from HostTimeout after the first answer with the limit, the requests of the hosts that had passed on such an answer half a second before; a fault of a host excuses it. While a limit changes, the higher one counts.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -118,6 +118,7 @@
 	b.Up = true
 	b.DrainingAt, b.leaving, b.unlisted = time.Time{}, false, false
 	b.told = map[string]*toldHost{}
+	b.limits = rateLimits{}
 	b.answers, b.refuses = nil, false
 	b.cachedParts = map[string]bool{}
 	b.Info = cataloguer.Backend{ID: id, Service: service, Address: id, FailureDomain: domain, StartedUnixMs: s.Now.UnixMilli(), Slots: 6}
@@ -252,6 +253,7 @@
 		}
 		firstTokenAt, outcome := b.Engine.StartRequest(s.Now, key, e.Version, s.uncachedTokens(b, r))
 		s.Checker.checkRetryBudget(s.Now, s.Options.Limits, b.Info.Service, r)
+		s.Checker.checkRateLimit(s.Now, s.Options.Limits, s.faultFree(h), b, h)
 		s.checkDeadlyArrival(h, r)
 		// The users' rules on cold starts and drains do not count requests that are rejected because the adapter is not loaded.
 		if outcome != reducer.OutcomeNotLoaded {
@@ -296,7 +298,7 @@
 
 // notice returns what a backend server's response to a host says about the server, and records that the host has been told.
 func (s *Simulation[P]) notice(h *Host, b *Backend, outcome reducer.Outcome) reducer.BackendNotice {
-	n := reducer.BackendNotice{}
+	n := reducer.BackendNotice{Answered: true, RateLimit: b.limits.named()}
 	if !s.Options.ServerNotices {
 		return n
 	}
@@ -341,6 +343,7 @@
 			return
 		}
 		event.Notice = s.notice(h, b, reducer.OutcomeDone)
+		b.limits.recordAnswer(s.Now, h)
 		event.Load = s.load(b)
 		s.post(h, incarnation, reducer.ResponseStarted{
 			ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt), Load: event.Load, Notice: event.Notice,
--- a/internal/exerciser/cold_faults.go
+++ b/internal/exerciser/cold_faults.go
@@ -7,10 +7,10 @@
 
 // The faults of this file play cold starts beside other faults; they draw from Simulation.faultRNG.
 
-// RestartEngines crashes engines; each is back cold after downtime, and its entry is published after publishDelay.
-func (s *Simulation[P]) RestartEngines(engines []*Backend, downtime, publishDelay time.Duration) {
-	s.logFault("restart of %s after %v, their entries %v later", backendIDs(engines), downtime, publishDelay)
-	for _, b := range engines {
+// RestartServers crashes backend servers; each is back after downtime, an engine cold, and its entry is published after publishDelay.
+func (s *Simulation[P]) RestartServers(servers []*Backend, downtime, publishDelay time.Duration) {
+	s.logFault("restart of %s after %v, their entries %v later", backendIDs(servers), downtime, publishDelay)
+	for _, b := range servers {
 		if !b.Up {
 			continue
 		}
@@ -18,7 +18,9 @@
 		s.after(downtime, func() {
 			if !b.Up {
 				s.startBackendLate(b.Info.ID, b.Info.Service, b.Info.FailureDomain, publishDelay)
-				s.publishColdStart(b, publishDelay+heartbeatInterval)
+				if b.Info.Service == engineService {
+					s.publishColdStart(b, publishDelay+heartbeatInterval)
+				}
 			}
 		})
 	}
--- a/internal/exerciser/cold_schedule_test.go
+++ b/internal/exerciser/cold_schedule_test.go
@@ -260,20 +260,20 @@
 }
 
 func enginesRestartedVotersLost(sim *coldSim) {
-	sim.RestartEngines(sim.domainEngines(coldDomain), sim.RandomDuration(300*time.Millisecond, 4*time.Second), sim.RandomDuration(0, heartbeatInterval))
+	sim.RestartServers(sim.domainEngines(coldDomain), sim.RandomDuration(300*time.Millisecond, 4*time.Second), sim.RandomDuration(0, heartbeatInterval))
 	sim.Run(sim.RandomDuration(0, 4*time.Second))
 	sim.KillGroup(sim.Hosts, minBriefDowntime, maxBriefDowntime)
 }
 
 func enginesRestartedLateEntry(sim *coldSim) {
-	sim.RestartEngines(sim.domainEngines(coldDomain), sim.RandomDuration(300*time.Millisecond, 4*time.Second), sim.RandomDuration(0, heartbeatInterval))
+	sim.RestartServers(sim.domainEngines(coldDomain), sim.RandomDuration(300*time.Millisecond, 4*time.Second), sim.RandomDuration(0, heartbeatInterval))
 	sim.Run(sim.RandomDuration(0, 4*time.Second))
 	sim.KillGroup(sim.RandomShareOfHosts(sim.RandomShare(0.2, 0.8)), minBriefDowntime, maxBriefDowntime)
 }
 
 func enginesRestartedSendersKilled(sim *coldSim) {
 	downtime := sim.RandomDuration(300*time.Millisecond, 3*time.Second)
-	sim.RestartEngines(sim.domainEngines(coldDomain), downtime, sim.RandomDuration(0, heartbeatInterval))
+	sim.RestartServers(sim.domainEngines(coldDomain), downtime, sim.RandomDuration(0, heartbeatInterval))
 	sim.Run(downtime + sim.RandomDuration(time.Second, 2*time.Second))
 	killSendersRepeatedly(sim)
 }
--- a/internal/exerciser/places_test.go
+++ b/internal/exerciser/places_test.go
@@ -27,6 +27,8 @@
 	// adapters is the number of adapters, and brief makes all prompts short, which an engine answers at a high rate.
 	adapters int
 	brief    bool
+	// unary sends requests without an adapter to the unary servers.
+	unary bool
 	// uniform draws all adapters with the same probability; otherwise popularity follows a Zipf law.
 	uniform bool
 
@@ -112,6 +114,10 @@
 func (l *adapterLoad) send() {
 	s := l.sim
 	h := s.Hosts[l.rng.IntN(len(s.Hosts))]
+	if l.unary {
+		l.sendUnary(h)
+		return
+	}
 	adapter := l.firstAdapter + l.drawAdapter()
 	shared, own, output := 198, 628, 294
 	if l.rng.IntN(2) == 0 {
@@ -135,6 +141,21 @@
 	})
 }
 
+// sendUnary sends one request without an adapter to a host.
+func (l *adapterLoad) sendUnary(h *Host) {
+	s := l.sim
+	if !h.Up {
+		return
+	}
+	l.sent++
+	s.Checker.requestTimes[unaryService] = append(s.Checker.requestTimes[unaryService], s.Now)
+	s.Traffic.Sent++
+	id := fmt.Sprint(s.Traffic.Sent)
+	s.deliverRequest(h, &Request{host: h, sentAt: s.Now, account: unlimitedAccount, atMostOnce: true}, reducer.RequestArrived{
+		ID: id, CallerID: id, At: s.Now, HostName: routeHostName, Path: "/once/x", TimeLeft: 5 * time.Second, Key: "key-unlimited",
+	})
+}
+
 // missed returns the number of requests without an answer in time.
 func (l *adapterLoad) missed() int { return l.sent - l.inTime }
 
--- a/internal/exerciser/scheduled_faults.go
+++ b/internal/exerciser/scheduled_faults.go
@@ -247,12 +247,17 @@
 
 // domainEngines returns the running engines of a failure domain, sorted by ID.
 func (s *Simulation[P]) domainEngines(domain string) []*Backend {
-	var engines []*Backend
+	return s.domainServers(engineService, domain)
+}
+
+// domainServers returns the running backend servers of a service in a failure domain, sorted by ID.
+func (s *Simulation[P]) domainServers(service, domain string) []*Backend {
+	var servers []*Backend
 	for _, b := range s.Backends {
-		if b.Up && b.Info.Service == engineService && b.Info.FailureDomain == domain {
-			engines = append(engines, b)
+		if b.Up && b.Info.Service == service && b.Info.FailureDomain == domain {
+			servers = append(servers, b)
 		}
 	}
-	slices.SortFunc(engines, func(a, b *Backend) int { return strings.Compare(a.Info.ID, b.Info.ID) })
-	return engines
+	slices.SortFunc(servers, func(a, b *Backend) int { return strings.Compare(a.Info.ID, b.Info.ID) })
+	return servers
 }
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -165,6 +165,9 @@
 	// cachedParts holds the prompt parts that the engine has prefilled, by adapter and part.
 	cachedParts map[string]bool
 
+	// limits is what the server names as its rate limit, and what it gets.
+	limits rateLimits
+
 	// told holds what the server has told each process of a host about itself, by host ID.
 	told map[string]*toldHost
 }
