--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -36,12 +36,16 @@
 		s.refuse(h, e)
 	case reducer.DeliverFailure:
 		s.deliverFailure(h, e)
+	case reducer.EndAttempt:
+		s.endAttempt(h, e)
 	case reducer.Cancel:
 		s.cancel(h, e)
 	case reducer.WakeAt:
 		s.after(max(e.At.Sub(s.Now), time.Millisecond), func() { s.post(h, incarnation, reducer.Tick{}) })
 	case reducer.Drained:
 		h.Up = false
+	case reducer.LogEvent:
+		s.recordLogEvent(h, e)
 	}
 }
 
