--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -160,6 +160,7 @@
 			s.after(callTimeout, func() { s.post(h, incarnation, event) })
 			return
 		}
+		s.Checker.checkRateLimit(s.Now, s.Options.Limits, s.faultFree(h), b, h)
 		s.Checker.checkOrder(s.Now, b, modeler.Order{Holder: h.ID, Fence: e.Fence, At: s.Now}, s.Options.Limits.OrderLeaseDuration,
 			s.describeHosts)
 		if e.StartedUnixMs != b.Info.StartedUnixMs {
@@ -203,6 +204,7 @@
 		return
 	}
 	s.after(s.messageDelay(), func() {
+		s.Checker.checkRateLimit(s.Now, s.Options.Limits, s.faultFree(h), b, h)
 		event.Adapters, event.AcceptedOrders = b.Engine.Report(s.Now)
 		s.after(s.messageDelay(), func() { s.post(h, incarnation, event) })
 	})
--- a/internal/exerciser/rate_limit_schedule_test.go
+++ b/internal/exerciser/rate_limit_schedule_test.go
@@ -200,29 +200,28 @@
 	timeout := scheduleOptions(6, 1).Limits.HostTimeout
 	f := newLimitFixture()
 	told, other := f.sim.Hosts[0], f.sim.Hosts[1]
-	f.send(timeout+limitWindow-time.Millisecond, told, true, 20)
-	assert.Equal(t, len(f.sim.Checker.Violations), 0, "the window begins before HostTimeout has passed")
+	f.send(timeout-time.Millisecond, told, true, 20)
+	assert.Equal(t, len(f.sim.Checker.Violations), 0, "the window ends before HostTimeout has passed")
 
 	f = newLimitFixture()
-	f.send(timeout+limitWindow, other, true, 20)
-	f.send(timeout+limitWindow, told, false, 20)
-	f.send(timeout+limitWindow, told, true, 11)
+	f.send(timeout, other, true, 20)
+	f.send(timeout, told, false, 20)
+	f.send(timeout, told, true, 11)
 	assert.Equal(t, len(f.sim.Checker.Violations), 0, "%v", f.sim.Checker.Violations)
-	f.send(timeout+limitWindow, told, true, 1)
+	f.send(timeout, told, true, 1)
 	assert.Equal(t, len(f.sim.Checker.Violations), 1)
 
 	f = newLimitFixture()
-	f.backend.limits.recordAnswer(StartTime.Add(timeout+limitWindow), other)
-	f.send(timeout+limitWindow+limitNotice-time.Millisecond, other, true, 20)
+	f.backend.limits.recordAnswer(StartTime.Add(timeout), other)
+	f.send(timeout+limitNotice-time.Millisecond, other, true, 20)
 	assert.Equal(t, len(f.sim.Checker.Violations), 0, "the host was told just before")
-	f.send(timeout+limitWindow+limitNotice, other, true, 12)
+	f.send(timeout+limitNotice, other, true, 12)
 	assert.Equal(t, len(f.sim.Checker.Violations), 1)
 }
 
 // Guards against a check that goes on after the server names no limit any more, or that applies a lower limit at once.
 func TestRateLimitCheckFollowsChanges(t *testing.T) {
-	timeout := scheduleOptions(6, 1).Limits.HostTimeout
-	later := timeout + limitWindow
+	later := scheduleOptions(6, 1).Limits.HostTimeout
 	f := newLimitFixture()
 	f.sim.Now = StartTime.Add(later)
 	f.sim.NameRateLimit([]*Backend{f.backend}, 0)
@@ -234,7 +233,7 @@
 	f.backend.limits.recordAnswer(StartTime.Add(later), f.sim.Hosts[0])
 	f.send(2*later-time.Millisecond, f.sim.Hosts[0], true, 11)
 	assert.Equal(t, len(f.sim.Checker.Violations), 0, "%v", f.sim.Checker.Violations)
-	f.send(3*later, f.sim.Hosts[0], true, 9)
+	f.send(3*later+limitWindow, f.sim.Hosts[0], true, 9)
 	assert.Equal(t, len(f.sim.Checker.Violations), 1)
 }
 
--- a/internal/exerciser/rate_limits.go
+++ b/internal/exerciser/rate_limits.go
@@ -117,8 +117,9 @@
 	return highest
 }
 
-// checkRateLimit checks the requests of a window that hosts sent which had passed on an answer with the limit. The first window begins
-// HostTimeout after the server first named the limit; a higher limit that it named before counts as long. A fault of a host excuses it.
+// checkRateLimit checks the calls of a window, requests, orders and report calls, of hosts that had passed on an answer with the limit. The first
+// window ends HostTimeout after the server first named the limit, as on the users' bench; a higher limit that it named before counts as long. A
+// fault of a host excuses it.
 func (c *Checker) checkRateLimit(now time.Time, limits reducer.Limits, faultFree bool, b *Backend, h *Host) {
 	l := &b.limits
 	if len(l.namings) == 0 {
@@ -132,7 +133,7 @@
 	for now.Sub(l.arrivals[0].at) > limitWindow {
 		l.arrivals = l.arrivals[1:]
 	}
-	limit := l.bound(now.Add(-limitWindow - limits.HostTimeout))
+	limit := l.bound(now.Add(-limits.HostTimeout))
 	if math.IsInf(limit, 1) || told > limit {
 		return
 	}
