Let the stand-in's engines be cold, and check the bound on the requests that cold servers get

Cause: the stand-in's catalogue named no cold start, its servers were never cold, and servers of a withdrawn domain came back warm. The tests of real processes could not show that hosts flood cold servers (docs/incidents/2026-12-06-cold-servers.md). A domain that the fault soak withdraws is taken back cold, with a late entry; the random draws of all its seeds change.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -319,16 +319,22 @@
 	return "configuration service down"
 }
 
-// configure publishes the next configuration, or withdraws a zone for a time.
+// drawPublicationDelay draws the time from the beginning of a cold start to its publication with the server's next heartbeat.
+func (s *soak) drawPublicationDelay() time.Duration {
+	return time.Duration(s.random.Int64N(int64(standin.HeartbeatInterval))).Round(time.Millisecond)
+}
+
+// configure publishes the next configuration, or withdraws a zone for a time; its servers are cold when they are taken back.
 func (s *soak) configure(_ *host, _ *standin.Server, duration time.Duration) string {
 	if s.random.IntN(2) == 0 {
 		s.platform.Configure(s.random.IntN(4))
 		return "configured"
 	}
 	zone := fmt.Sprintf("zone-%d", s.random.IntN(2))
-	s.platform.Withdraw(zone, true)
-	s.repairAfter(duration, func() { s.platform.Withdraw(zone, false) })
-	return zone + " withdrawn"
+	delay := s.drawPublicationDelay()
+	s.platform.Withdraw(zone)
+	s.repairAfter(duration, func() { s.platform.TakeBack(zone, delay) })
+	return fmt.Sprintf("%s withdrawn and then cold, published %v late,", zone, delay)
 }
 
 // checkResults checks the results of the callers against what the backend servers recorded. The share of requests that must
