--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -106,6 +106,7 @@
 		for _, s := range platform.Servers {
 			f.backendProxies[s.ID] = newProxy(t, s.Address)
 			s.PublishedAddress, s.OrderLeaseDuration = f.backendProxies[s.ID].address, time.Duration(orderLeaseMs)*time.Millisecond
+			s.HostOf = hostOf
 			platform.Publish(s.ID)
 		}
 	}
