Name rate limits in the fault soak, and check their bound

Cause: nothing in the fault soak named a limit of requests per second (Server-Limit). Violations of rule rate_limit are checked like the others that servers record. A host is excused while it is paused, restarted or cut off from its peers, and all hosts at a server whose connections are disrupted, until the server has told them again. contact_ms of the test hosts is a constant, which the servers share.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -106,7 +106,7 @@
 		for _, s := range platform.Servers {
 			f.backendProxies[s.ID] = newProxy(t, s.Address)
 			s.PublishedAddress, s.OrderLeaseDuration = f.backendProxies[s.ID].address, time.Duration(orderLeaseMs)*time.Millisecond
-			s.HostOf = hostOf
+			s.HostOf, s.ContactDuration = hostOf, contactDuration
 			platform.Publish(s.ID)
 		}
 	}
@@ -137,6 +137,9 @@
 	return f
 }
 
+// contactDuration is contact_ms in the hosts' settings.
+const contactDuration = 3 * time.Second
+
 func (f *fleet) settingsText(h *host, i, orderLeaseMs int) string {
 	peer, configService := h.peer, f.platform.ConfigServiceAddress
 	if h.peerProxy != nil {
@@ -161,9 +164,10 @@
 peer_listen_address: %q
 platform: %q
 seeds: [%s]
-bounds: {config_ms: 2000, drain_ms: 2000, contact_ms: 3000, grace_seconds: 6, order_lease_ms: %d, retry_ratio: 0.2, retry_slack: 50,
+bounds: {config_ms: 2000, drain_ms: 2000, contact_ms: %d, grace_seconds: 6, order_lease_ms: %d, retry_ratio: 0.2, retry_slack: 50,
   retry_window_seconds: 10, directory_seconds: 5, quota_window_seconds: 8, quota_overshoot: 0.25, quota_slack: 2000, load_window_seconds: 5}
-`, h.name, i%2, h.address, h.readiness, h.directory, h.operator, peer, h.peer, configService, strings.Join(seeds, ", "), orderLeaseMs)
+`, h.name, i%2, h.address, h.readiness, h.directory, h.operator, peer, h.peer, configService, strings.Join(seeds, ", "),
+		contactDuration.Milliseconds(), orderLeaseMs)
 }
 
 func (f *fleet) start(h *host) {
--- a/e2e/proxy_test.go
+++ b/e2e/proxy_test.go
@@ -82,6 +82,13 @@
 	p.changed.Broadcast()
 }
 
+// holds reports whether the proxy withholds bytes in a direction.
+func (p *proxy) holds() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.holdToTarget || p.holdFromTarget
+}
+
 // resetAll resets the open connections on both sides.
 func (p *proxy) resetAll() {
 	p.mutex.Lock()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -45,7 +45,9 @@
 	orderCheckPause      = 300 * time.Millisecond
 	// arrivalCheckPause is the time after the disruption of a backend server's connections in which delayed requests may still arrive.
 	arrivalCheckPause = 300 * time.Millisecond
-	drainDeadline     = 2 * time.Second
+	// limitedDuration is the least time for which the bound of a rate limit applies before the limit changes.
+	limitedDuration = 2 * time.Second
+	drainDeadline   = 2 * time.Second
 	// smallQuotaTokens is the number of tokens that the small account may use within quotaWindow.
 	smallQuotaTokens = (100*8+100)*1.25 + 2000
 	quotaWindow      = 8 * time.Second
@@ -187,7 +189,7 @@
 	duration := time.Duration(200+s.random.IntN(3800)) * time.Millisecond
 	injectors := []func(h *host, b *standin.Server, duration time.Duration) string{
 		s.pause, s.kill, s.killAll, s.terminate, s.reload, s.disruptPeers, s.disruptConfigService, s.disruptBackend, s.setFaultyBehavior, s.crash,
-		s.drain, s.failConfigService, s.configure, s.becomeCold, s.killAllBesideCold, s.restartBesideCold,
+		s.drain, s.failConfigService, s.configure, s.becomeCold, s.killAllBesideCold, s.restartBesideCold, s.limitRate,
 	}
 	description := injectors[s.random.IntN(len(injectors))](h, b, duration)
 	s.faults = append(s.faults, fmt.Sprintf("%s %s for %v", time.Now().Format("05.000"), description, duration))
@@ -214,8 +216,10 @@
 	}
 	process := h.command.Process
 	_ = process.Signal(syscall.SIGSTOP)
+	s.excuse(h, duration)
 	s.repairAfter(duration, func() {
 		_ = process.Signal(syscall.SIGCONT)
+		s.excuse(h, 0)
 		h.processFault.Store(false)
 	})
 	return h.name + " paused"
@@ -227,6 +231,7 @@
 	}
 	_ = h.command.Process.Kill()
 	<-h.exited
+	s.excuse(h, duration/2)
 	s.repairAfter(duration/2, func() {
 		s.start(h)
 		h.processFault.Store(false)
@@ -246,8 +251,10 @@
 		return h.name + " already has a process fault"
 	}
 	_ = h.command.Process.Signal(syscall.SIGTERM)
+	s.excuse(h, 0)
 	s.repairAfter(0, func() {
 		<-h.exited
+		s.excuse(h, 0)
 		s.start(h)
 		h.processFault.Store(false)
 	})
@@ -290,8 +297,13 @@
 	return fmt.Sprintf("disrupted (delay %v, held to target %t, held from target %t)", p.delay, p.holdToTarget, p.holdFromTarget)
 }
 
+// disruptPeers disrupts the connections from other hosts to a host. If that cuts it off, it is excused from rate limits.
 func (s *soak) disruptPeers(h *host, _ *standin.Server, duration time.Duration) string {
-	return "peers of " + h.name + " " + s.disruptProxy(h.peerProxy, duration)
+	description := s.disruptProxy(h.peerProxy, duration)
+	if h.peerProxy.holds() {
+		s.excuse(h, duration)
+	}
+	return "peers of " + h.name + " " + description
 }
 
 func (s *soak) disruptConfigService(h *host, _ *standin.Server, duration time.Duration) string {
@@ -299,11 +311,16 @@
 }
 
 // disruptBackend disrupts the connections to a backend server. Requests that the fault holds back do not count for the server's bounds, since
-// they arrive together.
+// they arrive together, and hosts that its responses do not reach are excused from its rate limit.
 func (s *soak) disruptBackend(_ *host, b *standin.Server, duration time.Duration) string {
 	description := s.disruptProxy(s.backendProxies[b.ID], duration)
-	if description != resetDescription {
-		b.PauseArrivalChecks(duration + arrivalCheckPause)
+	if description == resetDescription {
+		return b.ID + " " + description
+	}
+	duration += arrivalCheckPause
+	b.PauseArrivalChecks(duration)
+	for _, h := range s.hosts {
+		b.ExcuseHost(h.name, time.Now().Add(duration))
 	}
 	return b.ID + " " + description
 }
@@ -327,6 +344,26 @@
 	return b.ID + " draining"
 }
 
+// excuse excuses a host from the rate limits of all backend servers while a fault of the given duration restarts, freezes or cuts it off.
+func (s *soak) excuse(h *host, duration time.Duration) {
+	for _, b := range s.platform.Servers {
+		b.ExcuseHost(h.name, time.Now().Add(duration))
+	}
+}
+
+// limitRate makes a backend server name a rate limit for long enough that its bound applies, then another one for as long, and then none.
+func (s *soak) limitRate(_ *host, b *standin.Server, duration time.Duration) string {
+	first, second := s.drawRateLimit(), s.drawRateLimit()
+	duration = contactDuration + limitedDuration + duration/4
+	b.SetRateLimit(first)
+	s.repairAfter(duration, func() { b.SetRateLimit(second) })
+	s.repairAfter(2*duration, func() { b.SetRateLimit(0) })
+	return fmt.Sprintf("%s limited to %g and then %g requests/s, each for %v,", b.ID, first, second, duration)
+}
+
+// drawRateLimit draws a limit below the rate at which the callers send requests to one backend server.
+func (s *soak) drawRateLimit() float64 { return float64(2+s.random.IntN(20)) / 2 }
+
 // becomeCold makes an engine cold again while it runs.
 func (s *soak) becomeCold(_ *host, _ *standin.Server, _ time.Duration) string {
 	engines := slices.DeleteFunc(slices.Clone(s.platform.Servers), func(b *standin.Server) bool { return b.ColdDuration == 0 })
