--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -85,7 +85,8 @@
 	// Unidentified is set for a response that does not name the request to which it belongs.
 	Unidentified bool
 	// Load is the load that the backend server reports in the header.
-	Load   reducer.Load
+	Load reducer.Load
+	// Notice has Answered set if the response is one of the backend server to the request.
 	Notice reducer.BackendNotice
 }
 
@@ -97,8 +98,9 @@
 	Classify(resp *http.Response, callerID, backend string) Classification
 	// EncodeOrder encodes an order to load or unload an adapter.
 	EncodeOrder(order reducer.OrderAdapter) (path string, header http.Header, body []byte)
-	// DecodeNotice returns what the header of any response says about the backend server itself.
-	DecodeNotice(resp *http.Response) reducer.BackendNotice
+	// DecodeNotice returns what the header of any response says about the backend server itself. It leaves Answered false, since the response
+	// may be one to an order or a report; only Classify sets it.
+	DecodeNotice(resp *http.Response, backend string) reducer.BackendNotice
 	// DecodeOrderStatus decodes the status of the response to an order.
 	DecodeOrderStatus(status int) reducer.OrderResult
 	// EncodeReportCall encodes the call for a backend server's report.
@@ -133,7 +135,9 @@
 	Outcome reducer.Outcome
 	Status  int
 	Load    reducer.Load
-	Notice  reducer.BackendNotice
+	// Notice is what the response says about the backend server; zero without a response to the request. What it says of a rate limit is left
+	// out if OnStart has reported it.
+	Notice reducer.BackendNotice
 	// Mismatched is the number of responses to other requests that arrived on the connection.
 	Mismatched int
 	// Delivered is set once the response, or the start of a stream, went to the sink.
--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -103,8 +103,13 @@
 	s.Traffic.cataloguePublishedAt = append(s.Traffic.cataloguePublishedAt, s.Now)
 }
 
-// startBackend starts a new incarnation of a backend server and publishes its entry.
+// startBackend starts a new incarnation of a backend server and publishes its entry at once.
 func (s *Simulation[P]) startBackend(id, service, domain string) {
+	s.startBackendLate(id, service, domain, 0)
+}
+
+// startBackendLate starts a new incarnation of a backend server, whose entry is published after publishDelay.
+func (s *Simulation[P]) startBackendLate(id, service, domain string, publishDelay time.Duration) {
 	b, restarted := s.Backends[id]
 	if !restarted {
 		b = &Backend{}
@@ -113,6 +118,7 @@
 	b.Up = true
 	b.DrainingAt, b.leaving, b.unlisted = time.Time{}, false, false
 	b.told = map[string]*toldHost{}
+	b.limits = rateLimits{}
 	b.answers, b.refuses = nil, false
 	b.cachedParts = map[string]bool{}
 	b.Info = cataloguer.Backend{ID: id, Service: service, Address: id, FailureDomain: domain, StartedUnixMs: s.Now.UnixMilli(), Slots: 6}
@@ -127,18 +133,34 @@
 			b.Engine.Spec.LoadTime *= time.Duration(1 + s.extendedRNG.IntN(maxLoadSlowdown))
 		}
 		if restarted {
-			b.Info.ColdRemaining = coldDuration
-			b.ColdSince = s.Now
+			b.Info.ColdRemaining = coldDuration - publishDelay
+			b.ColdSince, b.Arrivals = s.Now, nil
 		}
 	} else {
 		b.Engine = modeler.NewEngine(modeler.Spec{Slots: 6, QueueSize: 24, TokenTime: s.Options.EngineSpec.TokenTime})
 	}
-	s.publishBackend(b)
+	s.publishLate(b, publishDelay)
 	if s.Options.UniformAdapters && !restarted && service == engineService {
 		s.after(heartbeatInterval, func() { s.heartbeat(b) })
 	}
 }
 
+// publishLate publishes the entry of a backend server after a delay, unless its incarnation has ended by then.
+func (s *Simulation[P]) publishLate(b *Backend, delay time.Duration) {
+	if delay <= 0 {
+		s.publishBackend(b)
+		return
+	}
+	startedUnixMs := b.Info.StartedUnixMs
+	b.unlisted = true
+	s.after(delay, func() {
+		if b.Up && b.Info.StartedUnixMs == startedUnixMs {
+			b.unlisted = false
+			s.publishBackend(b)
+		}
+	})
+}
+
 func (s *Simulation[P]) publishBackend(b *Backend) {
 	info := b.Info
 	if s.Options.UniformAdapters && info.Service == engineService {
@@ -217,6 +239,7 @@
 	}
 	r.attempt = e.Attempt
 	s.Checker.checkDispatch(s.Now, r, e)
+	view := s.coldView(h, e.Backend)
 	s.after(s.messageDelay(), func() {
 		b, ok := s.Backends[e.Backend]
 		if !ok || !b.Up || !s.connected(h.ID, e.Backend) {
@@ -230,11 +253,12 @@
 		}
 		firstTokenAt, outcome := b.Engine.StartRequest(s.Now, key, e.Version, s.uncachedTokens(b, r))
 		s.Checker.checkRetryBudget(s.Now, s.Options.Limits, b.Info.Service, r)
+		s.Checker.checkRateLimit(s.Now, s.Options.Limits, s.faultFree(h), b, h)
 		s.checkDeadlyArrival(h, r)
 		// The users' rules on cold starts and drains do not count requests that are rejected because the adapter is not loaded.
 		if outcome != reducer.OutcomeNotLoaded {
 			s.Checker.checkNotices(s.Now, s.Options.Limits.DrainDeadline, s.faultFree(h), b, h)
-			s.Checker.checkArrival(s.Now, s.faultFree(h), b, h)
+			s.Checker.checkArrival(s.Now, s.faultFree(h), b, Arrival{At: s.Now, Host: h.ID, View: view})
 		}
 		event.Notice, event.Load = s.notice(h, b, outcome), s.load(b)
 		if outcome != reducer.OutcomeDone {
@@ -274,7 +298,7 @@
 
 // notice returns what a backend server's response to a host says about the server, and records that the host has been told.
 func (s *Simulation[P]) notice(h *Host, b *Backend, outcome reducer.Outcome) reducer.BackendNotice {
-	n := reducer.BackendNotice{}
+	n := reducer.BackendNotice{Answered: true, RateLimit: b.limits.named()}
 	if !s.Options.ServerNotices {
 		return n
 	}
@@ -306,6 +330,7 @@
 		}
 		s.post(h, incarnation, event)
 	}
+	s.addStallHandlers(a, h, b, r, e, key)
 	b.answers = append(b.answers, a)
 	interrupted := func() bool { return !b.Up || b.Info.StartedUnixMs != startedUnixMs || !s.connected(h.ID, e.Backend) }
 	s.after(processingTime, func() {
@@ -318,18 +343,24 @@
 			return
 		}
 		event.Notice = s.notice(h, b, reducer.OutcomeDone)
+		b.limits.recordAnswer(s.Now, h)
 		event.Load = s.load(b)
 		s.post(h, incarnation, reducer.ResponseStarted{
 			ID: e.ID, Attempt: e.Attempt, Latency: s.Now.Sub(startedAt), Load: event.Load, Notice: event.Notice,
 		})
 		s.Traffic.ResponseTimes[b.Info.Service] = append(s.Traffic.ResponseTimes[b.Info.Service], s.Now.Sub(r.sentAt))
-		event.Delivered = true
+		event.Delivered, a.begun = true, true
 		r.beganAt = s.Now
 		s.answerBegan(b, r)
-		s.after(time.Duration(r.event.OutputTokens)*b.Engine.Spec.TokenTime, func() {
+		var finish func()
+		finish = func() {
 			if a.aborted {
 				return
 			}
+			if rest := a.stalledUntil.Sub(s.Now); rest > 0 {
+				s.after(rest, finish)
+				return
+			}
 			b.endAnswer(a)
 			if !interrupted() {
 				b.Engine.FinishRequest(s.Now, key)
@@ -342,6 +373,7 @@
 				}
 				s.reduce(h, event)
 			})
-		})
+		}
+		s.after(time.Duration(r.event.OutputTokens)*b.Engine.Spec.TokenTime, finish)
 	})
 }
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -76,6 +76,7 @@
 	delete(s.Backends, b.Info.ID)
 	delete(s.Starting, b.Info.ID)
 	delete(s.Throttled, b.Info.ID)
+	delete(s.Limited, b.Info.ID)
 	s.invalidateBackendIndex()
 	if l, ok := s.Leases[b.Info.ID]; ok {
 		l.Inventory = newInventory()
@@ -162,7 +163,7 @@
 	samples := s.takeUnreported(now, b)
 	usage := Usage{
 		Backend: b.Info.ID, Running: b.Running, Tokens: b.Tokens, PrefillTokens: b.PrefillTokens,
-		PaceWork: samples.Work, PaceBusy: samples.Busy,
+		PaceWork: samples.Work, PaceBusy: samples.Busy, Full: full,
 	}
 	b.SlowStart.report(&usage)
 	for _, key := range sortedAdapters(b.Adapters) {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -107,7 +107,7 @@
 // refuse ends a request with a response from this host.
 func refuse(s *State, now time.Time, r *Request, reason Reason, retryAfter time.Duration) {
 	s.Counters.RefusedByReason[reason]++
-	s.logEvent(EventRequestRefused, s.requestFields(now, r, Field{"reason", reason.String()}, boolField("may_have_run", r.PossibleRuns > 0),
+	s.logEvent(EventRequestRefused, s.requestFields(now, r, Field{"service", r.Service}, Field{"reason", reason.String()}, boolField("may_have_run", r.PossibleRuns > 0),
 		msField("retry_after_ms", retryAfter), Field{"last_failure", r.LastFailure.String()}, Field{"content", r.QuarantinedContent})...)
 	s.emit(Refuse{ID: r.ID, Reason: reason, MayHaveRun: r.PossibleRuns > 0, RetryAfter: retryAfter})
 	s.endRequest(now, r, "refused_"+reason.String())
@@ -172,10 +172,11 @@
 	r.Phase = PhaseResponding
 	r.RespondedAt = now
 	b, ok := s.Backends[r.Backend]
-	if !ok {
+	if !ok || b.FirstSeenAt.After(r.SentAt) {
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
+	s.recordRateLimit(now, b, r, e.Notice)
 	s.recordAnswer(now, b, r, e.Latency)
 	if adapter, ok := b.Adapters[r.Adapter]; ok && adapter.Stage != StageAbsent {
 		adapter.Stage = StageReady
@@ -295,6 +296,10 @@
 // recordOutcome updates the state of the backend server from the outcome of an attempt.
 func (s *State) recordOutcome(now time.Time, b *Backend, r *Request, e DispatchEnded) {
 	s.recordNotice(now, b, e.Notice)
+	if r.RespondedAt.IsZero() {
+		// The header of a response that has begun was recorded then: at its end it is old.
+		s.recordRateLimit(now, b, r, e.Notice)
+	}
 	if !s.Limits.Adaptive.Pace || r.RespondedAt.IsZero() {
 		s.recordLoad(now, b, e.Load)
 	}
--- a/internal/throttler/policy.go
+++ b/internal/throttler/policy.go
@@ -21,9 +21,15 @@
 // Bound implements Policy.
 func (ColdStart) Bound() Bound { return Bound{Window: time.Second, Factor: 1.5, Extra: 5} }
 
-// NamedLimit is the bound of a backend server that names a limit in its answers, over the hosts that know the limit: one and a half times the
-// limit and 5 requests in any four seconds. The limit may change, vanish and come back.
+// NamedLimit is the bound on requests to a backend server that names a limit, over the hosts that know the limit. The server bears one and a half
+// times its limit and 5 calls in any four seconds; 2 of the 5 are kept for ControlCalls. The limit may change, vanish and come back.
 type NamedLimit struct{}
 
 // Bound implements Policy.
-func (NamedLimit) Bound() Bound { return Bound{Window: 4 * time.Second, Factor: 1.5, Extra: 5} }
+func (NamedLimit) Bound() Bound { return Bound{Window: 4 * time.Second, Factor: 1.5, Extra: 3} }
+
+// ControlCalls is the bound on the orders and report calls to a backend server that names a limit, which one host makes at a time.
+type ControlCalls struct{}
+
+// Bound implements Policy.
+func (ControlCalls) Bound() Bound { return Bound{Window: 4 * time.Second, Factor: 1.5, Extra: 2} }
