Mend what the review of the named limits found

Cause: a lease holder preferred a watched server that takes no orders to one that names a limit, and was silent; a host that had heard nothing for a minute lifted a limit for all; one answer without a limit lifted it; report calls took the place of orders; unary servers, which get no orders, got 0.385 of their limit; at most 8 hosts sent at any rate, so that many hosts of a large fleet refused their requests at limits far above the demand; the choice among many limited servers took time with the square of their number; stalled attempts did not move to limited servers with room. Change: each of these; the senders of a server and the division of its rate are cached, and placeRequest filters its candidates once. Limits in the responses to orders and report calls are read.

--- a/internal/reducer/index.go
+++ b/internal/reducer/index.go
@@ -31,6 +31,8 @@
 	// Voters are the hosts that vote on leases, and DirectedVoters those of them that callers are directed to; nil if that is out of date.
 	Voters         []string
 	DirectedVoters []string
+	// DirectedVersion counts the changes of DirectedVoters.
+	DirectedVersion int
 	// Ranks caches the results of ranked: the first hosts by rendezvous rank for each key.
 	Ranks map[rankKey][]string
 	// AdapterRanks caches the results of adapterRanking for the backend servers as indexed.
@@ -106,7 +108,8 @@
 		clear(s.Index.Ranks)
 	}
 	if s.Index.DirectedVoters == nil || !slices.Equal(voters, s.Index.Voters) {
-		s.Index.DirectedVoters = s.directedVoters(voters)
+		s.Index.DirectedVoters = append([]string{}, s.directedVoters(voters)...)
+		s.Index.DirectedVersion++
 		clear(s.Index.Ranks)
 	}
 	s.Index.Active, s.Index.Reachable, s.Index.Voters, s.Index.Recent = active, reachable, voters, recent
@@ -158,19 +161,10 @@
 	return id
 }
 
-// rankedGroup is the hosts among which a ranking is made.
-type rankedGroup uint8
-
-const (
-	rankActive rankedGroup = iota
-	rankVoters
-	rankDirected
-)
-
-// rankKey identifies a ranking among a group of hosts.
+// rankKey identifies a ranking: among the voters if Voting is set, otherwise among the active hosts.
 type rankKey struct {
-	Among rankedGroup
-	Key   string
+	Voting bool
+	Key    string
 }
 
 // ranked returns up to count hosts by their rendezvous rank for a key; count must always be the same for a key.
@@ -179,18 +173,11 @@
 	if r, ok := s.Index.Ranks[key]; ok {
 		return r
 	}
-	r := rankHosts(key.Key, s.rankedHosts(key.Among), count)
+	hosts := s.Index.Active
+	if key.Voting {
+		hosts = s.Index.Voters
+	}
+	r := rankHosts(key.Key, hosts, count)
 	s.Index.Ranks[key] = r
 	return r
 }
-
-// rankedHosts returns the hosts of a group, as indexed.
-func (s *State) rankedHosts(group rankedGroup) []string {
-	switch group {
-	case rankVoters:
-		return s.Index.Voters
-	case rankDirected:
-		return s.Index.DirectedVoters
-	}
-	return s.Index.Active
-}
--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -19,7 +19,7 @@
 		return
 	}
 	completeLoads(s, now, backend, l)
-	if l.reportDue(now) && !now.Before(b.BackoffUntil) && s.controlAllows(now, b) {
+	if l.reportDue(now, s.reportInterval(b)) && !now.Before(b.BackoffUntil) && s.controlAllows(now, b) {
 		l.Inventory.ReportRequestedAt = now
 		s.spendControl(now, b)
 		s.emit(ReadReport{Backend: backend, Address: b.Info.Address, StartedUnixMs: b.Info.StartedUnixMs})
@@ -27,10 +27,22 @@
 	sendNextOrder(s, now, backend, l)
 }
 
+// reportInterval returns the least time between two requests for the report of a backend server. One that names a limit gets two orders for each.
+func (s *State) reportInterval(b *Backend) time.Duration {
+	if !b.limited() || !b.Throttle.Control.Open {
+		return reportInterval
+	}
+	return max(reportInterval, time.Duration(ordersPerReport/b.Throttle.Control.Bucket.Rate*float64(time.Second)))
+}
+
+// ordersPerReport is the number of calls to a backend server that names a limit in the time of one report call, so that reports do not take the
+// place of orders.
+const ordersPerReport = 3
+
 // reportDue reports whether the inventory needs a report from the backend server to be complete or certain.
-func (l *Lease) reportDue(now time.Time) bool {
+func (l *Lease) reportDue(now time.Time, interval time.Duration) bool {
 	inv := &l.Inventory
-	if now.Sub(inv.ReportRequestedAt) < reportInterval || now.Sub(l.HeldSince) < reportLag {
+	if now.Sub(inv.ReportRequestedAt) < interval || now.Sub(l.HeldSince) < reportLag {
 		return false
 	}
 	if inv.ReportReadAt.IsZero() || inv.Uncertain {
@@ -298,6 +310,7 @@
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
+	s.recordRateLimit(now, b, e.Notice)
 	if e.Failed {
 		return
 	}
--- a/internal/reducer/keepalive.go
+++ b/internal/reducer/keepalive.go
@@ -33,13 +33,13 @@
 	reloadIdleAdapter(s, now, server, chosen)
 }
 
-// keepAliveServer returns the watched server, of those that this host holds, for which the last keep-alive order is the oldest, with its lease. One
-// that names a limit is chosen only if there is no other, since it takes few orders.
+// keepAliveServer returns the watched server, of those that this host holds and that take orders now, for which the last keep-alive order is the
+// oldest, with its lease. One that names a limit is chosen only if there is no other, since it takes few orders.
 func (s *State) keepAliveServer(now time.Time) (server string, chosen *Lease) {
 	chosenLimited := false
 	for _, id := range s.watchedServers() {
 		l, ok := s.Leases[id]
-		if !ok || !s.holdsLease(now, id) || !l.Inventory.idle(now) {
+		if !ok || !s.holdsLease(now, id) || !l.Inventory.idle(now) || !s.acceptsOrders(now, s.Backends[id]) {
 			continue
 		}
 		limited := s.Backends[id].limited()
--- a/internal/reducer/lease.go
+++ b/internal/reducer/lease.go
@@ -24,7 +24,7 @@
 	if len(hosts) <= leaseVoters {
 		return hosts, len(hosts)/2 + 1
 	}
-	return s.ranked(now, rankKey{Among: rankVoters, Key: leaseGroup(backend)}, leaseVoters), leaseQuorum
+	return s.ranked(now, rankKey{Voting: true, Key: leaseGroup(backend)}, leaseVoters), leaseQuorum
 }
 
 // leaseGroup returns the group of a backend server. All backend servers of a group have the same voters and the same preferred holder, so
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -90,9 +90,14 @@
 }
 
 // ordersIn returns the time until some host may order a backend server that has no lease holder, after a start of all hosts: until leases are
-// claimed and the holder has read the server's report. It is 0 if the server has a holder or the time has passed.
+// claimed and the holder has read the server's report. It is 0 if the server has a holder or the time has passed; the
+// holder itself knows when a server that names a limit takes its next order.
 func (s *State) ordersIn(now time.Time, backend string) time.Duration {
-	if s.holderOf(now, backend) != "" {
+	switch s.holderOf(now, backend) {
+	case "":
+	case s.Self.HostID:
+		return s.controlOpensIn(now, s.Backends[backend])
+	default:
 		return 0
 	}
 	votersKnownAt := s.Membership.VotersKnownAt
--- a/internal/reducer/order.go
+++ b/internal/reducer/order.go
@@ -73,6 +73,7 @@
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
+	s.recordRateLimit(now, b, e.Notice)
 	s.recordAcceptedOrder(now, e)
 	inv := &l.Inventory
 	inv.OrderPending = false
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -37,39 +37,32 @@
 	if refused {
 		return
 	}
+	candidates = s.withinBounds(now, r, candidates)
 	held := heldRequest{}
 	for len(candidates) > 0 {
 		var policy P
 		i := policy.Choose(candidates)
 		b := s.Backends[candidates[i].Backend]
-		if s.passesOver(now, r, b, len(candidates)) {
-			candidates = slices.Delete(candidates, i, i+1)
-			continue
-		}
 		if opensIn := s.slowStartOpensIn(now, r, b); opensIn > 0 {
 			held.add(opensIn, s.readyDelay(now, r, b))
 			candidates = slices.Delete(candidates, i, i+1)
 			continue
 		}
-		if s.requiresLoad(now, r, b) {
-			if s.prefersHeldServer(now, r, b, held, candidates[i].Delay) {
-				break
-			}
-			if !s.admits() && r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.loadIsUseless(now, r, b, candidates[i].Delay) {
-				r.Backend = b.Info.ID
-				s.refuseUnplaced(now, r, ReasonNotLoaded)
-				return
-			}
-			requestAdapter[P](s, now, r, b)
-			return
-		}
-		if s.throttleAllows(now, b) {
+		if !s.requiresLoad(now, r, b) {
 			s.dispatch(now, r, b, service)
 			preloadReplicas[P](s, now, r, candidates)
 			return
 		}
-		s.countThrottled(now, b)
-		candidates = slices.Delete(candidates, i, i+1)
+		if s.prefersHeldServer(now, r, b, held, candidates[i].Delay) {
+			break
+		}
+		if !s.admits() && r.Phase != PhaseAwaitingAdapter && r.Attempt == 0 && s.loadIsUseless(now, r, b, candidates[i].Delay) {
+			r.Backend = b.Info.ID
+			s.refuseUnplaced(now, r, ReasonNotLoaded)
+			return
+		}
+		requestAdapter[P](s, now, r, b)
+		return
 	}
 	if held.Servers > 0 {
 		s.waitForSlowStart(now, r, held)
@@ -78,10 +71,37 @@
 	s.waitForCapacity(now, r)
 }
 
-// passesOver reports whether a request leaves a candidate out because of the bounds on the server's rate: if this host may not send there, or if
-// the adapter would have to be loaded at a server that takes few orders, and there is another candidate.
-func (s *State) passesOver(now time.Time, r *Request, b *Backend, candidates int) bool {
-	return !s.maySend(now, b) || b.limited() && candidates > 1 && s.requiresLoad(now, r, b)
+// withinBounds returns the candidates that the bounds on their rates leave for a request: those without a bound, and those to which this host may
+// send now or, where the adapter has to be loaded first, once it is loaded. A server that names a limit takes few orders, and gets one only if
+// there is no other candidate.
+func (s *State) withinBounds(now time.Time, r *Request, candidates []selector.Candidate) []selector.Candidate {
+	bounded := func(c selector.Candidate) bool { return s.throttled(now, s.Backends[c.Backend]) }
+	if !slices.ContainsFunc(candidates, bounded) {
+		return candidates
+	}
+	var left, ordered []selector.Candidate
+	for _, c := range candidates {
+		b := s.Backends[c.Backend]
+		switch {
+		case !s.throttled(now, b):
+			left = append(left, c)
+		case !s.isSender(now, b):
+		case s.requiresLoad(now, r, b):
+			if b.limited() {
+				ordered = append(ordered, c)
+				continue
+			}
+			left = append(left, c)
+		case s.throttleAllows(now, b):
+			left = append(left, c)
+		default:
+			s.countThrottled(now, b)
+		}
+	}
+	if len(left) == 0 {
+		return ordered
+	}
+	return left
 }
 
 // requiresLoad reports whether the adapter of a request must be loaded at a backend server before the request can be sent there.
--- a/internal/reducer/ratelimit.go
+++ b/internal/reducer/ratelimit.go
@@ -15,14 +15,19 @@
 	// StatedAt is when a response last stated the limit, at any host, and ChangedAt when this host learned of the present one.
 	StatedAt  time.Time
 	ChangedAt time.Time
+	// Unnamed counts the answers to this host since the last one that named the limit.
+	Unnamed int
 	// FaultLoggedAt is when a limit that is not valid was last logged.
 	FaultLoggedAt time.Time
 }
 
 const (
-	// rateLimitTTL is the time without a response that states the limit, at any host, after which the limit is given up: the server may have
+	// rateLimitTTL is the time without a response that states the limit, at any host, after which a host gives it up for itself: the server may have
 	// lifted it since, and its senders may have no requests for it.
 	rateLimitTTL = time.Minute
+	// liftingAnswers is the number of answers in a row, to one host, that must name no limit to lift it: a single one may come from a part of the
+	// server that does not know the limit, and lifting it lets all hosts send.
+	liftingAnswers = 2
 	// liftedLimitTTL is how long hosts tell each other that a limit was lifted.
 	liftedLimitTTL = 10 * time.Second
 	// rateLimitFaultInterval is the least time between two log lines about invalid limits of one server.
@@ -31,18 +36,19 @@
 	maxRateLimits = 32
 )
 
-// recordRateLimit applies what a response to a request says about its server's rate limit. A response to a request that was sent before the
-// present incarnation of the server was seen says nothing.
-func (s *State) recordRateLimit(now time.Time, b *Backend, r *Request, n BackendNotice) {
-	if b.FirstSeenAt.After(r.SentAt) {
-		return
-	}
+// recordRateLimit applies what a response says about its server's rate limit.
+func (s *State) recordRateLimit(now time.Time, b *Backend, n BackendNotice) {
 	if n.RateLimitFault != "" {
 		s.logRateLimitFault(now, b, n.RateLimitFault)
 		return
 	}
 	limit := &b.RateLimit
-	if !n.Answered || n.RateLimit <= 0 && limit.Sequence == 0 {
+	if n.RateLimit <= 0 && (!n.Answered || limit.Sequence == 0) {
+		return
+	}
+	if n.RateLimit > 0 {
+		limit.Unnamed = 0
+	} else if limit.Unnamed++; limit.PerSecond > 0 && limit.Unnamed < liftingAnswers {
 		return
 	}
 	limit.StatedAt = now
@@ -90,7 +96,8 @@
 		}
 		limit := &b.RateLimit
 		if limit.PerSecond > 0 && now.Sub(limit.StatedAt) > rateLimitTTL {
-			s.changeRateLimit(now, b, 0, limit.Sequence+1, "")
+			// The number of changes stays: a host that has heard of no response for long must not overrule those that have.
+			s.changeRateLimit(now, b, 0, limit.Sequence, "")
 		}
 		if limit.PerSecond == 0 && now.Sub(limit.ChangedAt) > liftedLimitTTL {
 			delete(s.Limited, id)
@@ -137,6 +144,9 @@
 			continue
 		}
 		limit := &b.RateLimit
+		if told.PerSecond > 0 && told.Age > rateLimitTTL {
+			continue
+		}
 		if supersedes(told, limit) {
 			s.changeRateLimit(now, b, told.PerSecond, told.Sequence, from)
 		}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -176,7 +176,7 @@
 		return
 	}
 	s.recordNotice(now, b, e.Notice)
-	s.recordRateLimit(now, b, r, e.Notice)
+	s.recordRateLimit(now, b, e.Notice)
 	s.recordAnswer(now, b, r, e.Latency)
 	if adapter, ok := b.Adapters[r.Adapter]; ok && adapter.Stage != StageAbsent {
 		adapter.Stage = StageReady
@@ -298,7 +298,7 @@
 	s.recordNotice(now, b, e.Notice)
 	if r.RespondedAt.IsZero() {
 		// The header of a response that has begun was recorded then: at its end it is old.
-		s.recordRateLimit(now, b, r, e.Notice)
+		s.recordRateLimit(now, b, e.Notice)
 	}
 	if !s.Limits.Adaptive.Pace || r.RespondedAt.IsZero() {
 		s.recordLoad(now, b, e.Load)
--- a/internal/reducer/stall.go
+++ b/internal/reducer/stall.go
@@ -26,7 +26,7 @@
 // otherBackend returns a backend server that can take a request at once in place of the present one, or nil.
 func (s *State) otherBackend(now time.Time, r *Request) *Backend {
 	for _, b := range s.usableBackends(now, r) {
-		if b.Info.ID == r.Backend || s.throttled(now, b) || s.slowStartOpensIn(now, r, b) > 0 {
+		if b.Info.ID == r.Backend || !s.throttleAllows(now, b) || s.slowStartOpensIn(now, r, b) > 0 {
 			continue
 		}
 		if r.Adapter.Adapter == "" || !s.isEngine(b) || !s.needsAdapterLoad(now, r, b) {
--- a/internal/reducer/throttle.go
+++ b/internal/reducer/throttle.go
@@ -13,11 +13,15 @@
 	Named throttler.Gate[throttler.NamedLimit]
 	// Control is for orders and report calls, which a server counts against the limit that it names. The lease holder alone makes such calls.
 	Control throttler.Gate[throttler.ControlCalls]
+	// Senders caches who may send requests to the server.
+	Senders RankedSenders
 }
 
 const (
-	// controlFraction is the part of a named limit that is kept for orders and report calls.
+	// controlFraction is the part of an engine's named limit that is kept for orders and report calls, up to maxControlRate calls per second: a load
+	// takes up to two orders, and adapters change less often than requests come.
 	controlFraction = 0.3
+	maxControlRate  = 4
 	// maxThrottleWait is the longest time until a request that is expected at a server with a very low limit.
 	maxThrottleWait = time.Minute
 )
@@ -45,8 +49,8 @@
 	}
 	hosts, sender := s.directedVoterCount(now), s.isSender(now, b)
 	t.Cold.Update(now, s.coldRate(now, b), hosts, sender)
-	t.Named.Update(now, b.requestLimit(), hosts, sender)
-	t.Control.Update(now, b.RateLimit.PerSecond*controlFraction, 1, s.holdsLease(now, b.Info.ID))
+	t.Named.Update(now, s.requestLimit(b), hosts, sender)
+	t.Control.Update(now, s.controlLimit(b), 1, s.holdsLease(now, b.Info.ID))
 }
 
 // coldRate returns the rate of a cold backend server; 0 if the server is not cold.
@@ -57,8 +61,16 @@
 	return s.Documents.Services[b.Info.Service].ColdRate
 }
 
+// controlLimit returns the part of a named limit that is for orders and report calls; 0 for a server that gets none.
+func (s *State) controlLimit(b *Backend) float64 {
+	if engine := s.engineOf(b); engine == nil || engine.AdapterSlots <= 0 {
+		return 0
+	}
+	return min(b.RateLimit.PerSecond*controlFraction, maxControlRate)
+}
+
 // requestLimit returns the part of a named limit that is for requests; 0 if the server names no limit.
-func (b *Backend) requestLimit() float64 { return b.RateLimit.PerSecond * (1 - controlFraction) }
+func (s *State) requestLimit(b *Backend) float64 { return b.RateLimit.PerSecond - s.controlLimit(b) }
 
 // maySend reports whether this host is one of those that may send requests to a backend server now.
 func (s *State) maySend(now time.Time, b *Backend) bool {
@@ -101,12 +113,19 @@
 }
 
 // controlAllows reports whether the limit that a backend server names allows an order or a report call of this host, the server's lease holder.
-func (s *State) controlAllows(now time.Time, b *Backend) bool {
+func (s *State) controlAllows(now time.Time, b *Backend) bool { return s.controlOpensIn(now, b) <= 0 }
+
+// controlOpensIn returns the time until the limit that a backend server names allows an order or a report call of this host.
+func (s *State) controlOpensIn(now time.Time, b *Backend) time.Duration {
 	if !b.limited() {
-		return true
+		return 0
 	}
 	s.updateThrottle(now, b)
-	return b.Throttle.Control.Allows(now)
+	opensIn, ok := b.Throttle.Control.OpensIn(now)
+	if !ok {
+		return maxThrottleWait
+	}
+	return min(opensIn, maxThrottleWait)
 }
 
 // spendControl counts an order or a report call against the limit that a backend server names.
@@ -137,15 +156,37 @@
 	if !s.votersKnown() {
 		return nil
 	}
-	ranked := s.ranked(now, rankKey{Among: rankDirected, Key: "throttle/" + b.Info.ID}, throttler.MaxSenders)
-	count, hosts := len(ranked), s.directedVoterCount(now)
-	if s.isCold(now, b) {
-		count = min(count, throttler.Divide[throttler.ColdStart](s.coldRate(now, b), hosts).Senders)
+	s.indexHosts(now)
+	key := SenderKey{Cold: s.coldRate(now, b), Named: s.requestLimit(b), Voters: s.Index.DirectedVersion}
+	if c := &b.Throttle.Senders; c.Key != key || c.Hosts == nil {
+		*c = RankedSenders{Key: key, Hosts: s.rankSenders(b, key)}
 	}
-	if b.limited() {
-		count = min(count, throttler.Divide[throttler.NamedLimit](b.requestLimit(), hosts).Senders)
+	return b.Throttle.Senders.Hosts
+}
+
+// SenderKey is what the senders of a backend server follow from: the rates of its bounds, and the version of the voters that callers are directed to.
+type SenderKey struct {
+	Cold, Named float64
+	Voters      int
+}
+
+// RankedSenders caches the senders of a backend server.
+type RankedSenders struct {
+	Key   SenderKey
+	Hosts []string
+}
+
+// rankSenders ranks the senders of a backend server; the bound with fewer of them counts.
+func (s *State) rankSenders(b *Backend, key SenderKey) []string {
+	hosts := len(s.Index.DirectedVoters)
+	count := hosts
+	if key.Cold > 0 {
+		count = min(count, throttler.Divide[throttler.ColdStart](key.Cold, hosts).Senders)
+	}
+	if key.Named > 0 {
+		count = min(count, throttler.Divide[throttler.NamedLimit](key.Named, hosts).Senders)
 	}
-	return ranked[:count]
+	return rankHosts("throttle/"+b.Info.ID, s.Index.DirectedVoters, count)
 }
 
 // isSender reports whether this host may send requests to a backend server with a bound on its rate.
--- a/internal/throttler/divide.go
+++ b/internal/throttler/divide.go
@@ -6,8 +6,12 @@
 )
 
 const (
-	// MaxSenders is the largest number of senders. More senders lower the spread of their number, but each of them waits longer before it sends.
-	MaxSenders = 8
+	// fewSenders is the number of senders up to which their shares may be small, so that enough hosts can send to a server with a low rate. More
+	// senders are chosen only as long as each has leastShare requests per second: each of them waits for a request before it may send one.
+	fewSenders = 8
+	leastShare = 0.5
+	// manySenders bounds the number of senders at any rate; it is above the number of hosts of a fleet.
+	manySenders = 512
 	// fraction is the part of the server's rate that all senders together use. A calm fleet must use at least half of the rate; the rest
 	// of the bound is for hosts that wrongly take themselves for senders.
 	fraction = 0.55
@@ -37,7 +41,7 @@
 	var policy P
 	bound := policy.Bound()
 	best, most := 0, math.Inf(-1)
-	for senders := 1; senders <= MaxSenders; senders++ {
+	for senders := 1; senders <= maxSenders(rate); senders++ {
 		if r := min(room(bound, rate, senders), enoughRoom); r >= most {
 			best, most = senders, r
 		}
@@ -51,6 +55,11 @@
 	return Division{}
 }
 
+// maxSenders returns the largest number of senders that is considered for a rate.
+func maxSenders(rate float64) int {
+	return int(min(max(fewSenders, rate*fraction/leastShare), manySenders))
+}
+
 // share returns the rate of each of the senders.
 func share(rate float64, senders int) float64 { return rate * fraction / float64(senders) }
 
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -23,17 +23,23 @@
 	Open bool
 	// Bucket holds the requests that this host may send.
 	Bucket limiter.Bucket
+	// Rate and Hosts are what Division, the division of the rate at the last update, follows from.
+	Rate     float64
+	Hosts    int
+	Division Division
 }
 
 // Update applies the rate of the server in requests per second, the number of known hosts, and whether this host is one of the senders that
 // Divide states for them. A gate that opens has nothing saved, and still owes what it owed when it closed.
 func (g *Gate[P]) Update(now time.Time, rate float64, hosts int, sender bool) {
-	d := Divide[P](rate, hosts)
-	if !sender || d.Senders == 0 {
+	if rate != g.Rate || hosts != g.Hosts {
+		g.Rate, g.Hosts, g.Division = rate, hosts, Divide[P](rate, hosts)
+	}
+	if !sender || g.Division.Senders == 0 {
 		g.Close()
 		return
 	}
-	g.Bucket.Set(now, d.Share, burst)
+	g.Bucket.Set(now, g.Division.Share, burst)
 	if !g.Open {
 		g.Open = true
 		g.Bucket.Level = min(g.Bucket.Level, 0)
