Tell of no confirmation where there is none

Callers: hosts worked with documents that were older than they believed, after the start of any host. Cause: a host whose documents were never confirmed states an age of -1 ns, which the wire form, in microseconds, made 0: peers took over that the documents had been confirmed just then. The test of the wire form used -1 us. Change: a negative age stays negative. Result: TestHostWithoutConfirmationTellsOfNone failed before and passes; tests of translator, reducer and executor pass.

--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -48,7 +48,7 @@
 		return &peerv1.Message{Kind: &peerv1.Message_RecordRequest{RecordRequest: &peerv1.RecordRequest{Groups: v.Groups}}}
 	case reducer.DocumentSummary:
 		return &peerv1.Message{Kind: &peerv1.Message_Summary{Summary: &peerv1.Summary{
-			Revision: v.SignificantRevision, ConfirmedAgeUs: v.ConfirmedAge.Microseconds(),
+			Revision: v.SignificantRevision, ConfirmedAgeUs: confirmedAgeUs(v.ConfirmedAge),
 		}}}
 	case reducer.LeaseRequest:
 		return &peerv1.Message{Kind: &peerv1.Message_LeaseRequest{LeaseRequest: encodeLeaseRequest(v)}}
@@ -143,6 +143,15 @@
 	return nil
 }
 
+// confirmedAgeUs returns the age of a confirmation in microseconds. A negative age, of a host without any, stays negative: 0 would tell that the
+// documents have just been confirmed.
+func confirmedAgeUs(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Microseconds()
+}
+
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 // decodeStage decodes a stage. An unknown one, which a newer host may send, becomes StageAbsent and so does not count as loaded.
--- a/internal/translator/translator_test.go
+++ b/internal/translator/translator_test.go
@@ -86,3 +86,11 @@
 	assert.Equal(t, m.Contents[0].QuarantineLeft, maxSuspectAge)
 	assert.Equal(t, m.Contents[0].Strikes, maxStrikes)
 }
+
+// Guards against a host that has just started, whose documents were never confirmed, and tells others that they have just been.
+func TestHostWithoutConfirmationTellsOfNone(t *testing.T) {
+	for _, age := range []time.Duration{-1, -time.Microsecond, -time.Second} {
+		m := decodeMessage(encodeMessage(reducer.DocumentSummary{ConfirmedAge: age})).(reducer.DocumentSummary)
+		assert.Assert(t, m.ConfirmedAge < 0, "%v became %v", age, m.ConfirmedAge)
+	}
+}
