--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -217,6 +217,73 @@
 	return broken, nil
 }
 
+// noBirth lets another writer leave out a field of an engine's entry, and judges the generation numbers of the orders that the engine gets.
+func noBirth(f *fleet, storeAddress string, trouble bool) (bool, error) {
+	f.configure()
+	var all []*runner
+	for i := range 2 {
+		e := engine(i)
+		all = append(all, e)
+		if err := f.addRunner(e); err != nil {
+			return false, err
+		}
+	}
+	if err := f.startHosts(3, storeAddress); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second)
+	l := newLoad(f)
+	for i, h := range f.hosts {
+		for c := range 6 {
+			l.client(h, 50*time.Millisecond, func(n int) call {
+				return call{id: fmt.Sprintf("note-%d-%d-%d", i, c, n), route: "note", model: fmt.Sprintf("%s/a%d", modelName, 1+rand.Intn(40)),
+					tokens: "600,50", prefix: fmt.Sprintf("5c1e07a2:400,%08x:200", rand.Uint32()), timeLeft: 12 * time.Second}
+			})
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for range 3 {
+		if trouble {
+			odd := all[0].entry("ready")
+			delete(odd, "born")
+			f.record.line("another writer writes the entry servers/%s without the field born", all[0].id)
+			f.store.put("servers/"+all[0].id, odd)
+			time.Sleep(heartbeat)
+			f.store.put("servers/"+all[0].id, all[0].entry("ready"))
+			f.record.line("the runner writes its entry again")
+		}
+		time.Sleep(3 * time.Second)
+	}
+	countStatuses(f.record, l.end())
+	broken := false
+	for _, e := range all {
+		broken = f.judgeFences(e) || broken
+	}
+	return broken, nil
+}
+
+// judgeFences writes the orders that came with a lower generation number than one before, and reports whether there were any.
+func (f *fleet) judgeFences(e *runner) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var highest order
+	lower := 0
+	for _, o := range e.orders {
+		if o.fence >= highest.fence {
+			highest = o
+			continue
+		}
+		lower++
+		if lower <= 10 {
+			f.record.line("%s got at %.3f s: %s %s from %s with generation number %d, after %d from %s", e.id, o.at.Sub(f.record.began).Seconds(),
+				o.operation, o.adapter, o.holder, o.fence, highest.fence, highest.holder)
+		}
+	}
+	f.record.line("%s got %d orders, %d of them with a lower generation number than one before, and %d to load an adapter while all places were taken",
+		e.id, len(e.orders), lower, e.overloads)
+	return lower > 0
+}
+
 // manyParts lets one client send prompts of very many parts, beside ordinary callers.
 func manyParts(f *fleet, storeAddress string, trouble bool) (bool, error) {
 	f.configure()
@@ -227,7 +294,7 @@
 	}
 	for i := range 4 {
 		d := deskRunner(i)
-		d.work, d.slots = 150*time.Millisecond, 16
+		d.work, d.lookupWork, d.slots = 400*time.Millisecond, 100*time.Millisecond, 16
 		if err := f.addRunner(d); err != nil {
 			return false, err
 		}
@@ -238,7 +305,7 @@
 	time.Sleep(3 * time.Second)
 	l := newLoad(f)
 	h := f.hosts[0]
-	for c := range 12 {
+	for c := range 24 {
 		l.client(h, 20*time.Millisecond, func(n int) call {
 			return call{id: fmt.Sprintf("confirm-%d-%d", c, n), route: "confirm", body: "one crate", timeLeft: 3 * time.Second}
 		})
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -76,6 +76,7 @@
 	}
 	f.runners = append(f.runners, s)
 	go s.beat(f.store)
+	go s.takeSnapshots()
 	return nil
 }
 
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -26,6 +26,7 @@
 var scenarios = map[string]scenario{
 	"unmarked-503": unmarked503,
 	"odd-entry":    oddEntry,
+	"no-birth":     noBirth,
 	"many-parts":   manyParts,
 	"deep-part":    deepPart,
 }
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -19,6 +19,13 @@
 // heartbeat is the time between two writes of a runner's entry.
 const heartbeat = 1200 * time.Millisecond
 
+// order is one order that an engine has got.
+type order struct {
+	at                         time.Time
+	holder, operation, adapter string
+	fence                      int64
+}
+
 // run is one start of work on a request.
 type run struct {
 	runner string
@@ -29,8 +36,8 @@
 type runner struct {
 	id, service, zone, model string
 	slots, adapterSlots      int
-	// work is how long a request of the order desk takes.
-	work time.Duration
+	// work is how long a request of the order desk takes, and lookupWork the same for one that only reads; 0 for no difference.
+	work, lookupWork time.Duration
 	// events and eventGap are the number of events of a stream and the time between two of them.
 	events   int
 	eventGap time.Duration
@@ -52,7 +59,13 @@
 	// down is set while the runner has crashed, and crashes lists when it did.
 	down    bool
 	crashes []time.Time
-	server  *http.Server
+	// snapshots are the last states of the runner, the oldest first, which is the one that it reports.
+	snapshots []map[string]any
+	// overloads counts the orders to load an adapter that came while all places were taken.
+	overloads int
+	// orders lists the orders that the engine has got since its start.
+	orders []order
+	server *http.Server
 }
 
 // start listens at a free port.
@@ -68,7 +81,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.address, s.born, s.adapters = socket.Addr().String(), time.Now().UnixMilli(), map[string]time.Time{}
-	s.sequence, s.running, s.down = 0, 0, false
+	s.sequence, s.running, s.down, s.snapshots = 0, 0, false, nil
 	s.server = &http.Server{Handler: s}
 	server := s.server
 	go func() { _ = server.Serve(socket) }()
@@ -164,19 +177,42 @@
 	}
 }
 
+// reportLag is how old the values of a report are, and snapshotInterval the time between two of them.
+const (
+	reportLag        = 200 * time.Millisecond
+	snapshotInterval = 50 * time.Millisecond
+)
+
+// takeSnapshots keeps what a report says, as of the last moments.
+func (s *runner) takeSnapshots() {
+	for {
+		s.mutex.Lock()
+		coming := []string{}
+		for name, ready := range s.adapters {
+			if time.Now().Before(ready) {
+				coming = append(coming, s.model+"/"+name+"@1")
+			}
+		}
+		s.snapshots = append(s.snapshots, map[string]any{
+			"stage": "both", "models": s.models(), "busy": false, "sequence": s.sequence, "queued": 0, "active": s.running, "kv_used": 0,
+			"kv_total": 224867, "handles": 0, "coming": coming, "born": s.born,
+		})
+		if kept := int(reportLag/snapshotInterval) + 1; len(s.snapshots) > kept {
+			s.snapshots = s.snapshots[len(s.snapshots)-kept:]
+		}
+		s.mutex.Unlock()
+		time.Sleep(snapshotInterval)
+	}
+}
+
 func (s *runner) report(w http.ResponseWriter) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	coming := []string{}
-	for name, ready := range s.adapters {
-		if time.Now().Before(ready) {
-			coming = append(coming, s.model+"/"+name+"@1")
-		}
+	if len(s.snapshots) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
-	writeJSON(w, map[string]any{
-		"stage": "both", "models": s.models(), "busy": false, "sequence": s.sequence, "queued": 0, "active": s.running, "kv_used": 0,
-		"kv_total": 224867, "handles": 0, "coming": coming, "born": s.born,
-	})
+	writeJSON(w, s.snapshots[0])
 }
 
 func (s *runner) order(w http.ResponseWriter, r *http.Request) {
@@ -190,11 +226,15 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.orders = append(s.orders, order{at: time.Now(), holder: o.Holder, operation: o.Operation, adapter: o.Adapter, fence: o.Fence})
 	_, held := s.adapters[o.Adapter]
 	switch {
 	case o.Model != s.model || o.Adapter == "":
 		w.WriteHeader(http.StatusOK)
 	case o.Operation == "load" && !held:
+		if len(s.adapters) >= s.adapterSlots {
+			s.overloads++
+		}
 		s.sequence++
 		s.adapters[o.Adapter] = time.Now().Add(adapterLoadTime)
 		w.WriteHeader(http.StatusAccepted)
@@ -251,8 +291,12 @@
 		s.stream(w, r)
 		return
 	}
+	work := s.work
+	if r.Method == http.MethodGet && s.lookupWork > 0 {
+		work = s.lookupWork
+	}
 	select {
-	case <-time.After(s.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
