--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -58,6 +60,8 @@
 	}
 	go func() { _ = (&http.Server{Handler: f.store}).Serve(socket) }()
 	rec.line("disruption: %v", trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	type verdict struct {
 		broken bool
 		err    error
@@ -82,6 +86,9 @@
 		rec.line("the rule held")
 		fmt.Println("held")
 		return exitHeld
+	case <-signals:
+		rec.line("the case could not run: it was stopped")
+		return exitNotRun
 	case <-time.After(maxLength):
 		rec.line("the case could not run: it took too long")
 		return exitNotRun
