--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -34,11 +34,11 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-standins-2 CASE FOLDER")
+	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-standins-2 CASE FOLDER TROUBLE, where a TROUBLE of 0 leaves the disruption out")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(play(scenarios[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
+	os.Exit(play(scenarios[os.Args[1]], os.Args[2], os.Args[3] != "0"))
 }
 
 func play(s scenario, folder string, trouble bool) int {
