--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -294,22 +297,30 @@
 	}
 }
 
+// Ports of the hosts are drawn below the range from which the kernel takes those of outgoing connections, which could otherwise take one of them
+// before its host listens, or while that host restarts.
+const (
+	lowestPort  = 15000
+	highestPort = 32000
+)
+
 // freePorts returns ports that are free at the moment.
 func freePorts(count int) ([]int, error) {
-	var sockets []net.Listener
 	var ports []int
-	defer func() {
-		for _, s := range sockets {
-			_ = s.Close()
+	for tries := 0; len(ports) < count; tries++ {
+		if tries > 100*count {
+			return nil, errors.New("no free ports")
 		}
-	}()
-	for range count {
-		s, err := net.Listen("tcp", "127.0.0.1:0")
+		port := lowestPort + rand.Intn(highestPort-lowestPort)
+		socket, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = socket.Close()
+		if slices.Contains(ports, port) {
+			continue
 		}
-		sockets = append(sockets, s)
-		ports = append(ports, s.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
 	return ports, nil
 }
