Test returns of the configuration service from an older copy

The model of the service can now save a copy and come back from it, with an era that rises and status 410 for a watch from a revision that it does not have; the simulated operators and servers write their lost changes again, and entries of servers that have ended expire.

TestConfigurationServiceReturnsFromOlderCopy plays eight schedules at 3 and 48 hosts and one at 195.

--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -96,7 +96,9 @@
 
 func extraPrefix(i int) string { return "/extra-" + string(rune('a'+i%26)) + "/" }
 
-func (s *Simulation[P]) publishCatalogue() {
+func (s *Simulation[P]) publishCatalogue() { s.operatorWrite(s.putCatalogue) }
+
+func (s *Simulation[P]) putCatalogue() {
 	s.Traffic.catalogueVersion++
 	c := s.catalogue(s.Traffic.catalogueVersion, int(s.Traffic.catalogueVersion-1))
 	s.ConfigService.Put(cataloguer.Document{Key: "catalogue", Kind: cataloguer.KindCatalogue, Catalogue: c, Raw: []byte("catalogue")})
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -81,6 +81,8 @@
 	ConfigServiceCalls int
 	// DeadlyPart, if set, makes a part of some prompts crash engines.
 	DeadlyPart *DeadlyPart
+	// Return is the last return of the configuration service from an older copy.
+	Return serviceReturn
 	// FaultLog describes the faults injected by a schedule (scheduled_faults.go).
 	FaultLog []string
 
@@ -111,6 +113,8 @@
 	reportedKeys map[string]bool
 	// coldSenders holds, by backend server, the hosts that the host which last took it for cold lets send to it.
 	coldSenders map[string][]string
+	// withdrawn holds the failure domains that the operators want withdrawn.
+	withdrawn map[string]bool
 }
 
 // Host is a simulated host; its process may be restarted.
@@ -131,6 +135,8 @@
 	LastLocalFaultAt time.Time
 	// appliedVersion is the catalogue version that the process had applied at the last check.
 	appliedVersion int64
+	// seen is what the process has held, for checkNothingUndone.
+	seen seenDocuments
 	// sendState is the state in which the host took the backend server of its last request to be.
 	sendState string
 	// deadConnectionCalls is the number of calls to the configuration service that will still be made on a dead connection and time out.
@@ -223,6 +229,7 @@
 		blockedLinks: map[[2]string]bool{}, partitionedFromConfigService: map[string]bool{}, leaseHolders: map[string][]*Host{},
 		reportedKeys:      map[string]bool{},
 		coldSenders:       map[string][]string{},
+		withdrawn:         map[string]bool{},
 		hostAtAcquisition: map[[2]string]string{},
 	}
 	s.Messages, s.MessageBytes = map[string]int{}, map[string]int{}
@@ -288,6 +295,7 @@
 	h.deferred = nil
 	h.StartedAt = s.Now
 	h.appliedVersion, h.deadConnectionCalls = 0, 0
+	h.seen = seenDocuments{leaving: map[string]int64{}, withdrawn: map[string]bool{}}
 	s.recordFault(h)
 	self := reducer.Self{
 		HostID: h.ID, Incarnation: reducer.NewIncarnation(h.ID, s.Now), Address: h.ID, PeerAddress: "peer-" + h.ID, FailureDomain: h.Domain,
--- a/internal/modeler/configservice.go
+++ b/internal/modeler/configservice.go
@@ -1,6 +1,8 @@
 package modeler
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -9,6 +11,8 @@
 
 // ConfigService models the configuration service, which assigns each change the next revision.
 type ConfigService struct {
+	// Era counts how often the service has come back from an older copy.
+	Era      int64
 	Revision int64
 	Items    map[string]cataloguer.Document
 	// CompactedRevision is the revision up to which the change history has been discarded.
@@ -47,6 +51,27 @@
 	s.changes = nil
 }
 
+// Copy returns a copy of the configuration service for Restore.
+func (s *ConfigService) Copy() ConfigService {
+	saved := *s
+	saved.Items, saved.changes = maps.Clone(s.Items), slices.Clone(s.changes)
+	return saved
+}
+
+// Restore brings the configuration service back from an older copy and returns the changes that are lost, the oldest first. Their revisions are
+// given out again, in the next era.
+func (s *ConfigService) Restore(saved ConfigService) (lost []cataloguer.Document) {
+	for _, d := range s.changes {
+		if d.Revision > saved.Revision {
+			lost = append(lost, d)
+		}
+	}
+	era := s.Era + 1
+	*s = saved.Copy()
+	s.Era = era
+	return lost
+}
+
 // List returns the items whose keys begin with a prefix, sorted by key.
 func (s *ConfigService) List(prefix string) []cataloguer.Document {
 	var list []cataloguer.Document
@@ -59,9 +84,9 @@
 	return list
 }
 
-// ChangesSince returns the changes after a revision; expired reports that some of them have been discarded.
+// ChangesSince returns the changes after a revision; expired reports that some of them have been discarded, or that there is no such revision.
 func (s *ConfigService) ChangesSince(revision int64) (changes []cataloguer.Document, expired bool) {
-	if revision < s.CompactedRevision {
+	if revision < s.CompactedRevision || revision > s.Revision {
 		return nil, true
 	}
 	for _, d := range s.changes {
