--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -22,6 +22,9 @@
 		s.pause, s.kill, s.killAll, s.terminate, s.reload, s.disruptPeers, s.disruptConfigService, s.disruptBackend, s.setFaultyBehavior, s.crash,
 		s.drain, s.failConfigService, s.configure, s.becomeCold, s.killAllBesideCold, s.restartBesideCold, s.limitRate,
 	}
+	if *soakReturns {
+		injectors = append(injectors, s.returnFromCopy, s.returnFromCopy)
+	}
 	description := injectors[s.random.IntN(len(injectors))](h, b, duration)
 	s.faults = append(s.faults, fmt.Sprintf("%s %s for %v", time.Now().Format("05.000"), description, duration))
 }
@@ -221,6 +224,22 @@
 	return "configuration service down"
 }
 
+// returnFromCopy makes the configuration service unavailable for a time and brings it back from a copy of before; its writers write the lost changes
+// again a little later.
+func (s *soak) returnFromCopy(_ *host, _ *standin.Server, duration time.Duration) string {
+	saved := s.platform.Config.Copy()
+	delay := time.Duration(s.random.IntN(1200)) * time.Millisecond
+	s.repairAfter(duration, func() {
+		s.platform.Config.SetDown(true)
+		time.Sleep(duration / 4)
+		lost := s.platform.Config.ReturnFromCopy(saved)
+		s.platform.Config.SetDown(false)
+		time.Sleep(delay)
+		s.platform.Config.WriteAgain(saved, lost)
+	})
+	return fmt.Sprintf("configuration service comes back from a copy of now, lost changes are written again %v later,", delay)
+}
+
 // drawPublicationDelay draws the time from the beginning of a cold start to its publication with the server's next heartbeat.
 func (s *soak) drawPublicationDelay() time.Duration {
 	return time.Duration(s.random.Int64N(int64(standin.HeartbeatInterval))).Round(time.Millisecond)
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -24,6 +24,7 @@
 	soakFirst         = flag.Uint64("soak-first", 1, "first seed of TestFaultSoak")
 	soakHosts         = flag.Int("soak-hosts", 4, "hosts of each fleet of TestFaultSoak")
 	soakStrict        = flag.Bool("soak-strict", false, "fail TestFaultSoak for the rules that KNOWN-RED.txt lists too")
+	soakReturns       = flag.Bool("soak-returns", false, "make the configuration service come back from older copies in TestFaultSoak")
 	soakLogs          = flag.String("soak-logs", "", "directory to which the hosts' logs of failed runs of TestFaultSoak are copied")
 	soakFaultDuration = flag.Duration("soak-trouble", 15*time.Second, "duration of fault injection in each run of TestFaultSoak")
 )
--- a/internal/commander/fleet.go
+++ b/internal/commander/fleet.go
@@ -62,7 +62,11 @@
 
 func (o *options) printStatus(s HostStatus) {
 	o.printf("%s: ready %v, leaving %v, %d requests in progress\n", s.Host, s.Ready, s.Draining, s.RequestsInProgress)
-	o.printf("  catalogue version %d, revision %d, confirmed %d ms ago, withdrawn %v\n", s.CatalogueVersion, s.Revision, s.ConfirmedAgeMs, s.WithdrawnDomains)
+	o.printf("  catalogue version %d, era %d, revision %d, confirmed %d ms ago, withdrawn %v\n", s.CatalogueVersion, s.Era, s.Revision,
+		s.ConfirmedAgeMs, s.WithdrawnDomains)
+	if s.KeptItems > 0 {
+		o.printf("  %d items of an earlier era are kept until they are written again\n", s.KeptItems)
+	}
 	o.printf("  clients hold %d of %d bytes, %d connections of callers of %d, %d requests dropped, %d connections closed, %d refused\n", s.Clients.HeldBytes,
 		s.Clients.LimitBytes, s.Clients.Connections["callers"], s.Clients.Bounds["callers"], s.Clients.DroppedRequests, s.Clients.ClosedConnections,
 		s.Clients.RefusedConnections)
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -41,7 +41,7 @@
 	case reducer.WatchConfigService:
 		go func() { w.report(ctx, w.Watcher.Watch(ctx, clocker.Now(), e)) }()
 	case reducer.ListConfigService:
-		go func() { w.report(ctx, w.Watcher.List(ctx, clocker.Now())) }()
+		go func() { w.report(ctx, w.Watcher.List(ctx, clocker.Now(), e)) }()
 	case reducer.ReadUpdates:
 		go func() { w.report(ctx, w.Messenger.ReadUpdates(ctx, e)) }()
 	}
--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -1,6 +1,7 @@
 package exerciser
 
 import (
+	"fmt"
 	"reflect"
 	"time"
 
@@ -147,6 +148,12 @@
 	}
 }
 
+// removeEntry removes the entry of a backend server.
+func (s *Simulation[P]) removeEntry(b *Backend) {
+	b.EntryChangedAt = s.Now
+	s.ConfigService.Remove("backends/" + b.Info.ID)
+}
+
 // publishLate publishes the entry of a backend server after a delay, unless its incarnation has ended by then.
 func (s *Simulation[P]) publishLate(b *Backend, delay time.Duration) {
 	if delay <= 0 {
@@ -168,9 +175,9 @@
 	if s.Options.UniformAdapters && info.Service == engineService {
 		info.Models = []cataloguer.ResidentModel{{Model: modelName, Adapters: b.Engine.Resident(s.Now)}}
 	}
-	b.PublishedModels = info.Models
+	b.PublishedModels, b.EntryChangedAt = info.Models, s.Now
 	s.ConfigService.Put(cataloguer.Document{
-		Key: "backends/" + info.ID, Kind: cataloguer.KindBackend, Name: info.ID, Backend: &info, Raw: []byte(info.ID),
+		Key: "backends/" + info.ID, Kind: cataloguer.KindBackend, Name: info.ID, Backend: &info, Raw: fmt.Appendf(nil, "%+v", info),
 	})
 }
 
@@ -191,7 +198,7 @@
 	startedUnixMs := b.Info.StartedUnixMs
 	s.after(entryTTL, func() {
 		if !b.Up && b.Info.StartedUnixMs == startedUnixMs {
-			s.ConfigService.Remove("backends/" + b.Info.ID)
+			s.removeEntry(b)
 		}
 	})
 }
@@ -214,7 +221,7 @@
 	}
 	s.after(s.Options.Limits.DrainDeadline+5*time.Second, func() {
 		b.Up = false
-		s.ConfigService.Remove("backends/" + b.Info.ID)
+		s.removeEntry(b)
 	})
 }
 
@@ -226,7 +233,7 @@
 func (s *Simulation[P]) RemoveWithoutDrain(b *Backend) {
 	s.logFault("entry of %s is removed without a drain", b.Info.ID)
 	b.DrainingAt, b.unlisted = s.Now, true
-	s.ConfigService.Remove("backends/" + b.Info.ID)
+	s.removeEntry(b)
 	s.after(s.Options.Limits.DrainDeadline+5*time.Second, func() { b.Up = false })
 }
 
--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -25,7 +25,7 @@
 	case reducer.WatchConfigService:
 		s.watchConfigService(h, e)
 	case reducer.ListConfigService:
-		s.listConfigService(h)
+		s.listConfigService(h, e)
 	case reducer.OrderAdapter:
 		s.sendOrder(h, e)
 	case reducer.ReadReport:
@@ -95,8 +95,8 @@
 func (s *Simulation[P]) sendUpdates(from *Host, e reducer.UpdatesResponse) {
 	to := s.host(e.ReplyID)
 	incarnation := to.Incarnation
-	event := reducer.UpdatesRead{From: from.ID, Snapshot: e.Snapshot, Revision: e.Revision, SignificantRevision: e.SignificantRevision,
-		Documents: e.Documents}
+	event := reducer.UpdatesRead{From: from.ID, Snapshot: e.Snapshot, Version: e.Version, SignificantVersion: e.SignificantVersion,
+		EraAge: e.EraAge, Documents: e.Documents}
 	s.after(s.messageDelay(), func() { s.post(to, incarnation, event) })
 }
 
@@ -112,25 +112,34 @@
 	var poll func()
 	poll = func() {
 		if s.configServiceCallFails(h) {
-			s.after(callTimeout, func() { s.post(h, incarnation, reducer.ConfigRead{RequestedAt: requestedAt, Failed: true}) })
+			s.after(callTimeout, func() {
+				s.post(h, incarnation, reducer.ConfigRead{RequestedAt: requestedAt, Failed: true, Since: e.Since, Era: e.Since.Era})
+			})
 			return
 		}
-		changes, expired := s.ConfigService.ChangesSince(e.Since)
+		changes, expired := s.ConfigService.ChangesSince(e.Since.Revision)
 		if len(changes) == 0 && !expired && s.Now.Sub(requestedAt) < e.Wait {
 			s.after(tickInterval, poll)
 			return
 		}
-		event := reducer.ConfigRead{RequestedAt: requestedAt, Expired: expired, Revision: s.ConfigService.Revision, Documents: changes}
+		event := reducer.ConfigRead{
+			RequestedAt: requestedAt, Expired: expired, Since: e.Since, Era: s.ConfigService.Era, Version: s.ConfigService.Version(), Documents: changes,
+		}
 		s.after(configServiceLatency+s.configServiceDelay, func() { s.post(h, incarnation, event) })
 	}
 	poll()
 }
 
-func (s *Simulation[P]) listConfigService(h *Host) {
+func (s *Simulation[P]) listConfigService(h *Host, e reducer.ListConfigService) {
+	s.ConfigServiceLists++
 	incarnation := h.Incarnation
-	event := reducer.ConfigRead{RequestedAt: s.Now, Snapshot: true, Revision: s.ConfigService.Revision, Documents: s.ConfigService.List("")}
+	event := reducer.ConfigRead{
+		RequestedAt: s.Now, Snapshot: true, Era: s.ConfigService.Era, Version: s.ConfigService.Version(), Documents: s.ConfigService.List(""),
+	}
 	if s.configServiceCallFails(h) {
-		s.after(callTimeout, func() { s.post(h, incarnation, reducer.ConfigRead{RequestedAt: event.RequestedAt, Failed: true}) })
+		s.after(callTimeout, func() {
+			s.post(h, incarnation, reducer.ConfigRead{RequestedAt: event.RequestedAt, Failed: true, Era: e.Era})
+		})
 		return
 	}
 	s.after(configServiceLatency+s.configServiceDelay, func() { s.post(h, incarnation, event) })
--- a/internal/exerciser/service_return.go
+++ b/internal/exerciser/service_return.go
@@ -19,6 +19,8 @@
 	// of servers that have ended have expired.
 	WrittenBy time.Time
 	SettledBy time.Time
+	// Unwritten holds the operators' lost changes that are not written again yet.
+	Unwritten []cataloguer.Document
 }
 
 // settleBound is the time, from SettledBy of a return, within which all hosts hold what the configuration service holds.
@@ -65,23 +67,30 @@
 
 // rewriteOperatorItems writes the operators' lost changes again, in their order.
 func (s *Simulation[P]) rewriteOperatorItems(lost []cataloguer.Document, delay time.Duration) {
-	lost = slices.DeleteFunc(slices.Clone(lost), func(d cataloguer.Document) bool { return d.Kind == cataloguer.KindBackend })
 	for _, d := range lost {
+		if d.Kind != cataloguer.KindBackend {
+			s.Return.Unwritten = append(s.Return.Unwritten, d)
+		}
+	}
+	for _, d := range s.Return.Unwritten {
 		if d.Kind == cataloguer.KindCatalogue {
 			s.Traffic.cataloguePublishedAt[d.Catalogue.Version-1] = s.Return.WrittenBy
 		}
 	}
 	at := s.Return.At
 	s.after(delay, func() {
-		for _, d := range lost {
-			if s.Return.At.Equal(at) {
-				s.ConfigService.Put(d)
-			}
+		if !s.Return.At.Equal(at) || s.configServiceDown {
+			return
+		}
+		for _, d := range s.Return.Unwritten {
+			s.ConfigService.Put(d)
 		}
+		s.Return.Unwritten = nil
 	})
 }
 
-// rewriteEntries makes each running server whose last entry is lost publish it again within a heartbeat, and removes the entries of others.
+// rewriteEntries makes each running server whose last entry is lost publish it again within a heartbeat, and removes the entries of others. Hosts that
+// have not known before that such a server leaves learn it then at the earliest.
 func (s *Simulation[P]) rewriteEntries(lost []cataloguer.Document) {
 	changed := map[string]bool{}
 	for _, d := range lost {
@@ -94,21 +103,31 @@
 		_, published := s.ConfigService.Items[key]
 		switch {
 		case listed() && changed[key]:
-			s.afterReturn(s.RandomDuration(0, heartbeatInterval), func() {
+			delay := s.RandomDuration(0, heartbeatInterval)
+			b.leaveAgainAt(s.Now.Add(delay))
+			s.afterReturn(delay, func() {
 				if listed() {
 					s.publishBackend(b)
 				}
 			})
 		case !listed() && published:
+			b.leaveAgainAt(s.Now.Add(entryTTL))
 			s.afterReturn(entryTTL, func() {
 				if !listed() && (!b.Up || b.unlisted) {
-					s.ConfigService.Remove(key)
+					s.removeEntry(b)
 				}
 			})
 		}
 	}
 }
 
+// leaveAgainAt sets when a server that drains or has ended is published as that, if it is.
+func (b *Backend) leaveAgainAt(at time.Time) {
+	if !b.DrainingAt.IsZero() {
+		b.DrainingAt = at
+	}
+}
+
 // afterReturn runs a function some time after the last return of the configuration service, which is not settled before.
 func (s *Simulation[P]) afterReturn(d time.Duration, run func()) {
 	s.Return.SettledBy = later(s.Return.SettledBy, s.Now.Add(d))
@@ -117,7 +136,7 @@
 
 // operatorWrite writes an operators' change: at once, or after the lost ones have been written again.
 func (s *Simulation[P]) operatorWrite(write func()) {
-	if wait := s.Return.WrittenBy.Sub(s.Now); wait > 0 || s.configServiceDown && !s.Return.WrittenBy.IsZero() {
+	if wait := s.Return.WrittenBy.Sub(s.Now); wait > 0 || len(s.Return.Unwritten) > 0 || s.configServiceDown && !s.Return.WrittenBy.IsZero() {
 		s.after(max(wait, 0)+tickInterval, func() { s.operatorWrite(write) })
 		return
 	}
@@ -169,6 +188,9 @@
 			}
 		case cataloguer.KindBackend:
 			b, ok := h.State.Backends[d.Name]
+			if s.changedLately(d.Name) {
+				continue
+			}
 			if !ok || !b.RemovedAt.IsZero() || b.Info.StartedUnixMs != d.Backend.StartedUnixMs || b.Info.Draining != d.Backend.Draining {
 				add("not the entry of %s", d.Name)
 			}
@@ -177,7 +199,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.State.Backends)) {
-		if _, ok := s.ConfigService.Items["backends/"+id]; !ok && h.State.Backends[id].RemovedAt.IsZero() {
+		if _, ok := s.ConfigService.Items["backends/"+id]; !ok && !s.changedLately(id) && h.State.Backends[id].RemovedAt.IsZero() {
 			add("%s is not removed", id)
 		}
 	}
@@ -189,6 +211,11 @@
 	return differences
 }
 
+// changedLately reports whether hosts may still not know the last change of a backend server's entry.
+func (s *Simulation[P]) changedLately(id string) bool {
+	return s.Now.Sub(s.Backends[id].EntryChangedAt) <= settleBound
+}
+
 // newerPublishedFor returns how long a newer catalogue than the given version has been published; 0 if there is none.
 func (s *Simulation[P]) newerPublishedFor(version int64) time.Duration {
 	if version >= s.Traffic.catalogueVersion {
--- a/internal/exerciser/service_return_test.go
+++ b/internal/exerciser/service_return_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/redwingpick/redwingpick/internal/modeler"
 	"github.com/redwingpick/redwingpick/internal/selector"
 )
@@ -150,3 +152,31 @@
 		}
 	})
 }
+
+// maxListsAfterReturn is the number of lists after a return in a fleet of any size: some for each of the two watchers.
+const maxListsAfterReturn = 6
+
+// TestCallsAfterReturn guards against hosts that all list the configuration service after its return, instead of asking the peers that have, and against
+// lists without end.
+func TestCallsAfterReturn(t *testing.T) {
+	for _, hosts := range []int{6, 48, 195} {
+		t.Run(fmt.Sprintf("hosts_%d", hosts), func(t *testing.T) {
+			t.Parallel()
+			sim := New[selector.LeastDelay](scheduleOptions(hosts, 1))
+			sim.Run(warmUpDuration)
+			saved := sim.ConfigService.Copy()
+			sim.publishCatalogue()
+			sim.Run(3 * time.Second)
+			sim.ReturnFromCopy(saved, time.Second)
+			sim.Run(time.Second)
+			calls, lists := sim.ConfigServiceCalls, sim.ConfigServiceLists
+			sim.Run(2 * time.Second)
+			calls, lists = sim.ConfigServiceCalls-calls, sim.ConfigServiceLists-lists
+			t.Logf("%d hosts: %d watches and %d lists in 2 s after the return", hosts, calls, lists)
+			before := sim.ConfigServiceLists
+			sim.Run(5 * time.Second)
+			assert.Assert(t, lists <= maxListsAfterReturn, "%d lists", lists)
+			assert.Equal(t, sim.ConfigServiceLists, before, "lists go on after the return")
+		})
+	}
+}
--- a/internal/exerciser/simulation.go
+++ b/internal/exerciser/simulation.go
@@ -76,9 +76,11 @@
 	EnvelopeBytes int
 	ReduceTime    time.Duration
 	// Messages and MessageBytes count the messages in envelopes and their bytes by message type.
-	Messages           map[string]int
-	MessageBytes       map[string]int
+	Messages     map[string]int
+	MessageBytes map[string]int
+	// ConfigServiceCalls counts the watches of the configuration service, and ConfigServiceLists the lists.
 	ConfigServiceCalls int
+	ConfigServiceLists int
 	// DeadlyPart, if set, makes a part of some prompts crash engines.
 	DeadlyPart *DeadlyPart
 	// Return is the last return of the configuration service from an older copy.
@@ -150,6 +152,8 @@
 	Engine *modeler.Engine
 	// PublishedModels are the resident models in its last published entry.
 	PublishedModels []cataloguer.ResidentModel
+	// EntryChangedAt is when its entry was last published or removed.
+	EntryChangedAt time.Time
 	// DrainingAt is when it was published as draining, or when its entry was removed without a drain.
 	DrainingAt time.Time
 	// Arrivals holds the requests that arrived within the last second, since the start of a cold start in one.
--- a/internal/listener/peers.go
+++ b/internal/listener/peers.go
@@ -49,10 +49,10 @@
 	return connect.NewResponse(resp), nil
 }
 
-// Updates returns the documents that changed after the revision in the request. It returns CodeUnavailable if the control goroutine does
+// Updates returns the documents that changed after the version in the request. It returns CodeUnavailable if the control goroutine does
 // not respond in time.
 func (p *Peers[P, C]) Updates(ctx context.Context, req *connect.Request[peerv1.UpdatesRequest]) (*connect.Response[peerv1.UpdatesResponse], error) {
-	event := reducer.UpdatesRequested{ReplyID: "updates-" + strconv.FormatUint(p.sequence.Add(1), 36), Since: req.Msg.GetSince()}
+	event := translator.DecodeUpdatesRequest("updates-"+strconv.FormatUint(p.sequence.Add(1), 36), req.Msg)
 	resp, ok := postAndWait(ctx, p.Control, event.ReplyID, event).(reducer.UpdatesResponse)
 	if !ok {
 		return nil, connect.NewError(connect.CodeUnavailable, nil)
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -11,7 +11,6 @@
 	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/translator"
-	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
 	"github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1/peerv1connect"
 )
 
@@ -163,11 +162,11 @@
 	}
 }
 
-// ReadUpdates reads from a peer the documents that changed after a revision.
+// ReadUpdates reads from a peer the documents that changed after a version.
 func (c *Client[C]) ReadUpdates(ctx context.Context, effect reducer.ReadUpdates) reducer.UpdatesRead {
 	ctx, cancel := context.WithTimeout(ctx, updatesTimeout)
 	defer cancel()
-	resp, err := c.peerClient(effect.Address).Updates(ctx, connect.NewRequest(&peerv1.UpdatesRequest{Since: effect.Since}))
+	resp, err := c.peerClient(effect.Address).Updates(ctx, connect.NewRequest(translator.EncodeUpdatesRequest(effect)))
 	c.connections.recordResult(effect.Address, err)
 	if err != nil {
 		return reducer.UpdatesRead{From: effect.From, Failed: true}
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -20,6 +20,7 @@
 	EventMailboxFull             = 13
 	EventLinesDropped            = 14
 	EventConfigServiceCallFailed = 15
+	EventEraInvalid              = 16
 	EventConnectionRefused       = 215
 	EventConnectionClosed        = 216
 	EventRequestDropped          = 217
@@ -47,6 +48,7 @@
 	{EventMailboxFull, log.WarnLevel, false, "mailbox full", "The control goroutine has fallen behind; new requests are refused and have not run.", "Add hosts."},
 	{EventLinesDropped, log.WarnLevel, false, "log lines dropped", "Lines were dropped because the byte budget of the log was exhausted or the log was read too slowly; lines is their number.", "If the lines are needed, raise log_bytes_per_second, or check what reads the log."},
 	{EventConfigServiceCallFailed, log.WarnLevel, false, "platform call failed", "A call to the configuration service failed; error is the cause.", "Check the service if the failures persist."},
+	{EventEraInvalid, log.WarnLevel, false, "era not readable", "The configuration service states an era that is no number; its answers count as those without one until it states a valid one. Logged once until then.", "Look for what changes the header on its way."},
 	{reducer.EventCatalogueApplied, log.InfoLevel, false, "catalogue applied", "This host applied a newer version of the operators' configuration; from is the peer that sent it, or platform, and confirmed_age_ms the time since the configuration was last confirmed up to date.", "None."},
 	{reducer.EventDocumentRefused, log.WarnLevel, false, "document refused", "A published item is invalid; the item that it would replace stays in effect.", "Find the writer of the key."},
 	{reducer.EventConfigServiceUnavailable, log.WarnLevel, false, "configuration read failed", "A read from the configuration service failed; the applied configuration stays in effect, and updates still come from peers that have them.", "Check the service if the failures persist."},
@@ -64,6 +66,10 @@
 	{reducer.EventMajorityChanged, log.WarnLevel, false, "voter majority changed", "heard says whether a majority of the voters is reachable; a voter that does not reach a majority grants no lease.", "If heard stays false, look for a partition."},
 	{reducer.EventVoterEvicted, log.InfoLevel, false, "voter evicted", "This host removed peer, which is unreachable, from the voter set.", "None, unless the host is running."},
 	{reducer.EventForeignOrderSeen, log.InfoLevel, true, "order of another host seen", "The backend server has accepted orders while this host knows of no host that may send any; this host then neither bootstraps a voter set nor claims leases. orders is the server's count.", "None, unless it persists after a partition."},
+	{reducer.EventEraLearned, log.WarnLevel, false, "new era learned", "An answer of the configuration service states a later era: the service has come back from an older copy, and this host reads all items again, itself or from a peer.", "None; event 124 follows within some seconds."},
+	{reducer.EventEraEntered, log.WarnLevel, false, "new era entered", "This host has read the state of a later era, from the peer that from names or from platform, era_age_ms after a host first did. former_era and former_revision are what it had read up to, era and revision what it has now; items is the number of items read, changed those that came into force, kept those of an earlier era that stay in force, and to_settle those for which that ends unless they are written again.", "Make sure that operators write what they published lately once more; see docs/OPERATIONS.md."},
+	{reducer.EventItemSettled, log.WarnLevel, false, "kept item settled", "An item of an earlier era was not written again in time, so what the configuration service has came into force, or the item was taken as deleted.", "Check the writer of the key if it should still be there."},
+	{reducer.EventOldAnswerDropped, log.WarnLevel, false, "old answer dropped", "An answer of the configuration service is of an earlier era than known_era, or continues a watch of an earlier one; it changes nothing.", "None, unless it persists: then an outdated copy of the service is answering."},
 	{reducer.EventDrainStarted, log.InfoLevel, false, "drain started", "The host is draining: its address is no longer given to callers.", "None."},
 	{reducer.EventDrainDone, log.InfoLevel, false, "drain done", "The host may stop; requests is the number of requests still in progress.", "None."},
 	{reducer.EventLeaseAcquired, log.InfoLevel, false, "lease taken", "This host now holds the lease of the backend server and alone sends it orders; voters are the hosts that it asked, backed_by those that granted its claim, known_hosts the number of hosts that it knew.", "None."},
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -35,6 +35,11 @@
 	EffectsExpired   uint64 `json:"effects_expired_total"`
 	DocumentsRefused uint64 `json:"documents_refused_total"`
 	ConfigReads      uint64 `json:"platform_reads_total"`
+	// EraReturns counts the returns of the configuration service from an older copy, ItemsSettled the items for which what it has came into force
+	// after that without having been written again, and OldAnswers its answers that were dropped since they are of an earlier era.
+	EraReturns   uint64 `json:"era_returns_total"`
+	ItemsSettled uint64 `json:"items_settled_total"`
+	OldAnswers   uint64 `json:"old_answers_total"`
 	// PeerReads counts the requests to peers for documents, and PeerReadsEmpty the responses that raised no revision.
 	PeerReads      uint64 `json:"peer_reads_total"`
 	PeerReadsEmpty uint64 `json:"peer_reads_empty_total"`
--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -5,41 +5,45 @@
 	"slices"
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/merger"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // Documents holds what has been published, as far as this host has read it.
 type Documents struct {
-	// Revision is the revision of the configuration service up to which this host has read, itself or through peers.
-	Revision int64
-	// SignificantRevision is the highest revision of a change that other hosts need to know; a host that has read up to it lacks nothing.
-	SignificantRevision int64
-	// PrunedRevision is the revision up to which this host may not know which items were deleted: it has dropped them, or has read a
+	// Version is the version of the configuration service up to which this host has read, itself or through peers.
+	Version cataloguer.Version
+	// SignificantVersion is the newest version of a change that other hosts need to know; a host that has read up to it lacks nothing.
+	SignificantVersion cataloguer.Version
+	// PrunedVersion is the version up to which this host may not know which items were deleted: it has dropped them, or has read a
 	// snapshot.
-	PrunedRevision int64
-	Items          map[string]*Item
-	Catalogue      *cataloguer.Catalogue
-	Keys           map[string]string
-	Accounts       map[string]cataloguer.Account
-	Services       map[string]cataloguer.Service
-	Withdrawn      map[string]bool
-	Versions       map[AdapterKey]int64
+	PrunedVersion cataloguer.Version
+	// Era is what this host knows of the present era of the configuration service.
+	Era       Era
+	Items     map[string]*Item
+	Catalogue *cataloguer.Catalogue
+	Keys      map[string]string
+	Accounts  map[string]cataloguer.Account
+	Services  map[string]cataloguer.Service
+	Withdrawn map[string]bool
+	Versions  map[AdapterKey]int64
 }
 
 // Item is one document, with the time at which this host received it.
 type Item struct {
-	Document  cataloguer.Document
+	merger.Held
 	LearnedAt time.Time
 	// ReadAt is when some host read the document from the configuration service.
 	ReadAt time.Time
-	// SignificantRevision is the revision of the last change that other hosts need to know.
-	SignificantRevision int64
+	// SignificantVersion is the version of the last change that other hosts need to know.
+	SignificantVersion cataloguer.Version
 	// ColdUntil is the end of the cold start that the last significant entry of a backend server tells of; zero if it tells of none.
 	ColdUntil time.Time
 }
 
 func newDocuments() Documents {
 	return Documents{
+		Era:       Era{Kept: map[string]bool{}},
 		Items:     map[string]*Item{},
 		Keys:      map[string]string{},
 		Accounts:  map[string]cataloguer.Account{},
@@ -56,9 +60,11 @@
 	Documents []cataloguer.Document
 	// Snapshot means that items which are not in Documents have been deleted.
 	Snapshot bool
-	Revision int64
-	// SignificantRevision is the highest revision of a change that other hosts need to know, as the peer reports it.
-	SignificantRevision int64
+	Version  cataloguer.Version
+	// SignificantVersion is the newest version of a change that other hosts need to know, as the peer reports it.
+	SignificantVersion cataloguer.Version
+	// EraAge is the time since a host first read the era of Version.
+	EraAge time.Duration
 	// ConfirmedAt is the time for which this host's documents were confirmed up to date before this response.
 	ConfirmedAt time.Time
 }
@@ -66,48 +72,67 @@
 // fromConfigService is the source, in the log field from, of what this host has read from the configuration service itself.
 const fromConfigService = "platform"
 
-// applyDocuments applies the published items that are newer than the known ones.
+// applyDocuments applies the published items that are newer than the known ones. Only a snapshot leads into a later era.
 func applyDocuments(s *State, now time.Time, r readResult) {
+	former := s.Documents.Version
+	if r.Version.Era > former.Era && !r.Snapshot {
+		return
+	}
+	if r.Version.Era > former.Era {
+		enterEra(s, now, r)
+	}
 	listed := map[string]bool{}
 	for i := range r.Documents {
-		listed[r.Documents[i].Key] = true
-		// A list may show changes after its revision. The watch that continues from the revision brings them too and marks them as
+		d := r.Documents[i]
+		listed[d.Key] = listed[d.Key] || d.Version.Era == r.Version.Era
+		// A list may show changes after its version. The watch that continues from the version brings them too and marks them as
 		// significant.
-		if r.Snapshot && r.Documents[i].Revision > r.Revision {
+		if r.Snapshot && d.Version.After(r.Version) {
 			continue
 		}
-		applyDocument(s, now, r, r.Documents[i])
-	}
-	if r.Snapshot && r.Revision >= s.Documents.Revision {
-		for _, key := range sortedKeys(s.Documents.Items) {
-			item := s.Documents.Items[key]
-			if !listed[key] && !item.Document.Deleted && item.Document.Revision <= r.Revision {
-				deleted := item.Document
-				deleted.Deleted, deleted.Raw, deleted.Revision, deleted.Age = true, nil, r.Revision, 0
-				applyDocument(s, now, r, deleted)
-			}
-		}
+		applyDocument(s, now, r, d)
+	}
+	if r.Snapshot && !former.After(r.Version) {
+		applyMissing(s, now, r, listed)
 	}
-	s.Documents.Revision = max(s.Documents.Revision, r.Revision)
-	s.Documents.SignificantRevision = max(s.Documents.SignificantRevision, r.SignificantRevision)
+	s.Documents.Version = former.Max(r.Version)
+	s.Documents.SignificantVersion = s.Documents.SignificantVersion.Max(r.SignificantVersion)
 	if r.Snapshot {
 		recordSnapshot(s, r)
 	}
+	if r.Version.Era > former.Era {
+		logEra(s, now, r, former)
+	}
+}
+
+// applyMissing applies what a snapshot says about the known items that it lacks: those of its era have been deleted, those of an earlier one may be
+// written again.
+func applyMissing(s *State, now time.Time, r readResult, listed map[string]bool) {
+	for _, key := range sortedKeys(s.Documents.Items) {
+		item := s.Documents.Items[key]
+		if item.Document.Version.Era < r.Version.Era {
+			keepItem(s, key, item, listed[key])
+			continue
+		}
+		if !listed[key] && !item.Document.Deleted && !item.Document.Version.After(r.Version) {
+			applyDocument(s, now, r, merger.Settle(&item.Held, r.Version))
+		}
+	}
 }
 
 // recordSnapshot records that this host does not know which items were deleted before a snapshot: a peer that has not read up to the
-// snapshot's revision must be sent all items.
+// snapshot's version must be sent all items.
 func recordSnapshot(s *State, r readResult) {
-	s.Documents.PrunedRevision = max(s.Documents.PrunedRevision, r.Revision)
+	s.Documents.PrunedVersion = s.Documents.PrunedVersion.Max(r.Version)
 	if r.From == fromConfigService {
-		s.Documents.SignificantRevision = max(s.Documents.SignificantRevision, r.Revision)
+		s.Documents.SignificantVersion = s.Documents.SignificantVersion.Max(r.Version)
 	}
 }
 
 // applyDocument applies one published item if it is newer than the known one.
 func applyDocument(s *State, now time.Time, r readResult, d cataloguer.Document) {
 	item, known := s.Documents.Items[d.Key]
-	if known && d.Revision <= item.Document.Revision {
+	if known && !d.Version.After(item.Document.Version) {
 		return
 	}
 	fault := d.DecodeError
@@ -115,30 +140,62 @@
 		fault = "the start is missing, which former entries had"
 	}
 	if fault != "" {
-		s.Counters.DocumentsRefused++
-		s.logEvent(EventDocumentRefused, Field{"key", d.Key}, Field{"fault", fault})
+		refuseDocument(s, item, d, fault)
 		return
 	}
-	// An unknown item that is older than the revision that this host has read was deleted by then. The end of a withdrawal matters even if
-	// this host has not seen its beginning.
+	// An item that is older than the version that this host has read, and unknown in its era, was deleted by then. The end of a withdrawal matters
+	// even if this host has not seen its beginning.
+	unknown := !known || item.Document.Version.Era < d.Version.Era
 	ends := d.Deleted && d.Kind != cataloguer.KindWithdrawnDomain
-	if d.Kind == cataloguer.KindOther || !known && (ends || d.Revision <= s.Documents.Revision) {
+	if d.Kind == cataloguer.KindOther || unknown && !d.Version.After(s.Documents.Version) || !known && ends {
 		return
 	}
+	if known {
+		switch merger.Judge(&item.Held, d, r.Snapshot) {
+		case merger.Confirm:
+			confirmItem(s, item, d)
+			return
+		case merger.Keep:
+			item.Shadow = &d
+			return
+		}
+	}
+	takeDocument(s, now, r, item, d)
+}
+
+// refuseDocument logs an invalid item; the known one holds, in the era of the invalid one too.
+func refuseDocument(s *State, item *Item, d cataloguer.Document, fault string) {
+	s.Counters.DocumentsRefused++
+	s.logEvent(EventDocumentRefused, Field{"key", d.Key}, Field{"fault", fault})
+	if item != nil && d.Version.Era > item.Document.Version.Era {
+		confirmItem(s, item, d)
+	}
+}
+
+// takeDocument puts a published item into force in place of the former one, which is nil if there was none.
+func takeDocument(s *State, now time.Time, r readResult, former *Item, d cataloguer.Document) {
 	// Peers send only what is significant. To judge it again would end a change here that the hosts behind this one need.
-	if known && r.From == fromConfigService && insignificant(now, item, d) {
-		item.Document, item.ReadAt = d, now
+	if former != nil && r.From == fromConfigService && insignificant(now, former, d) {
+		former.Document, former.ReadAt = d, now
 		applyBackend(s, now, *d.Backend)
 		return
 	}
-	significant := d.Revision
+	significant := d.Version
 	if r.From != fromConfigService {
-		significant = min(significant, r.SignificantRevision)
+		significant = significant.Min(r.SignificantVersion)
+	}
+	item := &Item{
+		Held: merger.Held{Document: d}, LearnedAt: now, ReadAt: now.Add(-d.Age), SignificantVersion: significant, ColdUntil: coldEnd(now, d),
+	}
+	if former != nil {
+		item.StartedUnixMs = former.StartedUnixMs
 	}
-	s.Documents.Items[d.Key] = &Item{
-		Document: d, LearnedAt: now, ReadAt: now.Add(-d.Age), SignificantRevision: significant, ColdUntil: coldEnd(now, d),
+	if d.Backend != nil && !d.Deleted {
+		item.StartedUnixMs = d.Backend.StartedUnixMs
 	}
-	s.Documents.SignificantRevision = max(s.Documents.SignificantRevision, significant)
+	s.Documents.Items[d.Key] = item
+	delete(s.Documents.Era.Kept, d.Key)
+	s.Documents.SignificantVersion = s.Documents.SignificantVersion.Max(significant)
 	applyItem(s, now, r, d)
 }
 
@@ -151,7 +208,7 @@
 // insignificant reports whether the entry of a backend server changed only in what other hosts do not need to know.
 func insignificant(now time.Time, item *Item, d cataloguer.Document) bool {
 	former := item.Document
-	if former.Backend == nil || d.Backend == nil || former.Deleted || d.Deleted {
+	if former.Version.Era != d.Version.Era || former.Backend == nil || d.Backend == nil || former.Deleted || d.Deleted {
 		return false
 	}
 	x, y := *former.Backend, *d.Backend
@@ -213,7 +270,7 @@
 		docs.Services[v.Name] = v
 	}
 	s.emit(ApplyCallerLimits{Limits: c.CallerLimits, Accounts: maps.Clone(docs.Keys)})
-	s.logEvent(EventCatalogueApplied, intField("version", int(c.Version)), intField("revision", int(d.Revision)),
+	s.logEvent(EventCatalogueApplied, intField("version", int(c.Version)), intField("era", int(d.Version.Era)), intField("revision", int(d.Version.Revision)),
 		intField("routes", len(c.Routes)), intField("accounts", len(c.Accounts)),
 		Field{"from", r.From}, ageField("confirmed_age_ms", now, r.ConfirmedAt))
 }
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -108,31 +108,36 @@
 	TTL       time.Duration
 }
 
-// WatchConfigService requests the changes after the revision Since from the configuration service, which may hold the call open for up to
+// WatchConfigService requests the changes after the version Since from the configuration service, which may hold the call open for up to
 // Wait.
 type WatchConfigService struct {
-	Since int64
+	Since cataloguer.Version
 	Wait  time.Duration
 }
 
 // ListConfigService requests a snapshot of all items from the configuration service.
-type ListConfigService struct{}
+type ListConfigService struct {
+	// Era is the era to which an answer that states none counts.
+	Era int64
+}
 
-// ReadUpdates requests the documents that changed after the revision Since from a peer.
+// ReadUpdates requests the documents that changed after the version Since from a peer.
 type ReadUpdates struct {
 	From    string
 	Address string
-	Since   int64
+	Since   cataloguer.Version
 }
 
 // UpdatesResponse responds to a peer's request for changed documents.
 type UpdatesResponse struct {
 	ReplyID  string
 	Snapshot bool
-	Revision int64
-	// SignificantRevision is the highest revision of a change that other hosts need to know.
-	SignificantRevision int64
-	Documents           []cataloguer.Document
+	Version  cataloguer.Version
+	// SignificantVersion is the newest version of a change that other hosts need to know.
+	SignificantVersion cataloguer.Version
+	// EraAge is the time since a host first read the era of Version.
+	EraAge    time.Duration
+	Documents []cataloguer.Document
 }
 
 // ApplyCallerLimits applies the limits on what callers may send.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -182,15 +182,19 @@
 	Snapshot bool
 	// Expired is set when the configuration service no longer has the changes that were requested.
 	Expired bool
-	// Revision is the revision up to which Documents covers all changes; a list may also show some of the later changes.
-	Revision  int64
+	// Era is the era that the response states, of a failure too; the era that was asked for if it states none.
+	Era int64
+	// Since is the version after which a watch asked for changes.
+	Since cataloguer.Version
+	// Version is the version up to which Documents covers all changes; a list may also show some of the later changes.
+	Version   cataloguer.Version
 	Documents []cataloguer.Document
 }
 
-// UpdatesRequested asks, for a peer, for the documents that changed after a revision.
+// UpdatesRequested asks, for a peer, for the documents that changed after a version.
 type UpdatesRequested struct {
 	ReplyID string
-	Since   int64
+	Since   cataloguer.Version
 }
 
 // UpdatesRead carries a peer's response with changed documents, or a failure.
@@ -198,10 +202,12 @@
 	From     string
 	Failed   bool
 	Snapshot bool
-	Revision int64
-	// SignificantRevision is the peer's highest revision of a change that other hosts need to know.
-	SignificantRevision int64
-	Documents           []cataloguer.Document
+	Version  cataloguer.Version
+	// SignificantVersion is the peer's newest version of a change that other hosts need to know.
+	SignificantVersion cataloguer.Version
+	// EraAge is the time since a host first read the era of Version.
+	EraAge    time.Duration
+	Documents []cataloguer.Document
 }
 
 // SettingsRead carries the settings that apply without a restart.
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -28,6 +28,10 @@
 	EventMajorityChanged          = 117
 	EventVoterEvicted             = 118
 	EventForeignOrderSeen         = 119
+	EventEraLearned               = 123
+	EventEraEntered               = 124
+	EventItemSettled              = 125
+	EventOldAnswerDropped         = 126
 	EventDrainStarted             = 121
 	EventDrainDone                = 122
 	EventLeaseAcquired            = 131
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -1,6 +1,10 @@
 package reducer
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+)
 
 // Message is a message between hosts; each kind is a plain struct in this file.
 type Message any
@@ -58,8 +62,8 @@
 
 // DocumentSummary states how current the sender's documents are.
 type DocumentSummary struct {
-	// SignificantRevision is the highest revision of a change that other hosts need to know.
-	SignificantRevision int64
+	// SignificantVersion is the newest version of a change that other hosts need to know.
+	SignificantVersion cataloguer.Version
 	// ConfirmedAge is the time since the sender's documents were last confirmed up to date; negative if never.
 	ConfirmedAge time.Duration
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -100,8 +100,8 @@
 	EvictedIncarnation uint64
 	// ReportedUnreachable is set once the host has been logged as unreachable.
 	ReportedUnreachable bool
-	// SignificantRevision is the host's highest revision of a change that other hosts need to know, as last received from the host.
-	SignificantRevision int64
+	// SignificantVersion is the host's newest version of a change that other hosts need to know, as last received from the host.
+	SignificantVersion cataloguer.Version
 }
 
 // Gossip is the state of the gossip protocol.
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -13,7 +13,9 @@
 	Ready            bool            `json:"ready"`
 	Draining         bool            `json:"leaving"`
 	CatalogueVersion int64           `json:"catalogue_version"`
+	Era              int64           `json:"era"`
 	Revision         int64           `json:"revision"`
+	KeptItems        int             `json:"kept_items"`
 	ConfirmedAgeMs   int64           `json:"confirmed_age_ms"`
 	WithdrawnDomains []string        `json:"withdrawn_domains"`
 	Documents        map[string]int  `json:"documents"`
@@ -129,7 +131,7 @@
 	g := gauges(s, now)
 	v := Status{
 		Host: s.Self.HostID, Incarnation: s.Self.Incarnation, Ready: s.Ready, Draining: s.Draining.Active,
-		Revision: s.Documents.Revision, ConfirmedAgeMs: g.ConfirmedAgeMs,
+		Era: s.Documents.Version.Era, Revision: s.Documents.Version.Revision, KeptItems: len(s.Documents.Era.Kept), ConfirmedAgeMs: g.ConfirmedAgeMs,
 		Documents: map[string]int{}, RequestsInProgress: len(s.Requests), Gauges: g,
 	}
 	if s.Documents.Catalogue != nil {
--- a/internal/reducer/updates.go
+++ b/internal/reducer/updates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/selector"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // notifyPeers sends a summary to peers at once because this host has newer documents, which it has read from the host except, or from the
@@ -39,7 +40,7 @@
 
 // documentSummary returns the summary of this host's documents.
 func (s *State) documentSummary(now time.Time) DocumentSummary {
-	return DocumentSummary{SignificantRevision: s.Documents.SignificantRevision, ConfirmedAge: s.confirmedAge(now)}
+	return DocumentSummary{SignificantVersion: s.Documents.SignificantVersion, ConfirmedAge: s.confirmedAge(now)}
 }
 
 // receiveDocumentSummary requests the documents that the peer has and this host lacks, or accepts the peer's confirmation that nothing
@@ -52,12 +53,14 @@
 	if !ok {
 		return
 	}
-	h.SignificantRevision = m.SignificantRevision
-	if m.SignificantRevision > s.Documents.Revision {
+	h.SignificantVersion = m.SignificantVersion
+	if m.SignificantVersion.After(s.Documents.Version) {
 		requestUpdates(s, now, e.From, h)
 		return
 	}
-	if !e.RequestedAt.IsZero() && m.ConfirmedAge >= 0 {
+	// What a peer confirms in an earlier era, or without one, says nothing about this host's.
+	sameEra := m.SignificantVersion.Era == s.Documents.Version.Era
+	if sameEra && !e.RequestedAt.IsZero() && m.ConfirmedAge >= 0 {
 		s.confirm(now, e.RequestedAt.Add(-m.ConfirmedAge))
 	}
 	s.exchangeConfirmations(now, e, m)
@@ -94,9 +97,9 @@
 	s.Watch.ReadingPeer = true
 	s.Counters.PeerReads++
 	s.Watch.PeerReadDeadline = now.Add(peerReadTimeout)
-	since := s.Documents.Revision
+	since := s.Documents.Version
 	if s.Documents.Catalogue == nil {
-		since = 0
+		since = cataloguer.Version{}
 	}
 	s.emit(ReadUpdates{From: from, Address: h.Record.PeerAddress, Since: since})
 }
@@ -104,20 +107,31 @@
 // peerReadTimeout is the time after which documents are requested from another peer.
 const peerReadTimeout = 700 * time.Millisecond
 
-// updatesRequested replies to a peer with the items that changed after its revision.
+// updatesRequested replies to a peer with the items that changed after its version. A peer of an older build states no era and means this
+// host's.
 func updatesRequested(s *State, now time.Time, e UpdatesRequested) {
 	s.Counters.UpdateResponses++
+	since := e.Since
+	if since.Era == 0 {
+		since.Era = s.Documents.Version.Era
+	}
 	resp := UpdatesResponse{
-		ReplyID: e.ReplyID, Revision: s.Documents.Revision, SignificantRevision: s.Documents.SignificantRevision,
-		Snapshot: e.Since < s.Documents.PrunedRevision,
+		ReplyID: e.ReplyID, Version: s.Documents.Version, SignificantVersion: s.Documents.SignificantVersion,
+		Snapshot: s.Documents.PrunedVersion.After(since), EraAge: s.eraAge(now),
 	}
 	for _, key := range sortedKeys(s.Documents.Items) {
 		item := s.Documents.Items[key]
-		if item.SignificantRevision > e.Since || resp.Snapshot && !item.Document.Deleted {
+		if item.SignificantVersion.After(since) || resp.Snapshot && !item.Document.Deleted {
 			d := item.Document
 			d.Age = now.Sub(item.ReadAt)
 			resp.Documents = append(resp.Documents, d)
 		}
+		// The peer keeps the item of the earlier era by itself if it knows it.
+		if resp.Snapshot && item.Shadow != nil {
+			shadow := *item.Shadow
+			shadow.Age = s.eraAge(now)
+			resp.Documents = append(resp.Documents, shadow)
+		}
 	}
 	s.emit(resp)
 }
@@ -127,37 +141,37 @@
 	s.Watch.ReadingPeer = false
 	h, known := s.Hosts[e.From]
 	if known {
-		h.SignificantRevision = e.SignificantRevision
+		h.SignificantVersion = e.SignificantVersion
 	}
 	if e.Failed {
 		requestNextUpdates(s, now)
 		return
 	}
-	significant, revision := s.Documents.SignificantRevision, s.Documents.Revision
+	significant, version := s.Documents.SignificantVersion, s.Documents.Version
 	applyDocuments(s, now, readResult{
-		From: e.From, Documents: e.Documents, Snapshot: e.Snapshot, Revision: e.Revision, SignificantRevision: e.SignificantRevision,
-		ConfirmedAt: s.Watch.ConfirmedAt,
+		From: e.From, Documents: e.Documents, Snapshot: e.Snapshot, Version: e.Version, SignificantVersion: e.SignificantVersion,
+		EraAge: e.EraAge, ConfirmedAt: s.Watch.ConfirmedAt,
 	})
-	if s.Documents.Revision == revision {
+	if s.Documents.Version == version {
 		s.Counters.PeerReadsEmpty++
 	}
-	if s.Documents.SignificantRevision > significant {
-		s.Watch.ListNext = false
+	if s.Documents.SignificantVersion.After(significant) {
+		s.Watch.ListNext = s.Watch.Era > s.Documents.Version.Era
 		notifyPeers(s, now, e.From)
 		placeQueued[P](s, now)
 	}
 	requestNextUpdates(s, now)
 }
 
-// requestNextUpdates requests documents from another peer that has reported a revision which this host lacks. The sequence of requests
-// ends: each response raises this host's revision or lowers the one recorded for the peer, and a failure lowers it until the peer reports
+// requestNextUpdates requests documents from another peer that has reported a version which this host lacks. The sequence of requests
+// ends: each response raises this host's version or lowers the one recorded for the peer, and a failure lowers it until the peer reports
 // it again.
 func requestNextUpdates(s *State, now time.Time) {
 	next := ""
 	for _, id := range sortedKeys(s.Hosts) {
 		h := s.Hosts[id]
-		if h.SignificantRevision > s.Documents.Revision && s.reachable(now, id) &&
-			(next == "" || h.SignificantRevision > s.Hosts[next].SignificantRevision) {
+		if h.SignificantVersion.After(s.Documents.Version) && s.reachable(now, id) &&
+			(next == "" || h.SignificantVersion.After(s.Hosts[next].SignificantVersion)) {
 			next = id
 		}
 	}
--- a/internal/reducer/watch.go
+++ b/internal/reducer/watch.go
@@ -17,6 +17,8 @@
 	Failures int
 	// ListNext is set when the next call must list all items.
 	ListNext bool
+	// Era is the latest era that an answer of the configuration service stated, which this host may not have entered yet.
+	Era int64
 	// ConfirmedAt is the latest time for which this host's documents are confirmed up to date: no newer revision was published then.
 	ConfirmedAt time.Time
 	// Stale is set while ConfirmedAt is older than ConfigDeadline allows.
@@ -35,6 +37,7 @@
 // tickWatch reads the configuration service if this host is one of the watchers, or if it has no fresh confirmation from another host.
 func tickWatch(s *State, now time.Time) {
 	pruneDocuments(s, now)
+	tickEra(s, now)
 	logStaleConfiguration(s, now)
 	if s.Watch.Reading || now.Before(s.Watch.NextAt) || !s.shouldWatch(now) {
 		return
@@ -43,10 +46,10 @@
 	s.Watch.NextAt = now.Add(watchInterval)
 	s.Counters.ConfigReads++
 	if s.Watch.ListNext {
-		s.emit(ListConfigService{})
+		s.emit(ListConfigService{Era: s.knownEra()})
 		return
 	}
-	s.emit(WatchConfigService{Since: s.Documents.Revision, Wait: watchTimeout})
+	s.emit(WatchConfigService{Since: s.Documents.Version, Wait: watchTimeout})
 }
 
 // logStaleConfiguration logs once that the configuration in effect may be older than ConfigDeadline allows.
@@ -59,9 +62,14 @@
 	s.logEvent(EventConfigurationStale, ageField("confirmed_age_ms", now, s.Watch.ConfirmedAt), intField("failures", s.Watch.Failures))
 }
 
+// watches reports whether this host is one of those that read the configuration service for the others.
+func (s *State) watches(now time.Time) bool {
+	return slices.Contains(s.ranked(now, rankKey{Key: "watch"}, configServiceWatchers), s.Self.HostID)
+}
+
 // shouldWatch reports whether this host should read the configuration service itself.
 func (s *State) shouldWatch(now time.Time) bool {
-	if slices.Contains(s.ranked(now, rankKey{Key: "watch"}, configServiceWatchers), s.Self.HostID) {
+	if s.watches(now) {
 		return s.Documents.Catalogue != nil || s.uptime(now) > gossipInterval/2
 	}
 	if s.mustObserveOrders(now) {
@@ -76,6 +84,9 @@
 // configRead applies the configuration service's response; each failure in a row increases the delay until the next call.
 func configRead[P selector.Policy](s *State, now time.Time, e ConfigRead) {
 	s.Watch.Reading = false
+	if learnEra(s, now, e) || dropOldAnswer(s, now, e) {
+		return
+	}
 	s.recordConfigRead(now, e)
 	if e.Failed {
 		s.Watch.Failures++
@@ -94,13 +105,13 @@
 		s.Watch.NextAt = now
 		return
 	}
-	significant := s.Documents.SignificantRevision
+	significant := s.Documents.SignificantVersion
 	r := readResult{
-		From: fromConfigService, Documents: e.Documents, Snapshot: e.Snapshot, Revision: e.Revision, ConfirmedAt: s.Watch.ConfirmedAt,
+		From: fromConfigService, Documents: e.Documents, Snapshot: e.Snapshot, Version: e.Version, ConfirmedAt: s.Watch.ConfirmedAt,
 	}
 	s.confirm(now, readAsOf(now, e))
 	applyDocuments(s, now, r)
-	if s.Documents.SignificantRevision > significant {
+	if s.Documents.SignificantVersion.After(significant) {
 		notifyPeers(s, now, "")
 		placeQueued[P](s, now)
 	}
@@ -150,7 +161,7 @@
 func pruneDocuments(s *State, now time.Time) {
 	for key, item := range s.Documents.Items {
 		if item.Document.Deleted && now.Sub(item.LearnedAt) > tombstoneTTL {
-			s.Documents.PrunedRevision = max(s.Documents.PrunedRevision, item.Document.Revision)
+			s.Documents.PrunedVersion = s.Documents.PrunedVersion.Max(item.Document.Version)
 			delete(s.Documents.Items, key)
 		}
 	}
--- a/internal/translator/messages.go
+++ b/internal/translator/messages.go
@@ -163,28 +163,54 @@
 
 // EncodeUpdates encodes changed documents.
 func EncodeUpdates(resp reducer.UpdatesResponse) *peerv1.UpdatesResponse {
-	w := &peerv1.UpdatesResponse{Revision: resp.Revision, Whole: resp.Snapshot, Relayed: resp.SignificantRevision}
+	w := &peerv1.UpdatesResponse{
+		Era: resp.Version.Era, Revision: resp.Version.Revision, Whole: resp.Snapshot,
+		RelayedEra: resp.SignificantVersion.Era, Relayed: resp.SignificantVersion.Revision, EraAgeUs: encodeAge(resp.EraAge),
+	}
 	for _, d := range resp.Documents {
-		w.Documents = append(w.Documents, &peerv1.Document{Key: d.Key, Revision: d.Revision, Gone: d.Deleted, Raw: d.Raw, AgeUs: uint64(max(d.Age.Microseconds(), 0))})
+		w.Documents = append(w.Documents, &peerv1.Document{
+			Key: d.Key, Era: d.Version.Era, Revision: d.Version.Revision, Gone: d.Deleted, Raw: d.Raw, AgeUs: encodeAge(d.Age),
+		})
 	}
 	return w
 }
 
-// maxDocumentAge is the largest age of a document in a message; a larger one counts as it.
+// maxDocumentAge is the largest age of a document or an era in a message; a larger one counts as it.
 const maxDocumentAge = 365 * 24 * time.Hour
 
+func encodeAge(age time.Duration) uint64 {
+	return uint64(min(max(age, 0), maxDocumentAge).Microseconds())
+}
+
+func decodeAge(us uint64) time.Duration {
+	return microseconds(int64(min(us, uint64(maxDocumentAge.Microseconds()))))
+}
+
+// DecodeUpdatesRequest decodes a request for changed documents, which is answered to replyID.
+func DecodeUpdatesRequest(replyID string, w *peerv1.UpdatesRequest) reducer.UpdatesRequested {
+	return reducer.UpdatesRequested{ReplyID: replyID, Since: cataloguer.Version{Era: w.GetEra(), Revision: w.GetSince()}}
+}
+
+// EncodeUpdatesRequest encodes a request for changed documents.
+func EncodeUpdatesRequest(effect reducer.ReadUpdates) *peerv1.UpdatesRequest {
+	return &peerv1.UpdatesRequest{Era: effect.Since.Era, Since: effect.Since.Revision}
+}
+
 // DocumentCodec decodes the items of the configuration service.
 type DocumentCodec interface { // type constraint
 	// DecodeDocument decodes one item; a deleted one has no content.
-	DecodeDocument(key string, revision int64, deleted bool, raw []byte) cataloguer.Document
+	DecodeDocument(key string, version cataloguer.Version, deleted bool, raw []byte) cataloguer.Document
 }
 
 // DecodeUpdates decodes a response with changed documents; from is the host that sent it.
 func DecodeUpdates[C DocumentCodec](codec C, from string, w *peerv1.UpdatesResponse) reducer.UpdatesRead {
-	event := reducer.UpdatesRead{From: from, Snapshot: w.GetWhole(), Revision: w.GetRevision(), SignificantRevision: w.GetRelayed()}
+	event := reducer.UpdatesRead{
+		From: from, Snapshot: w.GetWhole(), Version: cataloguer.Version{Era: w.GetEra(), Revision: w.GetRevision()},
+		SignificantVersion: cataloguer.Version{Era: w.GetRelayedEra(), Revision: w.GetRelayed()}, EraAge: decodeAge(w.GetEraAgeUs()),
+	}
 	for _, d := range w.GetDocuments() {
-		document := codec.DecodeDocument(d.GetKey(), d.GetRevision(), d.GetGone(), d.GetRaw())
-		document.Age = microseconds(int64(min(d.GetAgeUs(), uint64(maxDocumentAge.Microseconds()))))
+		document := codec.DecodeDocument(d.GetKey(), cataloguer.Version{Era: d.GetEra(), Revision: d.GetRevision()}, d.GetGone(), d.GetRaw())
+		document.Age = decodeAge(d.GetAgeUs())
 		event.Documents = append(event.Documents, document)
 	}
 	return event
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -5,6 +5,7 @@
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	peerv1 "github.com/redwingpick/redwingpick/internal/wire/redwingpick/peer/v1"
+	"github.com/redwingpick/redwingpick/pkg/cataloguer"
 )
 
 // EncodeEnvelope encodes messages from a host.
@@ -48,7 +49,7 @@
 		return &peerv1.Message{Kind: &peerv1.Message_RecordRequest{RecordRequest: &peerv1.RecordRequest{Groups: v.Groups}}}
 	case reducer.DocumentSummary:
 		return &peerv1.Message{Kind: &peerv1.Message_Summary{Summary: &peerv1.Summary{
-			Revision: v.SignificantRevision, ConfirmedAgeUs: confirmedAgeUs(v.ConfirmedAge),
+			Era: v.SignificantVersion.Era, Revision: v.SignificantVersion.Revision, ConfirmedAgeUs: confirmedAgeUs(v.ConfirmedAge),
 		}}}
 	case reducer.LeaseRequest:
 		return &peerv1.Message{Kind: &peerv1.Message_LeaseRequest{LeaseRequest: encodeLeaseRequest(v)}}
@@ -104,7 +105,10 @@
 	case *peerv1.Message_RosterReply:
 		return reducer.MembershipReply{VotersKnown: v.RosterReply.GetSettled(), Term: v.RosterReply.GetTerm()}
 	case *peerv1.Message_Summary:
-		return reducer.DocumentSummary{SignificantRevision: v.Summary.GetRevision(), ConfirmedAge: microseconds(v.Summary.GetConfirmedAgeUs())}
+		return reducer.DocumentSummary{
+			SignificantVersion: cataloguer.Version{Era: v.Summary.GetEra(), Revision: v.Summary.GetRevision()},
+			ConfirmedAge:       microseconds(v.Summary.GetConfirmedAgeUs()),
+		}
 	case *peerv1.Message_LeaseRequest:
 		return decodeLeaseRequest(v.LeaseRequest)
 	case *peerv1.Message_LeaseReply:
--- a/internal/wire/redwingpick/peer/v1/peerv1connect/peer.connect.go
+++ b/internal/wire/redwingpick/peer/v1/peerv1connect/peer.connect.go
@@ -45,7 +45,7 @@
 type PeerServiceClient interface {
 	// Exchange delivers one envelope of control messages and returns the called host's reply envelope.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Updates returns the published documents that changed after a revision.
+	// Updates returns the published documents that changed after a version.
 	Updates(context.Context, *connect.Request[v1.UpdatesRequest]) (*connect.Response[v1.UpdatesResponse], error)
 }
 
@@ -95,7 +95,7 @@
 type PeerServiceHandler interface {
 	// Exchange delivers one envelope of control messages and returns the called host's reply envelope.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Updates returns the published documents that changed after a revision.
+	// Updates returns the published documents that changed after a version.
 	Updates(context.Context, *connect.Request[v1.UpdatesRequest]) (*connect.Response[v1.UpdatesResponse], error)
 }
 
--- a/pkg/cataloguer/catalogue.go
+++ b/pkg/cataloguer/catalogue.go
@@ -176,9 +176,9 @@
 	Key  string
 	Kind Kind
 	// Name is the backend server of an item of KindBackend or the failure domain of an item of KindWithdrawnDomain, otherwise empty.
-	Name     string
-	Revision int64
-	Deleted  bool
+	Name    string
+	Version Version
+	Deleted bool
 	// Age is the time since a host read the item from the configuration service, for one that hosts send to each other.
 	Age time.Duration
 	// Raw is the item as published, which is the form in which hosts send it to each other; nil if the item is deleted.
