Name a request by its path, caller and body in the log

RequestArrived has a fingerprint now, a hash over key, method, host name, target and body, and event 205 names such a request by it.

--- a/internal/hasher/hasher.go
+++ b/internal/hasher/hasher.go
@@ -22,6 +22,26 @@
 	return xxhash.Sum64String(text)
 }
 
+// Hash computes the hash of a sequence of texts and bytes.
+type Hash struct {
+	digest *xxhash.Digest
+}
+
+// New returns the hash of an empty sequence.
+func New() Hash { return Hash{digest: xxhash.New()} }
+
+// AddText adds a text and its end, so that the same characters in other texts give another hash.
+func (h Hash) AddText(text string) {
+	_, _ = h.digest.WriteString(text)
+	_, _ = h.digest.Write([]byte{0})
+}
+
+// Add adds bytes, whose division into several calls does not matter.
+func (h Hash) Add(data []byte) { _, _ = h.digest.Write(data) }
+
+// Sum returns the hash of what has been added.
+func (h Hash) Sum() uint64 { return h.digest.Sum64() }
+
 // Score returns the rendezvous score of a name for a key.
 func Score(key uint64, name Name) uint64 {
 	return Mix(key ^ name.Hash*0x9e3779b97f4a7c15)
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -13,6 +13,7 @@
 	"github.com/redwingpick/redwingpick/internal/clocker"
 	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
+	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/internal/selector"
 	"github.com/redwingpick/redwingpick/internal/tracer"
@@ -85,6 +86,7 @@
 		return
 	}
 	event.At, event.Connection = arrivedAt, r.RemoteAddr
+	event.Fingerprint = fingerprint(event, call)
 	event.ID = strconv.FormatUint(c.sequence.Add(1), 36)
 	ctx, span := tracer.StartSpan(tracer.Extract(r.Context(), r.Header), "host", attribute.String("request", event.CallerID))
 	defer span.End()
@@ -110,6 +112,18 @@
 	return reason
 }
 
+// fingerprint returns the hash of what a request is known by when its caller sends it again: key, method, host name, target and body.
+func fingerprint(event reducer.RequestArrived, call dispatcher.Call) uint64 {
+	hash := hasher.New()
+	for _, text := range []string{event.Key, call.Method, event.HostName, call.Target} {
+		hash.AddText(text)
+	}
+	for _, segment := range call.Body {
+		hash.Add(segment)
+	}
+	return hash.Sum()
+}
+
 // headSize returns the size of a head in bytes without the spaces that a caller may add.
 func headSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n\r\n") + len("Host: \r\n") + len(r.Host)
--- a/internal/listener/callers_test.go
+++ b/internal/listener/callers_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingpick/redwingpick/internal/dispatcher"
 	"github.com/redwingpick/redwingpick/internal/executor"
 	"github.com/redwingpick/redwingpick/internal/messenger"
 	"github.com/redwingpick/redwingpick/internal/meter"
@@ -63,3 +64,28 @@
 		assert.Check(t, strings.Contains(log.String(), fmt.Sprintf(`"request":%q`, c.id)) == (c.id != ""), "%s", log)
 	}
 }
+
+// Guards against a request that its caller sends again under another ID and is not recognized, and against one that is taken for another.
+func TestFingerprint(t *testing.T) {
+	event := reducer.RequestArrived{CallerID: "1", Key: "k", HostName: "h"}
+	call := dispatcher.Call{Method: http.MethodPost, Target: "/a?x=1", Body: [][]byte{[]byte("body")}}
+	first := fingerprint(event, call)
+	again := event
+	again.CallerID, again.Connection = "2", "other"
+	split := call
+	split.Body = [][]byte{[]byte("bo"), []byte("dy")}
+	assert.Equal(t, fingerprint(again, split), first)
+
+	for name, change := range map[string]func(e *reducer.RequestArrived, c *dispatcher.Call){
+		"key":    func(e *reducer.RequestArrived, _ *dispatcher.Call) { e.Key = "other" },
+		"host":   func(e *reducer.RequestArrived, _ *dispatcher.Call) { e.HostName = "other" },
+		"method": func(_ *reducer.RequestArrived, c *dispatcher.Call) { c.Method = http.MethodPut },
+		"query":  func(_ *reducer.RequestArrived, c *dispatcher.Call) { c.Target = "/a?x=2" },
+		"body":   func(_ *reducer.RequestArrived, c *dispatcher.Call) { c.Body = [][]byte{[]byte("bodies")} },
+		"ends":   func(e *reducer.RequestArrived, c *dispatcher.Call) { e.Key, c.Method = "kP", "OST" },
+	} {
+		otherEvent, otherCall := event, call
+		change(&otherEvent, &otherCall)
+		assert.Assert(t, fingerprint(otherEvent, otherCall) != first, name)
+	}
+}
--- a/internal/reducer/content.go
+++ b/internal/reducer/content.go
@@ -41,14 +41,21 @@
 	return names
 }
 
-// ownContent returns the name of the last part of the prompt, which belongs to the request itself: its caller sends it again with each try.
+// ownContent returns the name of what belongs to the request itself, and which its caller sends again with each try: the last part of its prompt, or
+// the request as a whole if it has no prompt.
 func (r *Request) ownContent() (name string, ok bool) {
-	if len(r.Parts) == 0 {
+	if len(r.Parts) > 0 {
+		return contentName("own", r.Parts[len(r.Parts)-1].ID), true
+	}
+	if r.Fingerprint == 0 {
 		return "", false
 	}
-	return contentName("own", r.Parts[len(r.Parts)-1].ID), true
+	return requestContent + strconv.FormatUint(r.Fingerprint, 16), true
 }
 
+// requestContent begins the names of requests that are content as a whole.
+const requestContent = "request/"
+
 // AllContent returns the names of the content of a request, with that which no other request shares.
 func (r *Request) AllContent() []string {
 	names := r.Content()
@@ -60,7 +67,11 @@
 
 // loggedContent returns the first names of the content of a request, and the number of the others.
 func (r *Request) loggedContent() string {
-	text := strings.Join(r.firstContent(maxLoggedContent), ",")
+	names := r.firstContent(maxLoggedContent)
+	if own, ok := r.ownContent(); ok && len(r.Parts) == 0 {
+		names = append(names, own)
+	}
+	text := strings.Join(names, ",")
 	if left := len(r.Parts) - 1 - maxLoggedContent; left > 0 {
 		text += ",+" + strconv.Itoa(left)
 	}
@@ -69,8 +80,11 @@
 
 // contentKey identifies the content of a request that no other request shares: the last part of its prompt, or else the request itself.
 func (r *Request) contentKey() uint64 {
-	if len(r.Parts) == 0 {
-		return hasher.Key(r.CallerID)
+	switch {
+	case len(r.Parts) > 0:
+		return hasher.Key(r.Parts[len(r.Parts)-1].ID)
+	case r.Fingerprint != 0:
+		return r.Fingerprint
 	}
-	return hasher.Key(r.Parts[len(r.Parts)-1].ID)
+	return hasher.Key(r.CallerID)
 }
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -55,6 +55,9 @@
 	TimeLeft time.Duration
 	// ResumeAfter is the last event of a stream that the caller has received, or empty.
 	ResumeAfter string
+	// Fingerprint is the same for requests with the same key, method, host name, path, query and body: a request that its caller sends again has
+	// another CallerID.
+	Fingerprint uint64
 }
 
 // Part is one part of a prompt that several requests may share.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -56,7 +56,7 @@
 func newRequest(now time.Time, e RequestArrived) *Request {
 	return &Request{
 		ID: e.ID, CallerID: e.CallerID, Connection: e.Connection, Adapter: AdapterKey{Model: e.Model, Adapter: e.Adapter}, ArrivedAt: e.At,
-		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts,
+		PromptTokens: e.PromptTokens, Tokens: e.PromptTokens + e.OutputTokens, Parts: e.Parts, Fingerprint: e.Fingerprint,
 		Phase: PhaseQueued, WaitSince: now, Admission: RequestAdmission{FirstAt: e.At},
 	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -297,6 +297,8 @@
 	// QuotaCost is what the request counts against its account's rate.
 	QuotaCost float64
 	Parts     []Part
+	// Fingerprint identifies the request by what its caller sends, which is the same when the caller sends it again.
+	Fingerprint uint64
 	// Prefixes holds the prefixes of the prompt once promptPrefixes has computed them.
 	Prefixes  []prefixer.Prefix
 	Priority  int
