--- a/internal/exerciser/backends.go
+++ b/internal/exerciser/backends.go
@@ -341,6 +341,9 @@
 	}
 	s.addStallHandlers(a, h, b, r, e, key)
 	b.answers = append(b.answers, a)
+	if s.crashSoon(b, r) {
+		return
+	}
 	interrupted := func() bool { return !b.Up || b.Info.StartedUnixMs != startedUnixMs || !s.connected(h.ID, e.Backend) }
 	s.after(processingTime, func() {
 		if a.aborted {
--- a/internal/exerciser/deadly_parts.go
+++ b/internal/exerciser/deadly_parts.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/reducer"
 )
 
@@ -16,7 +17,8 @@
 	// Turns is the number of further parts that prompts share, as the turns of a long conversation.
 	Turns int
 	// Position is the index of the part in the prompt, from 0; the last part of a prompt belongs to the request itself. With deadlyAdapter, the
-	// adapter of the request crashes engines instead, and with deadlyRequest a request that its caller sends again and again.
+	// adapter of the request crashes engines instead, and with deadlyRequest a request that its caller sends again and again. With deadlyPlain such a
+	// request crashes servers of the unary service as they begin to run it.
 	Position int
 	// CrashTimes holds when the part crashed an engine.
 	CrashTimes []time.Time
@@ -49,10 +51,12 @@
 	end func()
 }
 
-// deadlyAdapter is the position for an adapter that crashes engines, and deadlyRequest that for a request which alone has its last part.
+// deadlyAdapter is the position for an adapter that crashes engines, deadlyRequest that for a request which alone has its last part, and deadlyPlain
+// that for a request to the unary service.
 const (
 	deadlyAdapter = -1
 	deadlyRequest = -2
+	deadlyPlain   = -3
 )
 
 const (
@@ -72,7 +76,7 @@
 
 // crashLimit returns the number of crashes after which hosts have to know the cause.
 func (d *DeadlyPart) crashLimit() int {
-	if d.Position == deadlyRequest {
+	if d.Position == deadlyRequest || d.Position == deadlyPlain {
 		return repeatedCrashes
 	}
 	return deadlyCrashes
@@ -92,7 +96,11 @@
 // drawParts draws the parts of a generation's prompt. A request with the deadly part shares its caller and its other parts with sound ones.
 func (s *Simulation[P]) drawParts(r *Request, e *reducer.RequestArrived) {
 	d := s.DeadlyPart
-	if d == nil || e.Adapter == "" {
+	if d == nil {
+		return
+	}
+	if e.Adapter == "" || d.Position == deadlyPlain {
+		s.drawPlain(r, e)
 		return
 	}
 	common, customer := d.rng.IntN(commonParts), d.rng.IntN(customerParts)
@@ -127,6 +135,74 @@
 	}
 }
 
+// drawPlain draws what a request to the unary service is known by. Lookups of one user are alike, and a deadly one is among them; orders differ.
+func (s *Simulation[P]) drawPlain(r *Request, e *reducer.RequestArrived) {
+	d := s.DeadlyPart
+	if e.Adapter != "" {
+		return
+	}
+	r.deadly = d.Position == deadlyPlain && d.rng.Float64() < d.Share
+	switch {
+	case r.deadly:
+		e.Path, r.atMostOnce = "/safe/x", false
+		e.Fingerprint = deadlyFingerprint
+	case r.atMostOnce:
+		e.Fingerprint = hasher.Key("order-" + e.ID)
+	default:
+		e.Fingerprint = hasher.Key(fmt.Sprintf("user-%d", d.rng.IntN(lookupUsers)))
+		if r.sound = s.soundRequests(); r.sound != nil {
+			r.sound.Sent++
+		}
+	}
+}
+
+// crashSoon crashes a server of the unary service soon after it has begun to run a deadly request, and reports whether it does.
+func (s *Simulation[P]) crashSoon(b *Backend, r *Request) bool {
+	if !r.deadly || b.Info.Service != unaryService {
+		return false
+	}
+	s.crashAfter(b, crashDelay)
+	return true
+}
+
+// crashAfter crashes a server after a time, if that start of it still runs.
+func (s *Simulation[P]) crashAfter(b *Backend, delay time.Duration) {
+	startedUnixMs := b.Info.StartedUnixMs
+	s.after(delay, func() {
+		if b.Up && b.Info.StartedUnixMs == startedUnixMs {
+			s.DeadlyPart.CrashTimes = append(s.DeadlyPart.CrashTimes, s.Now)
+			s.crashByRequest(b)
+		}
+	})
+}
+
+// repeatLost makes the caller of a lookup that was lost with its server send it again at once, to any host, up to maxRepeats times.
+func (s *Simulation[P]) repeatLost(r *Request) {
+	if s.DeadlyPart == nil || r.event.Adapter != "" || r.atMostOnce || r.deadly || r.repeats >= maxRepeats {
+		return
+	}
+	s.after(repeatDelay, func() {
+		h := s.Hosts[s.DeadlyPart.rng.IntN(len(s.Hosts))]
+		if !h.Up || !h.State.Ready {
+			return
+		}
+		s.Traffic.Sent++
+		event := r.event.RequestArrived
+		event.ID = fmt.Sprint(s.Traffic.Sent)
+		event.CallerID, event.At = event.ID, s.Now
+		s.deliverRequest(h, &Request{host: h, sentAt: s.Now, account: r.account, repeats: r.repeats + 1}, event)
+	})
+}
+
+const (
+	// deadlyFingerprint is the fingerprint of the deadly request to the unary service, and lookupUsers the number of users whose lookups are alike.
+	deadlyFingerprint = 0xdead
+	lookupUsers       = 12
+	// repeatDelay is the time after which the caller of a lost lookup sends it again, at most maxRepeats times.
+	repeatDelay = 20 * time.Millisecond
+	maxRepeats  = 3
+)
+
 // soundRequests returns the count for a sound request that is sent now; nil in the time in which hosts may still learn the part.
 func (s *Simulation[P]) soundRequests() *SoundRequests {
 	d := s.DeadlyPart
@@ -164,16 +240,10 @@
 	if !r.deadly {
 		return
 	}
-	startedUnixMs := b.Info.StartedUnixMs
-	s.after(crashDelay, func() {
-		if b.Up && b.Info.StartedUnixMs == startedUnixMs {
-			s.DeadlyPart.CrashTimes = append(s.DeadlyPart.CrashTimes, s.Now)
-			s.crashByRequest(b)
-		}
-	})
+	s.crashAfter(b, crashDelay)
 }
 
-// crashByRequest crashes an engine: its connections are closed at once, and it is back after crashedDuration.
+// crashByRequest crashes a server: its connections are closed at once, and it is back after crashedDuration.
 func (s *Simulation[P]) crashByRequest(b *Backend) {
 	s.crashBackend(b)
 	b.refuses = true
--- a/internal/exerciser/traffic.go
+++ b/internal/exerciser/traffic.go
@@ -51,6 +51,8 @@
 	sound *SoundRequests
 	// reportedNotRun is set once the caller has received a response stating that the request has not run.
 	reportedNotRun bool
+	// repeats counts the earlier tries of the same lookup that were lost.
+	repeats int
 	// returned is set if the caller was refused before, and beganAt is when the response began.
 	returned bool
 	beganAt  time.Time
@@ -196,6 +198,7 @@
 	r.finish(&s.Checker, s.Now, e.Reason.String())
 	s.returnLater(r, e)
 	if e.MayHaveRun {
+		s.repeatLost(r)
 		return
 	}
 	r.reportedNotRun = true
