Try requests that were lost at several crashes alone, one at a time

Cause: a loss at a server without models left no evidence, and a request without a prompt had nothing that other tries share. Hosts confirm the crash of such a server by a probe of its address now, and know the request by its fingerprint. Counting losses is not enough: lookups of one user are alike, are repeated at once, and are lost at three crashes by other causes too. So from the third crash such a request is sent as a trial only: one at a time for each service, granted by one host (package arbiter); the others like it wait. An answer lets them through. Two trials that are lost while no other server crashes quarantine the request. So it reaches two servers more, where three are allowed.

--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -36,6 +36,8 @@
 		go w.sendOrder(ctx, e)
 	case reducer.ReadReport:
 		go func() { w.report(ctx, w.Backends.ReadReport(ctx, clocker.Now(), e)) }()
+	case reducer.ProbeBackend:
+		go func() { w.report(ctx, w.Backends.Probe(ctx, clocker.Now(), e)) }()
 	case reducer.CloseConnections:
 		w.Backends.CloseIdleConnections(e.Backend)
 	case reducer.WatchConfigService:
--- a/internal/exerciser/effects.go
+++ b/internal/exerciser/effects.go
@@ -30,6 +30,8 @@
 		s.sendOrder(h, e)
 	case reducer.ReadReport:
 		s.readReport(h, e)
+	case reducer.ProbeBackend:
+		s.probe(h, e)
 	case reducer.Dispatch:
 		s.dispatch(h, e)
 	case reducer.Refuse:
@@ -199,6 +201,19 @@
 	b.Engine.Spec.LoadTime = s.Options.EngineSpec.LoadTime * time.Duration(max(transit, s.Options.StoreTransit)) / time.Duration(s.Options.StoreTransit)
 }
 
+// probe tells a host whether a backend server refuses connections.
+func (s *Simulation[P]) probe(h *Host, e reducer.ProbeBackend) {
+	incarnation := h.Incarnation
+	event := reducer.BackendProbed{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, RequestedAt: s.Now}
+	b, ok := s.Backends[e.Backend]
+	event.Refused = ok && s.connected(h.ID, e.Backend) && (!b.Up && b.refuses || b.Info.StartedUnixMs != e.StartedUnixMs)
+	for _, id := range e.Others {
+		other := s.Backends[id]
+		event.OthersRefuse = event.OthersRefuse || !other.Up && other.refuses
+	}
+	s.after(2*s.Options.Latency, func() { s.post(h, incarnation, event) })
+}
+
 func (s *Simulation[P]) readReport(h *Host, e reducer.ReadReport) {
 	incarnation := h.Incarnation
 	event := reducer.BackendReported{Backend: e.Backend, StartedUnixMs: e.StartedUnixMs, RequestedAt: s.Now}
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -10,6 +10,8 @@
 	suspect *Suspect[K]
 	// all counts all crashes, and begun those in which the answer to the lost request had just begun.
 	all, begun tally
+	// trials counts the lost trials at whose crash no other server crashed.
+	trials int
 	// unsettled is set if the suspect has crashes that are too recent to count.
 	unsettled bool
 }
@@ -35,7 +37,7 @@
 
 // gather returns the evidence against a suspect from its settled crashes, without those that quarantined content explains. A crash at which the answer to
 // a request had just begun counts against the content of such requests only.
-func gather[K cmp.Ordered](now time.Time, s *Suspect[K], explained, begun map[uint64]bool) evidence[K] {
+func gather[K cmp.Ordered](now time.Time, s *Suspect[K], explained, begun map[uint64]bool, crashes map[uint64]time.Time) evidence[K] {
 	e := evidence[K]{suspect: s}
 	for _, crash := range s.Crashes {
 		if explained[crash.Server] || begun[crash.Server] && !crash.AnswerBegun {
@@ -49,16 +51,29 @@
 		if crash.AnswerBegun {
 			e.begun.add(crash)
 		}
+		if crash.Trial && alone(crash, crashes) {
+			e.trials++
+		}
 	}
 	return e
 }
 
+// alone reports whether no other server crashed at about the time of a crash: servers that crash together do so for a reason of their own.
+func alone(crash Crash, crashes map[uint64]time.Time) bool {
+	for server, at := range crashes {
+		if server != crash.Server && at.Sub(crash.At).Abs() < incidentGap {
+			return false
+		}
+	}
+	return true
+}
+
 // sufficient reports whether the suspect has to be quarantined.
 func (e evidence[K]) sufficient() bool {
 	if e.suspect.Strikes > 0 {
 		return e.all.incidents > 0
 	}
-	return e.all.incidents >= minIncidents && len(e.all.requests) >= minRequests ||
+	return e.trials >= minLostTrials || e.all.incidents >= minIncidents && len(e.all.requests) >= minRequests ||
 		e.begun.incidents >= minBegunIncidents && len(e.begun.requests) >= minRequests || e.begun.incidents >= minRepeatedIncidents
 }
 
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -16,6 +16,8 @@
 	// AnswerBegun is set if the answer to the request had just begun: that is when content crashes servers, and few other requests are lost in
 	// that moment.
 	AnswerBegun bool
+	// Trial is set if the request was sent alone, as a trial.
+	Trial bool
 }
 
 // Suspect is content that requests may share, with the crashes that it may have caused.
@@ -76,6 +78,8 @@
 	// same for one request that its caller sends again and again.
 	minBegunIncidents    = 2
 	minRepeatedIncidents = 3
+	// minLostTrials is the number of lost trials that suffices.
+	minLostTrials = 2
 	// incidentGap is the time within which crashes count as one incident, since a failure of a whole failure domain takes many servers at
 	// once, and any content with them.
 	incidentGap = 500 * time.Millisecond
@@ -238,17 +242,31 @@
 	return begun
 }
 
+// CrashedAt returns when a server process crashed at which a request was lost that is still suspect; zero if none was.
+func (t *Tracker[K]) CrashedAt(server uint64) time.Time { return t.crashTimes()[server] }
+
+// crashTimes returns when each server process crashed at which a request was lost that is still suspect.
+func (t *Tracker[K]) crashTimes() map[uint64]time.Time {
+	times := map[uint64]time.Time{}
+	for _, s := range t.Suspects {
+		for _, crash := range s.Crashes {
+			times[crash.Server] = crash.At
+		}
+	}
+	return times
+}
+
 // worst returns the content that has to be quarantined first: the one with the most incidents, those in which an answer had just begun first,
 // of these the one that was answered least recently, and of these the one that the fewest requests share. Crashes that are not settled are
 // judged later.
 func (t *Tracker[K]) worst(now time.Time, explained map[uint64]bool) (worst K, found bool) {
-	most, begun := evidence[K]{}, t.begunServers()
+	most, begun, crashes := evidence[K]{}, t.begunServers(), t.crashTimes()
 	for _, key := range slices.Sorted(maps.Keys(t.Suspects)) {
 		s := t.Suspects[key]
 		if !s.QuarantinedUntil.IsZero() {
 			continue
 		}
-		e := gather(now, s, explained, begun)
+		e := gather(now, s, explained, begun, crashes)
 		if e.unsettled {
 			t.judgeAt(now.Add(settleTime / 4))
 		}
@@ -364,11 +382,12 @@
 		return false
 	}
 	if i := slices.IndexFunc(s.Crashes, func(c Crash) bool { return c.Server == crash.Server }); i >= 0 {
-		if !crash.AnswerBegun || s.Crashes[i].AnswerBegun {
-			return false
+		known := &s.Crashes[i]
+		adds := crash.AnswerBegun && !known.AnswerBegun || crash.Trial && !known.Trial
+		if adds {
+			known.Request, known.AnswerBegun, known.Trial = crash.Request, known.AnswerBegun || crash.AnswerBegun, known.Trial || crash.Trial
 		}
-		s.Crashes[i].Request, s.Crashes[i].AnswerBegun = crash.Request, true
-		return true
+		return adds
 	}
 	s.Crashes = append(s.Crashes, crash)
 	slices.SortStableFunc(s.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
@@ -398,6 +417,9 @@
 // request are counted in lost.
 func (s *Suspect[K]) moreRedundant(i, j int, lost map[uint64]int) bool {
 	x, y := s.Crashes[i], s.Crashes[j]
+	if x.Trial != y.Trial {
+		return y.Trial
+	}
 	if x.AnswerBegun != y.AnswerBegun {
 		return y.AnswerBegun
 	}
--- a/internal/reducer/backend.go
+++ b/internal/reducer/backend.go
@@ -33,7 +33,11 @@
 			s.confirmCrash(now, b)
 			dropBackend(s, b)
 		}
+		former := b
 		b = addBackend(s, now, info)
+		if known {
+			s.inheritLosses(now, former, b)
+		}
 		s.beginNewSlowStart(now, b)
 		s.logEvent(EventBackendJoined, Field{"backend_server", info.ID}, Field{"service", info.Service},
 			Field{"address", info.Address}, Field{"failure_domain", info.FailureDomain}, msField("cold_ms", info.ColdRemaining))
@@ -77,6 +81,7 @@
 	delete(s.Starting, b.Info.ID)
 	delete(s.Throttled, b.Info.ID)
 	delete(s.Limited, b.Info.ID)
+	delete(s.Isolation.Canceled, b.key())
 	s.invalidateBackendIndex()
 	if l, ok := s.Leases[b.Info.ID]; ok {
 		l.Inventory = newInventory()
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -35,6 +35,10 @@
 	EffectsExpired   uint64 `json:"effects_expired_total"`
 	DocumentsRefused uint64 `json:"documents_refused_total"`
 	ConfigReads      uint64 `json:"platform_reads_total"`
+	// TrialWaits counts the requests that waited for a trial, since they were lost at several crashes, Trials the trials, and TrialsLost those that were lost.
+	TrialWaits uint64 `json:"trial_waits_total"`
+	Trials     uint64 `json:"trials_total"`
+	TrialsLost uint64 `json:"trials_lost_total"`
 	// EraReturns counts the returns of the configuration service from an older copy, ItemsSettled the items for which what it has came into force
 	// after that without having been written again, and OldAnswers its answers that were dropped since they are of an earlier era.
 	EraReturns   uint64 `json:"era_returns_total"`
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -96,6 +96,17 @@
 	StartedUnixMs int64
 }
 
+// ProbeBackend finds out whether a backend server's process still listens, without a request.
+type ProbeBackend struct {
+	Backend       string
+	Address       string
+	StartedUnixMs int64
+	// Once is set if one try is enough, to learn soon that the server runs; a process that is about to end may accept a connection then.
+	Once bool
+	// Others holds the addresses of other backend servers of which it is enough to know whether one refuses connections.
+	Others []string
+}
+
 // CloseConnections closes the connections to a backend server.
 type CloseConnections struct {
 	Backend string
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -153,6 +153,16 @@
 	Notice         BackendNotice
 }
 
+// BackendProbed tells whether a backend server's address refuses connections, as it does once its process has ended.
+type BackendProbed struct {
+	Backend       string
+	StartedUnixMs int64
+	RequestedAt   time.Time
+	Refused       bool
+	// OthersRefuse is set if one of the other addresses refuses connections too.
+	OthersRefuse bool
+}
+
 // BackendReport is what a backend server reports about itself.
 type BackendReport struct {
 	// StartedUnixMs is the server's start time; 0 if the report does not say.
--- a/internal/reducer/inventory.go
+++ b/internal/reducer/inventory.go
@@ -304,7 +304,7 @@
 	l, ok := s.Leases[e.Backend]
 	b, known := s.Backends[e.Backend]
 	if known && b.Info.StartedUnixMs == e.StartedUnixMs {
-		s.checkLosses(now, b, e)
+		s.checkLosses(now, b, e.Failed, e.RequestedAt)
 		s.observeReport(now, e)
 	}
 	if !ok || !known || b.Info.StartedUnixMs != e.StartedUnixMs {
--- a/internal/reducer/logevents.go
+++ b/internal/reducer/logevents.go
@@ -51,6 +51,8 @@
 	EventOrderFailed              = 152
 	EventAdapterLoaded            = 153
 	EventAdapterRequested         = 154
+	EventTrialBegan               = 155
+	EventTrialEnded               = 156
 	EventReplicasChanged          = 164
 	EventServiceRateChanged       = 161
 	EventBackendSlowed            = 162
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -250,8 +250,27 @@
 	Server  uint64
 	Request uint64
 	Age     time.Duration
-	// AnswerBegun is set if the answer to the request had just begun.
+	// AnswerBegun is set if the answer to the request had just begun, and Trial if the request was sent as a trial.
 	AnswerBegun bool
+	Trial       bool
+}
+
+// TrialRequest asks the arbiter of a service for the trial of a request, renews the trial, or tells that it has ended.
+type TrialRequest struct {
+	Service string
+	Content string
+	// Sequence tells the sender's trials apart; the reply repeats it.
+	Sequence uint64
+	// Ended is set at the end of the trial, and Lost if the server then closed the connection without an answer.
+	Ended bool
+	Lost  bool
+}
+
+// TrialReply answers a host that has asked for a trial.
+type TrialReply struct {
+	Service  string
+	Sequence uint64
+	Granted  bool
 }
 
 // RateLimits tells which rate limits backend servers name, and which of them name none any more.
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -25,7 +25,7 @@
 	if r.PossibleRuns == 0 {
 		r.Version = max(r.Version, s.Documents.Versions[r.Adapter])
 	}
-	if refuseQuarantined(s, now, r) {
+	if refuseQuarantined(s, now, r) || s.holdForTrial(now, r) {
 		return
 	}
 	candidates := s.candidates(now, r, service)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -29,6 +29,8 @@
 		orderEnded[P](s, now, e)
 	case BackendReported:
 		backendReported[P](s, now, e)
+	case BackendProbed:
+		backendProbed(s, now, e)
 	case LocateRequested:
 		locate(s, now, e)
 	case ConfigRead:
@@ -56,6 +58,7 @@
 // tick runs all work that depends on time alone.
 func tick[P selector.Policy](s *State, now time.Time) {
 	s.Counters.Ticks++
+	tickTrials[P](s, now)
 	tickRequests[P](s, now)
 	tickHolders(s, now)
 	tickObservation(s, now)
@@ -127,5 +130,9 @@
 		receiveSuspects(s, now, e.From, m)
 	case Losses:
 		receiveLosses(s, now, m)
+	case TrialRequest:
+		receiveTrialRequest(s, now, e.From, m)
+	case TrialReply:
+		receiveTrialReply[P](s, now, m)
 	}
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -138,6 +138,7 @@
 	s.detachBackend(now, r)
 	s.stopWaiting(r)
 	delete(s.Requests, r.ID)
+	s.requestTried(now, r)
 }
 
 // stopWaiting removes a request from those that wait for an adapter.
@@ -158,6 +159,7 @@
 		return
 	}
 	s.Counters.RequestsAbandoned++
+	s.keepCanceled(now, r)
 	s.logEvent(EventCallerDisconnected, s.requestFields(now, r)...)
 	s.endRequest(now, r, "caller_left")
 }
@@ -225,8 +227,8 @@
 	if !ok || r.Attempt != e.Attempt {
 		return
 	}
-	if b, known := s.Backends[e.Backend]; known && !b.FirstSeenAt.After(r.SentAt) {
-		s.recordOutcome(now, b, r, e)
+	if b, known := s.Backends[e.Backend]; known {
+		s.recordAttempt(now, b, r, e)
 	}
 	s.detachBackend(now, r)
 	if !e.Outcome.NotRun() {
@@ -252,6 +254,17 @@
 	retryOrFail[P](s, now, r, e)
 }
 
+// recordAttempt records the outcome of an attempt, unless it was sent before the present incarnation of its server was seen. Such an attempt may
+// have reached that incarnation all the same, at the address of the former one, and have crashed it.
+func (s *State) recordAttempt(now time.Time, b *Backend, r *Request, e DispatchEnded) {
+	switch {
+	case !b.FirstSeenAt.After(r.SentAt):
+		s.recordOutcome(now, b, r, e)
+	case e.Disconnected && !s.isEngine(b):
+		s.recordLoss(now, b, r, e)
+	}
+}
+
 // recordTimeliness counts an answer that came late: its first response after the target, or an event after the stream gap target.
 func (s *State) recordTimeliness(now time.Time, r *Request, e DispatchEnded) {
 	started := r.RespondedAt
@@ -369,6 +382,7 @@
 	s.Counters.RequestsFailed++
 	if r.Phase == PhaseRunning || r.Phase == PhaseResponding {
 		r.PossibleRuns++
+		s.keepCanceled(now, r)
 		s.emit(Cancel{ID: r.ID, Reason: reason})
 	}
 	refuse(s, now, r, reason, retryAfter)
--- a/internal/reducer/retry.go
+++ b/internal/reducer/retry.go
@@ -45,7 +45,7 @@
 
 // mayRetry reports whether the route allows a request that may have run to run again.
 func (s *State) mayRetry(r *Request) bool {
-	if r.PossibleRuns >= r.Route.MaxAttempts {
+	if r.Trial || r.PossibleRuns >= r.Route.MaxAttempts {
 		return false
 	}
 	return r.Route.RetryPolicy == cataloguer.RetrySafe || r.Route.RetryPolicy == cataloguer.RetryStream && r.Route.Resumable
--- a/internal/reducer/stall.go
+++ b/internal/reducer/stall.go
@@ -38,6 +38,9 @@
 
 // dispatchReserved sends a request whose retry was reserved to another backend server, and reports false if none can take it now.
 func (s *State) dispatchReserved(now time.Time, r *Request) bool {
+	if _, ok := s.probation(r); ok {
+		return false
+	}
 	b := s.otherBackend(now, r)
 	if b == nil {
 		return false
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/redwingpick/redwingpick/internal/arbiter"
 	"github.com/redwingpick/redwingpick/internal/hasher"
 	"github.com/redwingpick/redwingpick/internal/isolator"
 	"github.com/redwingpick/redwingpick/internal/limiter"
@@ -48,6 +49,7 @@
 	Observation    Observation
 	KeepAlive      KeepAlive
 	Isolation      Isolation
+	Trials         Trials
 	Places         Places
 	Ready          bool
 	Draining       Draining
@@ -236,6 +238,12 @@
 	// crashed; CrashedAt is when that was confirmed.
 	Lost      []LostRequest
 	CrashedAt time.Time
+	// LostNext holds the requests that were lost after the crash, which the next incarnation must have run.
+	LostNext []LostRequest
+	// ProbedAt is when a probe last found that the server accepts connections.
+	ProbedAt time.Time
+	// Canceled holds the requests that this host ended just now while the server ran them.
+	Canceled []LostRequest
 }
 
 // Residency is the state of an adapter on a backend server, as this host knows it, and the requests that wait for the adapter.
@@ -271,6 +279,8 @@
 const (
 	// PhaseAwaitingTokens means that the request waits for tokens of its account.
 	PhaseAwaitingTokens Phase = iota + 1
+	// PhaseAwaitingTrial means that the request was lost at several crashes and waits until it may be tried alone.
+	PhaseAwaitingTrial
 	// PhaseQueued means that the request waits for capacity on a backend server.
 	PhaseQueued
 	// PhaseAwaitingAdapter means that the request waits for its adapter.
@@ -321,6 +331,10 @@
 	RetryReserved bool
 	WaitSince     time.Time
 	LastFailure   Reason
+	// Trial is set once the request is sent as a trial, and TrialLost once the server has closed its connection then.
+	Trial, TrialLost bool
+	// TrialAt is when the trial began.
+	TrialAt time.Time
 	// QuarantinedContent is the content for which the request is refused with ReasonQuarantined.
 	QuarantinedContent string
 	// PrefillTokens is the prompt tokens that count at the backend server until the response begins.
@@ -366,7 +380,8 @@
 		LeaseGrants: map[string]*LeaseGrant{},
 		Requests:    map[string]*Request{},
 		Watch:       Watch{ListNext: true},
-		Isolation:   Isolation{Content: isolator.NewTracker[string]()},
+		Isolation:   Isolation{Content: isolator.NewTracker[string](), Canceled: map[uint64]string{}},
+		Trials:      Trials{Arbiter: arbiter.New(), Questions: map[string]*TrialQuestion{}},
 		Places:      Places{Replicas: map[AdapterKey]*placer.Replicas{}, Unreported: map[string]*UnreportedWork{}},
 		outbox:      map[string][]Message{},
 	}
--- a/internal/translator/suspects.go
+++ b/internal/translator/suspects.go
@@ -57,11 +57,13 @@
 }
 
 func encodeCrash(c reducer.SuspectCrash) *peerv1.SuspectCrash {
-	return &peerv1.SuspectCrash{Server: c.Server, Request: c.Request, AgeMs: uint64(max(c.Age.Milliseconds(), 0)), AnswerBegun: c.AnswerBegun}
+	return &peerv1.SuspectCrash{Server: c.Server, Request: c.Request, AgeMs: uint64(max(c.Age.Milliseconds(), 0)), AnswerBegun: c.AnswerBegun, Trial: c.Trial}
 }
 
 func decodeCrash(w *peerv1.SuspectCrash) reducer.SuspectCrash {
-	return reducer.SuspectCrash{Server: w.GetServer(), Request: w.GetRequest(), Age: boundedAge(w.GetAgeMs()), AnswerBegun: w.GetAnswerBegun()}
+	return reducer.SuspectCrash{
+		Server: w.GetServer(), Request: w.GetRequest(), Age: boundedAge(w.GetAgeMs()), AnswerBegun: w.GetAnswerBegun(), Trial: w.GetTrial(),
+	}
 }
 
 func encodeLosses(m reducer.Losses) *peerv1.LostRequests {
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -79,6 +79,12 @@
 		return &peerv1.Message{Kind: &peerv1.Message_Suspects{Suspects: encodeSuspects(v)}}
 	case reducer.Losses:
 		return &peerv1.Message{Kind: &peerv1.Message_LostRequests{LostRequests: encodeLosses(v)}}
+	case reducer.TrialRequest:
+		return &peerv1.Message{Kind: &peerv1.Message_TrialRequest{TrialRequest: &peerv1.TrialRequest{
+			Service: v.Service, Content: v.Content, Sequence: v.Sequence, Ended: v.Ended, Lost: v.Lost,
+		}}}
+	case reducer.TrialReply:
+		return &peerv1.Message{Kind: &peerv1.Message_TrialReply{TrialReply: &peerv1.TrialReply{Service: v.Service, Sequence: v.Sequence, Granted: v.Granted}}}
 	case reducer.RateLimits:
 		return &peerv1.Message{Kind: &peerv1.Message_RateLimits{RateLimits: encodeRateLimits(v)}}
 	case reducer.TokenGrant:
@@ -140,6 +146,14 @@
 		return decodeSuspects(v.Suspects)
 	case *peerv1.Message_LostRequests:
 		return decodeLosses(v.LostRequests)
+	case *peerv1.Message_TrialRequest:
+		w := v.TrialRequest
+		return reducer.TrialRequest{
+			Service: w.GetService(), Content: w.GetContent(), Sequence: w.GetSequence(), Ended: w.GetEnded(), Lost: w.GetLost(),
+		}
+	case *peerv1.Message_TrialReply:
+		w := v.TrialReply
+		return reducer.TrialReply{Service: w.GetService(), Sequence: w.GetSequence(), Granted: w.GetGranted()}
 	case *peerv1.Message_RateLimits:
 		return decodeRateLimits(v.RateLimits)
 	case *peerv1.Message_TokenGrant:
