Look for requests that wait for a trial without sorting all of them

The check of each tick sorted the requests of a host, of which in ordinary operation none waits. The function is split, too.

--- a/internal/reducer/trial.go
+++ b/internal/reducer/trial.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/redwingpick/redwingpick/internal/arbiter"
@@ -69,7 +68,25 @@
 // tickTrials releases the requests that need no trial any more, and asks the arbiters for the trials of the others.
 func tickTrials[P selector.Policy](s *State, now time.Time) {
 	s.Trials.Arbiter.Prune(now)
-	waiting := map[string][]*Request{}
+	if len(s.Trials.Questions) == 0 && !s.awaitsTrials() {
+		return
+	}
+	waiting := s.releaseTried(now)
+	for _, service := range sortedKeys(waiting) {
+		if s.Trials.Questions[service] == nil {
+			content, _ := waiting[service].ownContent()
+			s.Trials.Sequence++
+			s.Trials.Questions[service] = &TrialQuestion{Content: content, Sequence: s.Trials.Sequence, AnsweredAt: now}
+		}
+	}
+	for _, service := range sortedKeys(s.Trials.Questions) {
+		askArbiter[P](s, now, service, waiting[service] != nil)
+	}
+}
+
+// releaseTried queues the requests that need no trial any more, and returns, by service, the one of the others that arrived first where a server is usable.
+func (s *State) releaseTried(now time.Time) map[string]*Request {
+	waiting := map[string]*Request{}
 	for _, id := range sortedKeys(s.Requests) {
 		r := s.Requests[id]
 		if r.Phase != PhaseAwaitingTrial {
@@ -79,21 +96,22 @@
 			r.Phase, r.WaitSince = PhaseQueued, now
 			continue
 		}
-		if len(s.usableBackends(now, r)) > 0 {
-			waiting[r.Service] = append(waiting[r.Service], r)
+		first := waiting[r.Service]
+		if (first == nil || r.ArrivedAt.Before(first.ArrivedAt)) && len(s.usableBackends(now, r)) > 0 {
+			waiting[r.Service] = r
 		}
 	}
-	for _, service := range sortedKeys(waiting) {
-		if s.Trials.Questions[service] == nil {
-			slices.SortStableFunc(waiting[service], func(a, b *Request) int { return a.ArrivedAt.Compare(b.ArrivedAt) })
-			content, _ := waiting[service][0].ownContent()
-			s.Trials.Sequence++
-			s.Trials.Questions[service] = &TrialQuestion{Content: content, Sequence: s.Trials.Sequence, AnsweredAt: now}
+	return waiting
+}
+
+// awaitsTrials reports whether a request waits for its trial. Few ticks find one, so that the requests need not be sorted in the others.
+func (s *State) awaitsTrials() bool {
+	for _, r := range s.Requests {
+		if r.Phase == PhaseAwaitingTrial {
+			return true
 		}
 	}
-	for _, service := range sortedKeys(s.Trials.Questions) {
-		askArbiter[P](s, now, service, len(waiting[service]) > 0)
-	}
+	return false
 }
 
 // askArbiter asks for the trial of a question or renews it, and drops the question if there is nothing to try any more.
