--- a/internal/reducer/documents.go
+++ b/internal/reducer/documents.go
@@ -72,12 +72,9 @@
 // fromConfigService is the source, in the log field from, of what this host has read from the configuration service itself.
 const fromConfigService = "platform"
 
-// applyDocuments applies the published items that are newer than the known ones. Only a snapshot leads into a later era.
+// applyDocuments applies the published items that are newer than the known ones. Only a snapshot may lead into a later era.
 func applyDocuments(s *State, now time.Time, r readResult) {
 	former := s.Documents.Version
-	if r.Version.Era > former.Era && !r.Snapshot {
-		return
-	}
 	if r.Version.Era > former.Era {
 		enterEra(s, now, r)
 	}
--- a/internal/reducer/era_test.go
+++ b/internal/reducer/era_test.go
@@ -126,3 +126,21 @@
 		assert.Equal(t, f.state.Watch.ConfirmedAt, confirmed, "era %d", era)
 	}
 }
+
+// Guards against a host in the first era, whose number is 0, that is answered as if it were in the era of the host that it asks, and asks without end.
+func TestHostOfAnEarlierEraGetsASnapshot(t *testing.T) {
+	f := eraFixture(t)
+	behind := cataloguer.Version{Revision: f.revision + 40}
+	resp := must[UpdatesResponse](t, f.reduce(UpdatesRequested{ReplyID: "u", Since: behind}))
+	assert.Assert(t, resp.Snapshot)
+	resp = must[UpdatesResponse](t, f.reduce(UpdatesRequested{ReplyID: "u", Since: behind, WithoutEra: true}))
+	assert.Assert(t, !resp.Snapshot, "a host of an older build gets a snapshot each time")
+
+	f.addFiveHosts()
+	before := f.state.Documents.Version
+	later := cataloguer.Version{Era: 2, Revision: 3}
+	f.state.Hosts["host-1"].SignificantVersion = later
+	_, again := find[ReadUpdates](f.reduce(UpdatesRead{From: "host-1", Version: later, SignificantVersion: later}))
+	assert.Assert(t, !again, "changes that do not continue what the host has read are requested again at once")
+	assert.Equal(t, f.state.Documents.Version, before)
+}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -208,6 +208,8 @@
 type UpdatesRequested struct {
 	ReplyID string
 	Since   cataloguer.Version
+	// WithoutEra is set if the peer, of an older build, knows no eras and means this host's.
+	WithoutEra bool
 }
 
 // UpdatesRead carries a peer's response with changed documents, or a failure.
--- a/internal/reducer/updates.go
+++ b/internal/reducer/updates.go
@@ -107,12 +107,11 @@
 // peerReadTimeout is the time after which documents are requested from another peer.
 const peerReadTimeout = 700 * time.Millisecond
 
-// updatesRequested replies to a peer with the items that changed after its version. A peer of an older build states no era and means this
-// host's.
+// updatesRequested replies to a peer with the items that changed after its version.
 func updatesRequested(s *State, now time.Time, e UpdatesRequested) {
 	s.Counters.UpdateResponses++
 	since := e.Since
-	if since.Era == 0 {
+	if e.WithoutEra {
 		since.Era = s.Documents.Version.Era
 	}
 	resp := UpdatesResponse{
@@ -139,6 +138,10 @@
 // updatesRead applies a peer's response and requests what is still missing from the next peer.
 func updatesRead[P selector.Policy](s *State, now time.Time, e UpdatesRead) {
 	s.Watch.ReadingPeer = false
+	if e.Version.Era > s.Documents.Version.Era && !e.Snapshot {
+		// The changes do not continue what this host has read. Another request would get the same.
+		e = UpdatesRead{From: e.From, Failed: true}
+	}
 	h, known := s.Hosts[e.From]
 	if known {
 		h.SignificantVersion = e.SignificantVersion
--- a/internal/translator/messages.go
+++ b/internal/translator/messages.go
@@ -188,12 +188,14 @@
 
 // DecodeUpdatesRequest decodes a request for changed documents, which is answered to replyID.
 func DecodeUpdatesRequest(replyID string, w *peerv1.UpdatesRequest) reducer.UpdatesRequested {
-	return reducer.UpdatesRequested{ReplyID: replyID, Since: cataloguer.Version{Era: w.GetEra(), Revision: w.GetSince()}}
+	return reducer.UpdatesRequested{
+		ReplyID: replyID, Since: cataloguer.Version{Era: w.GetEra(), Revision: w.GetSince()}, WithoutEra: !w.GetKnowsEras(),
+	}
 }
 
 // EncodeUpdatesRequest encodes a request for changed documents.
 func EncodeUpdatesRequest(effect reducer.ReadUpdates) *peerv1.UpdatesRequest {
-	return &peerv1.UpdatesRequest{Era: effect.Since.Era, Since: effect.Since.Revision}
+	return &peerv1.UpdatesRequest{Era: effect.Since.Era, Since: effect.Since.Revision, KnowsEras: true}
 }
 
 // DocumentCodec decodes the items of the configuration service.
