Keep the name of the era's header in platform/

A test of the watcher named the header itself, although nothing outside platform/ is to know it. It takes platform.EraHeader now; the stand-in and the codec's own test keep the text, as a check of it.

--- a/internal/watcher/era_test.go
+++ b/internal/watcher/era_test.go
@@ -14,13 +14,14 @@
 
 	"github.com/redwingpick/redwingpick/internal/reducer"
 	"github.com/redwingpick/redwingpick/pkg/cataloguer"
+	"github.com/redwingpick/redwingpick/platform"
 )
 
 // eraServer serves lists of two pages and watches; eras holds what the header of each response states, the last one for all others.
 func eraServer(t *testing.T, status int, eras ...string) (address string) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if eras[0] != "" {
-			w.Header().Set("Store-Era", eras[0])
+			w.Header().Set(platform.EraHeader, eras[0])
 		}
 		if len(eras) > 1 {
 			eras = eras[1:]
@@ -76,6 +77,6 @@
 		if header == "" {
 			want = 0
 		}
-		assert.Equal(t, strings.Count(log.String(), "Store-Era"), want, log.String())
+		assert.Equal(t, strings.Count(log.String(), platform.EraHeader), want, log.String())
 	}
 }
